--- /dev/null
+++ b/src/main/java/io/pineladder/Front.java
@@ -0,0 +1,542 @@
+package io.pineladder;
+
+import io.pineladder.model.JobSpec;
+import io.pineladder.model.MachineType;
+import io.pineladder.model.Settings;
+import io.pineladder.model.Shape;
+import io.pineladder.model.Team;
+import io.pineladder.net.HttpAnswer;
+import io.pineladder.net.HttpCaller.Request;
+import io.pineladder.store.Keys;
+import io.pineladder.wire.JobWire;
+import io.pineladder.wire.Json;
+import io.pineladder.wire.MalformedException;
+import io.pineladder.wire.PeerWire;
+import io.pineladder.wire.RecordWire;
+import io.pineladder.wire.StoreWire;
+import io.pineladder.wire.WorkerWire;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.List;
+import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Answers users, workers and peers on one node. */
+public final class Front {
+  private static final Logger log = LoggerFactory.getLogger(Front.class);
+  private static final Duration FORWARD_TIMEOUT = Duration.ofMillis(1300);
+  private static final Duration COMMIT_TIMEOUT = Duration.ofMillis(2500);
+  private static final Duration CONTACT = Duration.ofSeconds(6);
+  private static final Duration PING = Duration.ofSeconds(2);
+  private static final byte[] EMPTY = new byte[0];
+
+  private final Node node;
+  private Instant peerAt;
+  private Instant leaderFailedAt;
+  private boolean ready;
+
+  public Front(Node node) {
+    this.node = node;
+  }
+
+  public void start() {
+    ping();
+  }
+
+  // ---- paths
+
+  /** What users, workers and the load balancer ask. */
+  public void handle(String method, String path, byte[] body, Consumer<HttpAnswer> answer) {
+    String plain = path.indexOf('?') < 0 ? path : path.substring(0, path.indexOf('?'));
+    switch (plain) {
+      case "/ready" -> {
+        if (allow("GET", method, answer)) {
+          answer.accept(new HttpAnswer(isReady() ? 200 : 503, EMPTY));
+        }
+        return;
+      }
+      case "/v1/report" -> {
+        if (allow("POST", method, answer)) {
+          report(body, answer);
+        }
+        return;
+      }
+      case "/v1/jobs" -> {
+        if (allow("POST", method, answer)) {
+          submit(body, answer);
+        }
+        return;
+      }
+      default -> {}
+    }
+    String prefix = "/v1/jobs/";
+    if (!plain.startsWith(prefix)) {
+      answer.accept(error(404, "no such path"));
+      return;
+    }
+    String rest = plain.substring(prefix.length());
+    boolean cancel = rest.endsWith("/cancel");
+    String id = cancel ? rest.substring(0, rest.length() - "/cancel".length()) : rest;
+    if (id.indexOf('/') >= 0) {
+      answer.accept(error(404, "no such path"));
+      return;
+    }
+    if (!allow(cancel ? "POST" : "GET", method, answer)) {
+      return;
+    }
+    if (!JobWire.isId(id)) {
+      // Nothing with such an id is ever accepted.
+      answer.accept(error(404, "no such job"));
+      return;
+    }
+    JobWire.Status known = node.finalState(id);
+    if (known != null) {
+      answer.accept(new HttpAnswer(200, JobWire.view(id, known)));
+      return;
+    }
+    serve(method, plain, EMPTY, answer, () -> alone(id, cancel, answer));
+  }
+
+  private static boolean allow(String wanted, String method, Consumer<HttpAnswer> answer) {
+    if (wanted.equals(method)) {
+      return true;
+    }
+    answer.accept(error(405, "use " + wanted));
+    return false;
+  }
+
+  private static HttpAnswer error(int status, String reason) {
+    return new HttpAnswer(status, JobWire.error(reason));
+  }
+
+  private static HttpAnswer later(String reason) {
+    return new HttpAnswer(503, JobWire.error(reason), 1);
+  }
+
+  // ---- where a request is served
+
+  /** Serves a user's request here if this node leads, else by the leader, else as it can. */
+  private void serve(
+      String method, String path, byte[] body, Consumer<HttpAnswer> answer, Runnable alone) {
+    Leader leader = node.actingLeader();
+    if (leader != null) {
+      lead(leader, method, path, body, answer);
+      return;
+    }
+    forward(method, path, body, answer, alone);
+  }
+
+  private void forward(
+      String method, String path, byte[] body, Consumer<HttpAnswer> answer, Runnable alone) {
+    List<String> ways = new ArrayList<>();
+    RecordWire.LeaderRecord known = node.election.known();
+    boolean other = known != null && !known.member().equals(node.settings.member());
+    Instant now = node.time.now();
+    boolean failed =
+        leaderFailedAt != null && leaderFailedAt.plusMillis(1000).isAfter(now);
+    if (other && !failed) {
+      ways.add(known.address());
+    }
+    if (!node.store.isHealthy()) {
+      // Cut off from the store this node may know an old leader only; its peers may know better.
+      for (Settings.Peer peer : node.settings.peers()) {
+        if (!ways.contains(peer.address())) {
+          ways.add(peer.address());
+        }
+      }
+    }
+    forwardTo(ways, 0, new PeerWire.Forward(method, path, body, 1), answer, alone);
+  }
+
+  private void forwardTo(
+      List<String> ways,
+      int from,
+      PeerWire.Forward forward,
+      Consumer<HttpAnswer> answer,
+      Runnable alone) {
+    if (from >= ways.size()) {
+      alone.run();
+      return;
+    }
+    String way = ways.get(from);
+    node.http.call(
+        Request.post(way, PeerWire.PATH, PeerWire.write(forward), FORWARD_TIMEOUT),
+        reply -> {
+          try {
+            if (reply.is(200)) {
+              peerAt = node.time.now();
+              PeerWire.Answer got = PeerWire.parseAnswer(reply.body());
+              if (got.decided()) {
+                answer.accept(got.answer());
+                return;
+              }
+            }
+          } catch (MalformedException e) {
+            log.warn("a peer's answer is malformed");
+          }
+          RecordWire.LeaderRecord known = node.election.known();
+          if (known != null && known.address().equals(way)) {
+            leaderFailedAt = node.time.now();
+          }
+          forwardTo(ways, from + 1, forward, answer, alone);
+        });
+  }
+
+  /** A request that a peer hands on. */
+  public void handlePeer(byte[] body, Consumer<HttpAnswer> answer) {
+    PeerWire.Forward forward;
+    try {
+      forward = PeerWire.parseForward(body);
+    } catch (MalformedException e) {
+      answer.accept(error(400, e.getMessage()));
+      return;
+    }
+    peerAt = node.time.now();
+    RecordWire.LeaderRecord known = node.election.known();
+    String name = known == null ? null : known.member();
+    Consumer<HttpAnswer> decided =
+        http -> answer.accept(ok(PeerWire.write(new PeerWire.Answer(true, http, name))));
+    Runnable undecided =
+        () ->
+            answer.accept(
+                ok(PeerWire.write(new PeerWire.Answer(false, later("no leader"), name))));
+    Leader leader = node.actingLeader();
+    if (leader != null) {
+      lead(leader, forward.method(), forward.path(), forward.body(), decided);
+      return;
+    }
+    boolean other = known != null && !known.member().equals(node.settings.member());
+    if (forward.hops() <= 0 || !other) {
+      undecided.run();
+      return;
+    }
+    forwardTo(
+        List.of(known.address()),
+        0,
+        new PeerWire.Forward(forward.method(), forward.path(), forward.body(), forward.hops() - 1),
+        decided,
+        undecided);
+  }
+
+  private static HttpAnswer ok(byte[] body) {
+    return new HttpAnswer(200, body);
+  }
+
+  /** Serves a user's request as the leader. */
+  private void lead(
+      Leader leader, String method, String path, byte[] body, Consumer<HttpAnswer> answer) {
+    if (path.equals("/ready")) {
+      answer.accept(ok(EMPTY));
+      return;
+    }
+    if (path.equals("/v1/jobs")) {
+      try {
+        submitTo(leader, JobWire.parse(body), once(answer, COMMIT_TIMEOUT));
+      } catch (MalformedException e) {
+        answer.accept(error(400, e.getMessage()));
+      }
+      return;
+    }
+    String rest = path.substring("/v1/jobs/".length());
+    if (method.equals("POST")) {
+      String id = rest.substring(0, rest.length() - "/cancel".length());
+      if (!node.store.isHealthy()) {
+        answer.accept(later("the state service is not available"));
+        return;
+      }
+      Consumer<HttpAnswer> bounded = once(answer, COMMIT_TIMEOUT);
+      leader.cancel(id, view -> bounded.accept(toAnswer(id, view)));
+    } else {
+      Consumer<HttpAnswer> bounded = once(answer, FORWARD_TIMEOUT);
+      leader.view(rest, view -> bounded.accept(toAnswer(rest, view)));
+    }
+  }
+
+  /** An answer is given in time, as "later" if need be; what comes after that is dropped. */
+  private Consumer<HttpAnswer> once(Consumer<HttpAnswer> answer, Duration within) {
+    boolean[] given = new boolean[1];
+    Consumer<HttpAnswer> first =
+        http -> {
+          if (!given[0]) {
+            given[0] = true;
+            answer.accept(http);
+          }
+        };
+    node.time.after(within, () -> first.accept(later("not certain yet")));
+    return first;
+  }
+
+  private static HttpAnswer toAnswer(String id, Leader.View view) {
+    if (view == null) {
+      return error(404, "no such job");
+    }
+    if (view.status() == null) {
+      return later("not certain yet");
+    }
+    return ok(
+        view.status().isFinal()
+            ? JobWire.view(id, view.status())
+            : JobWire.view(id, view.status(), view.done(), view.running()));
+  }
+
+  // ---- submissions
+
+  private void submit(byte[] body, Consumer<HttpAnswer> answer) {
+    JobSpec spec;
+    try {
+      spec = JobWire.parse(body);
+    } catch (MalformedException e) {
+      answer.accept(error(400, e.getMessage()));
+      return;
+    }
+    JobWire.Status known = node.finalState(spec.id());
+    if (known != null) {
+      answer.accept(ok(JobWire.view(spec.id(), known)));
+      return;
+    }
+    serve("POST", "/v1/jobs", body, answer, () -> submitAlone(spec, once(answer, COMMIT_TIMEOUT)));
+  }
+
+  private void submitTo(Leader leader, JobSpec spec, Consumer<HttpAnswer> answer) {
+    if (!leader.knows(spec.id())) {
+      if (node.types().isEmpty()) {
+        answer.accept(later("the machine types are not known yet"));
+        return;
+      }
+      String never = neverRuns(spec);
+      if (never != null) {
+        // What was accepted once stays accepted, whatever is judged now.
+        leader.view(
+            spec.id(),
+            view -> answer.accept(view == null ? error(422, never) : toAnswer(spec.id(), view)));
+        return;
+      }
+    }
+    if (!node.store.isHealthy()) {
+      answer.accept(later("the state service is not available"));
+      return;
+    }
+    leader.submit(
+        spec,
+        status ->
+            answer.accept(
+                status == null
+                    ? later("not certain yet")
+                    : new HttpAnswer(
+                        status == JobWire.Status.PENDING ? 201 : 200,
+                        JobWire.view(spec.id(), status))),
+        view -> answer.accept(toAnswer(spec.id(), view)));
+  }
+
+  /** Why a job can never run, or null. */
+  private String neverRuns(JobSpec spec) {
+    Team team = null;
+    for (Team each : node.settings.teams()) {
+      if (each.name().equals(spec.team())) {
+        team = each;
+      }
+    }
+    if (team == null) {
+      return "unknown team";
+    }
+    boolean fits = false;
+    for (MachineType type : node.types()) {
+      fits |=
+          spec.allowsType(type.name())
+              && spec.each().fitsIn(type.size())
+              && (spec.zone() == null || type.zones().contains(spec.zone()));
+    }
+    if (!fits) {
+      return "a task fits no allowed machine type";
+    }
+    return team.allows(spec.least()) ? null : "beyond the team's limit";
+  }
+
+  /**
+   * Accepts a job without a leader: the record is the same that a leader would write, on the same
+   * conditions, and an entry in the inbox tells the next leader.
+   */
+  private void submitAlone(JobSpec spec, Consumer<HttpAnswer> answer) {
+    if (node.types().isEmpty() || !node.store.isHealthy()) {
+      answer.accept(later("no leader"));
+      return;
+    }
+    String never = neverRuns(spec);
+    String id = spec.id();
+    if (never != null) {
+      readAlone(
+          id, false, found -> answer.accept(found.status() == 404 ? error(422, never) : found));
+      return;
+    }
+    byte[] body =
+        new StoreWire.Transaction()
+            .require(Keys.JOB + id, 0)
+            .require(Keys.END + id, 0)
+            .put(
+                Keys.JOB + id,
+                RecordWire.job(
+                    spec,
+                    node.time.timeOfDay(),
+                    io.pineladder.model.Job.State.ACTIVE,
+                    new BitSet(),
+                    0))
+            .put(Keys.INBOX + id, Json.object().put("by", node.settings.member()))
+            .bytes();
+    node.store.urgent(
+        node.store.post("/multi", body),
+        reply -> {
+          if (reply.is(200)) {
+            log.info("job {} accepted without a leader", id);
+            answer.accept(
+                new HttpAnswer(201, JobWire.view(id, JobWire.Status.PENDING)));
+          } else if (reply.is(409)) {
+            readAlone(id, false, answer);
+          } else {
+            answer.accept(later("no leader"));
+          }
+        });
+  }
+
+  private void alone(String id, boolean cancel, Consumer<HttpAnswer> answer) {
+    if (!node.store.isHealthy()) {
+      answer.accept(later("no leader"));
+      return;
+    }
+    readAlone(id, cancel, once(answer, FORWARD_TIMEOUT));
+  }
+
+  /** Answers from a fresh read of the store; a cancel gets an answer only when the job is over. */
+  private void readAlone(String id, boolean cancel, Consumer<HttpAnswer> answer) {
+    // A job moves from the first key to the second in one transaction, so this order misses none.
+    node.store.read(
+        Keys.JOB + id,
+        read -> {
+          if (!read.certain()) {
+            answer.accept(later("no leader"));
+            return;
+          }
+          if (read.found()) {
+            tellStored(id, cancel, read.entry(), answer);
+            return;
+          }
+          node.store.read(
+              Keys.END + id,
+              end -> {
+                if (!end.certain()) {
+                  answer.accept(later("no leader"));
+                } else if (!end.found()) {
+                  answer.accept(error(404, "no such job"));
+                } else {
+                  tellEnd(id, end.entry(), answer);
+                }
+              });
+        });
+  }
+
+  private void tellStored(
+      String id, boolean cancel, StoreWire.Entry entry, Consumer<HttpAnswer> answer) {
+    try {
+      RecordWire.StoredJob job = RecordWire.parseJob(entry.value());
+      JobWire.Status status = Leader.toStatus(job.state());
+      if (status.isFinal()) {
+        node.learnFinal(id, status);
+        answer.accept(ok(JobWire.view(id, status)));
+      } else if (cancel) {
+        answer.accept(later("no leader"));
+      } else {
+        answer.accept(ok(JobWire.view(id, status, job.done().cardinality(), 0)));
+      }
+    } catch (MalformedException e) {
+      answer.accept(later("the stored job cannot be read"));
+    }
+  }
+
+  private void tellEnd(String id, StoreWire.Entry entry, Consumer<HttpAnswer> answer) {
+    try {
+      JobWire.Status status = Leader.toStatus(RecordWire.parseEnd(entry.value()));
+      node.learnFinal(id, status);
+      answer.accept(ok(JobWire.view(id, status)));
+    } catch (MalformedException e) {
+      answer.accept(later("the stored job cannot be read"));
+    }
+  }
+
+  // ---- workers
+
+  private void report(byte[] body, Consumer<HttpAnswer> answer) {
+    WorkerWire.Report report;
+    try {
+      report = WorkerWire.parseReport(body);
+    } catch (MalformedException e) {
+      answer.accept(error(400, e.getMessage()));
+      return;
+    }
+    Leader holder = node.termHolder();
+    if (holder != null && report.token() <= holder.term()) {
+      byte[] response = holder.onReport(report);
+      if (response != null) {
+        answer.accept(ok(response));
+        return;
+      }
+    } else if (holder != null) {
+      holder.onReport(report);
+    }
+    RecordWire.LeaderRecord known = node.election.known();
+    boolean other = known != null && !known.member().equals(node.settings.member());
+    answer.accept(new HttpAnswer(421, WorkerWire.redirect(other ? known.member() : null)));
+  }
+
+  // ---- readiness
+
+  private boolean isRecent(Instant at) {
+    return at != null && at.plus(CONTACT).isAfter(node.time.now());
+  }
+
+  /**
+   * A node is ready while it reaches the store, leads, or reaches a peer. In an outage of the store
+   * no node serves better than another, and one taken out of service would come back late.
+   */
+  private boolean isReady() {
+    boolean now =
+        node.actingLeader() != null || isRecent(node.store.answeredAt()) || isRecent(peerAt);
+    if (now != ready) {
+      log.info("ready: {}", now);
+      ready = now;
+    }
+    return now;
+  }
+
+  private void ping() {
+    if (!isRecent(node.store.answeredAt())) {
+      byte[] body = PeerWire.write(new PeerWire.Forward("GET", "/ready", EMPTY, 0));
+      for (Settings.Peer peer : node.settings.peers()) {
+        node.http.call(
+            Request.post(peer.address(), PeerWire.PATH, body, FORWARD_TIMEOUT),
+            reply -> {
+              if (reply.is(200)) {
+                peerAt = node.time.now();
+              }
+            });
+      }
+    }
+    node.time.after(PING, this::ping);
+  }
+
+  /** What arrives on the cluster listener. */
+  public void handleCluster(String method, String path, byte[] body, Consumer<HttpAnswer> answer) {
+    if (path.equals(PeerWire.PATH)) {
+      handlePeer(body, answer);
+    } else {
+      answer.accept(
+          new HttpAnswer(404, "{}".getBytes(StandardCharsets.UTF_8)));
+    }
+  }
+
+  static boolean isWhole(JobSpec spec) {
+    return spec.shape() != Shape.ARRAY;
+  }
+}
--- /dev/null
+++ b/src/main/java/io/pineladder/Leader.java
@@ -0,0 +1,649 @@
+package io.pineladder;
+
+import io.pineladder.fleet.Fleet;
+import io.pineladder.model.Attempt;
+import io.pineladder.model.Job;
+import io.pineladder.model.JobSpec;
+import io.pineladder.model.Machine;
+import io.pineladder.model.MachineType;
+import io.pineladder.model.OperatorSettings;
+import io.pineladder.model.Settings;
+import io.pineladder.net.HttpCaller;
+import io.pineladder.net.Timeline;
+import io.pineladder.scheduling.Cluster;
+import io.pineladder.scheduling.Scheduler;
+import io.pineladder.store.Committer;
+import io.pineladder.store.Keys;
+import io.pineladder.store.Mutation;
+import io.pineladder.store.Records;
+import io.pineladder.store.StoreClient;
+import io.pineladder.wire.JobWire;
+import io.pineladder.wire.MalformedException;
+import io.pineladder.wire.RecordWire;
+import io.pineladder.wire.StoreWire;
+import io.pineladder.wire.WorkerWire;
+import io.pineladder.workers.Workers;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** One term of leadership, from reading the store to its end. */
+final class Leader {
+  private static final Logger log = LoggerFactory.getLogger(Leader.class);
+  private static final Duration WATCH = Duration.ofSeconds(20);
+  private static final Duration RETRY = Duration.ofMillis(300);
+
+  /** Where a term stands. */
+  enum State {
+    /** Reading what earlier leaders stored; decides nothing yet. */
+    LOADING,
+    LEADING,
+    OVER
+  }
+
+  /** What the node does for its leader. */
+  interface Host {
+    /** The lease holds now. */
+    boolean mayAct();
+
+    void resign(String reason);
+
+    void superseded();
+
+    void onFinal(String job, JobWire.Status status);
+
+    List<MachineType> types();
+
+    /** Stored settings were read. */
+    void onConf(List<StoreWire.Entry> entries);
+  }
+
+  private final Settings settings;
+  private final StoreClient store;
+  private final Timeline time;
+  private final long term;
+  private final Host host;
+  private final Cluster cluster;
+  private final Committer committer;
+  private final Records records;
+  private final Scheduler scheduler;
+  private final Workers workers;
+  private final Fleet fleet;
+  private State state = State.LOADING;
+
+  /** Submissions being stored, with those who wait for the answer. */
+  private final Map<String, List<Consumer<JobWire.Status>>> accepting = new HashMap<>();
+
+  Leader(
+      Settings settings,
+      StoreClient store,
+      HttpCaller http,
+      Timeline time,
+      long term,
+      OperatorSettings operator,
+      Host host) {
+    this.settings = settings;
+    this.store = store;
+    this.time = time;
+    this.term = term;
+    this.host = host;
+    this.cluster = new Cluster(settings);
+    cluster.setTypes(host.types());
+    this.committer = new Committer(store, time, term, host::resign);
+    this.scheduler =
+        new Scheduler(
+            cluster,
+            time,
+            term,
+            operator,
+            new Scheduler.Effects() {
+              @Override
+              public boolean mayAct() {
+                return Leader.this.mayAct();
+              }
+
+              @Override
+              public void ordersDue(Machine machine) {
+                Leader.this.ordersDue(machine);
+              }
+
+              @Override
+              public void resign(String reason) {
+                host.resign(reason);
+              }
+            });
+    this.records =
+        new Records(
+            settings.store().valueBytes(),
+            committer::submit,
+            scheduler::onPlacementStored,
+            this::onEndStored);
+    scheduler.useRecords(records);
+    BooleanSupplier mayAct = this::mayAct;
+    this.workers =
+        new Workers(
+            cluster,
+            scheduler,
+            http,
+            time,
+            term,
+            mayAct,
+            new Workers.Listener() {
+              @Override
+              public void onSuperseded(long token) {
+                log.warn("a worker has seen token {}, ours is {}", token, term);
+                host.superseded();
+              }
+
+              @Override
+              public void onMachine(Machine machine) {
+                log.info("machine {} reports", machine);
+              }
+            });
+    this.fleet =
+        new Fleet(
+            cluster,
+            scheduler,
+            records,
+            http,
+            time,
+            term,
+            operator,
+            new Fleet.Effects() {
+              @Override
+              public boolean mayAct() {
+                return Leader.this.mayAct();
+              }
+
+              @Override
+              public void resign(String reason) {
+                host.resign(reason);
+              }
+            });
+  }
+
+  private void moveTo(State next) {
+    if (state != State.OVER) {
+      state = next;
+    }
+  }
+
+  State state() {
+    return state;
+  }
+
+  long term() {
+    return term;
+  }
+
+  Cluster cluster() {
+    return cluster;
+  }
+
+  Scheduler scheduler() {
+    return scheduler;
+  }
+
+  int waitingWrites() {
+    return committer.waiting();
+  }
+
+  private boolean mayAct() {
+    return state == State.LEADING && host.mayAct();
+  }
+
+  private void ordersDue(Machine machine) {
+    workers.ordersDue(machine);
+  }
+
+  private void onEndStored(Job job) {
+    host.onFinal(
+        job.spec.id(),
+        job.state() == Job.State.DONE ? JobWire.Status.DONE : JobWire.Status.CANCELLED);
+    scheduler.onEndStored(job);
+  }
+
+  void close() {
+    moveTo(State.OVER);
+    committer.close();
+    fleet.close();
+  }
+
+  /** The lease was in doubt and holds after all. */
+  void onCertain() {
+    scheduler.kick();
+  }
+
+  void configure(OperatorSettings operator) {
+    scheduler.queue().configure(operator);
+    fleet.configure(operator);
+  }
+
+  void onTypes(List<MachineType> types) {
+    cluster.setTypes(types);
+    scheduler.kick();
+  }
+
+  /** Stores the machine types, so that a cloud outage does not stop submissions. */
+  void storeTypes(List<MachineType> types) {
+    if (state != State.LEADING) {
+      return;
+    }
+    committer.submit(
+        Mutation.of(
+            Mutation.Priority.TIDY,
+            List.of(new Mutation.Write(Keys.TYPES, () -> RecordWire.types(types))),
+            () -> {}));
+  }
+
+  /** Stores what operators have set. */
+  void storeOperator(OperatorSettings operator, Runnable onStored) {
+    committer.submit(
+        Mutation.of(
+            Mutation.Priority.ACCEPT,
+            List.of(new Mutation.Write(Keys.OPERATOR, () -> RecordWire.operator(operator))),
+            onStored));
+  }
+
+  // ---- loading
+
+  /** Reads everything that earlier leaders stored; their late transactions can no longer apply. */
+  void load() {
+    if (state != State.LOADING) {
+      return;
+    }
+    BooleanSupplier wanted = () -> state == State.LOADING;
+    store.list(
+        Keys.CONF,
+        wanted,
+        conf -> {
+          conf.entries().forEach(e -> committer.known(e.key(), e.version()));
+          host.onConf(conf.entries());
+          loadInbox(wanted);
+        });
+  }
+
+  private void loadInbox(BooleanSupplier wanted) {
+    // The inbox is read before the jobs, so that a job is in the one or the other.
+    store.list(
+        Keys.INBOX,
+        wanted,
+        inbox ->
+            store.list(
+                Keys.JOB,
+                wanted,
+                jobs ->
+                    store.list(
+                        Keys.PAGE,
+                        wanted,
+                        pages ->
+                            store.list(
+                                Keys.MACHINE,
+                                wanted,
+                                machines -> build(inbox, jobs, pages, machines)))));
+  }
+
+  private void build(
+      StoreClient.Listing inbox,
+      StoreClient.Listing jobs,
+      StoreClient.Listing pages,
+      StoreClient.Listing machines) {
+    Map<String, Job> found = new HashMap<>();
+    List<Job> ordered = new ArrayList<>();
+    cluster.setTypes(host.types());
+    try {
+      for (StoreWire.Entry entry : machines.entries()) {
+        if (cluster.type(RecordWire.parseMachine(entry.value()).type()) == null) {
+          log.warn("machine {} is of a type that is not known yet", entry.key());
+          time.after(Duration.ofSeconds(1), this::load);
+          return;
+        }
+      }
+      for (StoreWire.Entry entry : jobs.entries()) {
+        committer.known(entry.key(), entry.version());
+        Job job = toJob(entry);
+        found.put(job.spec.id(), job);
+        ordered.add(job);
+      }
+      for (StoreWire.Entry entry : pages.entries()) {
+        committer.known(entry.key(), entry.version());
+        records.knownPage(entry.key());
+        String rest = entry.key().substring(Keys.PAGE.length());
+        Job job = found.get(rest.substring(0, rest.lastIndexOf('/')));
+        if (job != null) {
+          RecordWire.parsePage(entry.value(), job.done);
+        }
+      }
+      Instant now = time.now();
+      for (StoreWire.Entry entry : machines.entries()) {
+        committer.known(entry.key(), entry.version());
+        restoreMachine(entry, found, now);
+      }
+    } catch (MalformedException e) {
+      // Leading on half a memory could break every rule.
+      log.error("a stored record cannot be read: {}", e.getMessage());
+      host.resign("a stored record cannot be read");
+      return;
+    }
+    ordered.sort(
+        (a, b) -> {
+          int byTime = a.acceptedAt.compareTo(b.acceptedAt);
+          return byTime != 0 ? byTime : a.spec.id().compareTo(b.spec.id());
+        });
+    moveTo(State.LEADING);
+    for (Job job : ordered) {
+      scheduler.add(job);
+      if (job.isActive() && job.done.cardinality() == job.spec.tasks()) {
+        job.moveTo(Job.State.DONE);
+        records.end(job);
+      }
+    }
+    log.info(
+        "term {} begins with {} jobs and {} machines",
+        term,
+        cluster.jobs.size(),
+        cluster.machines.size());
+    inbox.entries().forEach(this::takeIn);
+    watchInbox(inbox.revision());
+    fleet.start();
+    scheduler.kick();
+  }
+
+  private static Job toJob(StoreWire.Entry entry) throws MalformedException {
+    RecordWire.StoredJob stored = RecordWire.parseJob(entry.value());
+    Job job = new Job(stored.spec(), stored.acceptedAt(), stored.state());
+    job.done.or(stored.done());
+    return job;
+  }
+
+  private void restoreMachine(StoreWire.Entry entry, Map<String, Job> jobs, Instant now)
+      throws MalformedException {
+    RecordWire.StoredMachine stored = RecordWire.parseMachine(entry.value());
+    MachineType type = cluster.type(stored.type());
+    String name = entry.key().substring(Keys.MACHINE.length());
+    Machine machine = new Machine(name, type, stored.zone(), stored.spot(), now);
+    machine.address = stored.address();
+    machine.recorded = true;
+    cluster.machines.put(name, machine);
+    for (RecordWire.Placement placement : stored.placements()) {
+      Job job = jobs.get(placement.job());
+      // A job's record goes only when none of its tasks can be anywhere; a record of a placement
+      // that outlives it is merely old. The same holds for a task that is complete.
+      if (job != null
+          && placement.task() < job.spec.tasks()
+          && !job.done.get(placement.task())) {
+        cluster.addAttempt(
+            job,
+            placement.task(),
+            placement.attempt(),
+            machine,
+            now,
+            Attempt.State.RECORDED);
+      }
+    }
+  }
+
+  /** Jobs that other nodes accepted while they could reach no leader. */
+  private void watchInbox(long after) {
+    if (state != State.LEADING) {
+      return;
+    }
+    store.watch(
+        Keys.INBOX,
+        after,
+        WATCH,
+        reply -> {
+          if (state != State.LEADING) {
+            return;
+          }
+          try {
+            if (reply.is(200)) {
+              StoreWire.Changes changes = StoreWire.parseChanges(reply.body());
+              changes.entries().stream().filter(e -> e.value() != null).forEach(this::takeIn);
+              watchInbox(changes.revision());
+              return;
+            }
+            if (reply.is(410)) {
+              store.list(
+                  Keys.INBOX,
+                  () -> state == State.LEADING,
+                  inbox -> {
+                    inbox.entries().forEach(this::takeIn);
+                    watchInbox(inbox.revision());
+                  });
+              return;
+            }
+          } catch (MalformedException e) {
+            log.warn("the inbox cannot be followed: {}", e.getMessage());
+          }
+          time.after(RETRY, () -> watchInbox(after));
+        });
+  }
+
+  private void takeIn(StoreWire.Entry entry) {
+    if (state != State.LEADING) {
+      return;
+    }
+    String id = entry.key().substring(Keys.INBOX.length());
+    committer.known(entry.key(), entry.version());
+    adopt(
+        id,
+        lookup -> {
+          if (lookup == null) {
+            // Without a certain answer the job may still be unknown here.
+            time.after(RETRY, () -> takeIn(entry));
+            return;
+          }
+          committer.submit(
+              Mutation.of(
+                  Mutation.Priority.TIDY,
+                  List.of(new Mutation.Write(entry.key(), () -> null)),
+                  () -> {}));
+        });
+  }
+
+  /** Reads a job that is in the store but not in memory; null is no certain answer. */
+  private void adopt(String id, Consumer<Lookup> onDone) {
+    if (cluster.jobs.containsKey(id)) {
+      onDone.accept(new Lookup(cluster.jobs.get(id), null));
+      return;
+    }
+    store.read(
+        Keys.JOB + id,
+        read -> {
+          if (state != State.LEADING || !read.certain()) {
+            onDone.accept(null);
+            return;
+          }
+          Job known = cluster.jobs.get(id);
+          if (known != null) {
+            onDone.accept(new Lookup(known, null));
+            return;
+          }
+          if (!read.found()) {
+            readEnd(id, onDone);
+            return;
+          }
+          try {
+            Job job = toJob(read.entry());
+            committer.known(read.entry().key(), read.entry().version());
+            scheduler.add(job);
+            fleet.accepted(job);
+            log.info("job {} was accepted elsewhere", id);
+            onDone.accept(new Lookup(job, null));
+          } catch (MalformedException e) {
+            log.error("job {} cannot be read: {}", id, e.getMessage());
+            onDone.accept(null);
+          }
+        });
+  }
+
+  /** What a look into the store gave: a live job, a final state, or neither. */
+  private record Lookup(Job job, JobWire.Status ended) {}
+
+  private void readEnd(String id, Consumer<Lookup> onDone) {
+    store.read(
+        Keys.END + id,
+        read -> {
+          if (!read.certain()) {
+            onDone.accept(null);
+            return;
+          }
+          if (!read.found()) {
+            onDone.accept(new Lookup(null, null));
+            return;
+          }
+          try {
+            JobWire.Status status = toStatus(RecordWire.parseEnd(read.entry().value()));
+            host.onFinal(id, status);
+            onDone.accept(new Lookup(null, status));
+          } catch (MalformedException e) {
+            onDone.accept(null);
+          }
+        });
+  }
+
+  static JobWire.Status toStatus(Job.State state) {
+    return switch (state) {
+      case DONE -> JobWire.Status.DONE;
+      case CANCELLED -> JobWire.Status.CANCELLED;
+      case ACTIVE -> JobWire.Status.PENDING;
+    };
+  }
+
+  // ---- users
+
+  /** A job's state toward a user; a null status means that nothing certain can be said. */
+  record View(JobWire.Status status, int done, int running) {
+    static final View UNKNOWN = new View(null, 0, 0);
+  }
+
+  /** The state of a job in memory, or null when it is not there. */
+  private View viewOf(Job job) {
+    if (!job.isActive() && job.endStored) {
+      return new View(toStatus(job.state()), job.done.cardinality(), 0);
+    }
+    int running = Scheduler.running(job);
+    return new View(
+        running > 0 ? JobWire.Status.RUNNING : JobWire.Status.PENDING,
+        job.done.cardinality(),
+        running);
+  }
+
+  /** Whether the job is known here, so that a repeated submission is no new one. */
+  boolean knows(String id) {
+    return cluster.jobs.containsKey(id) || accepting.containsKey(id);
+  }
+
+  /** Stores a new job; the answer follows the commit. Null: nothing certain can be said. */
+  void submit(JobSpec spec, Consumer<JobWire.Status> onDone, Consumer<View> onKnown) {
+    String id = spec.id();
+    Job known = cluster.jobs.get(id);
+    if (known != null) {
+      onKnown.accept(viewOf(known));
+      return;
+    }
+    List<Consumer<JobWire.Status>> waiting = accepting.get(id);
+    if (waiting != null) {
+      waiting.add(onDone);
+      return;
+    }
+    List<Consumer<JobWire.Status>> first = new ArrayList<>();
+    first.add(onDone);
+    accepting.put(id, first);
+    Job job = new Job(spec, time.timeOfDay(), Job.State.ACTIVE);
+    committer.submit(
+        Mutation.create(
+            records.newJob(job),
+            List.of(Keys.END + id),
+            () -> {
+              List<Consumer<JobWire.Status>> all = accepting.remove(id);
+              scheduler.add(job);
+              fleet.accepted(job);
+              all.forEach(each -> each.accept(JobWire.Status.PENDING));
+            },
+            () -> {
+              List<Consumer<JobWire.Status>> all = accepting.remove(id);
+              adopt(
+                  id,
+                  lookup -> {
+                    JobWire.Status status =
+                        lookup == null
+                            ? null
+                            : lookup.job() != null
+                                ? viewOf(lookup.job()).status()
+                                : lookup.ended();
+                    all.forEach(each -> each.accept(status));
+                  });
+            }));
+  }
+
+  /** A job's state, from memory or a fresh read; {@code null} when no such job exists. */
+  void view(String id, Consumer<View> onDone) {
+    Job job = cluster.jobs.get(id);
+    if (job != null) {
+      onDone.accept(viewOf(job));
+      return;
+    }
+    adopt(
+        id,
+        lookup -> {
+          if (lookup == null) {
+            onDone.accept(View.UNKNOWN);
+          } else if (lookup.job() != null) {
+            onDone.accept(viewOf(lookup.job()));
+          } else if (lookup.ended() != null) {
+            onDone.accept(new View(lookup.ended(), 0, 0));
+          } else {
+            onDone.accept(null);
+          }
+        });
+  }
+
+  /** Cancels a job; the answer follows the commit. */
+  void cancel(String id, Consumer<View> onDone) {
+    Job job = cluster.jobs.get(id);
+    if (job == null) {
+      adopt(
+          id,
+          lookup -> {
+            if (lookup == null) {
+              onDone.accept(View.UNKNOWN);
+            } else if (lookup.job() != null) {
+              cancelKnown(lookup.job(), onDone);
+            } else {
+              onDone.accept(lookup.ended() == null ? null : new View(lookup.ended(), 0, 0));
+            }
+          });
+      return;
+    }
+    cancelKnown(job, onDone);
+  }
+
+  private void cancelKnown(Job job, Consumer<View> onDone) {
+    if (job.endStored) {
+      onDone.accept(viewOf(job));
+      return;
+    }
+    job.endWaiters.add(() -> onDone.accept(viewOf(job)));
+    scheduler.cancel(job);
+  }
+
+  // ---- workers
+
+  /** Answers a report, or returns null when the worker must go elsewhere. */
+  byte[] onReport(WorkerWire.Report report) {
+    if (state != State.LEADING) {
+      return null;
+    }
+    WorkerWire.Orders orders = workers.onReport(report);
+    return orders == null ? null : WorkerWire.reportResponse(term, orders);
+  }
+}
--- /dev/null
+++ b/src/main/java/io/pineladder/Node.java
@@ -0,0 +1,259 @@
+package io.pineladder;
+
+import com.github.benmanes.caffeine.cache.Cache;
+import com.github.benmanes.caffeine.cache.Caffeine;
+import io.pineladder.leadership.Election;
+import io.pineladder.model.MachineType;
+import io.pineladder.model.OperatorSettings;
+import io.pineladder.model.Settings;
+import io.pineladder.net.HttpCaller;
+import io.pineladder.net.HttpCaller.Request;
+import io.pineladder.net.Timeline;
+import io.pineladder.store.Keys;
+import io.pineladder.store.StoreClient;
+import io.pineladder.wire.CloudWire;
+import io.pineladder.wire.JobWire;
+import io.pineladder.wire.MalformedException;
+import io.pineladder.wire.RecordWire;
+import io.pineladder.wire.StoreWire;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** One controller: its part in the leadership, and what it knows whether it leads or not. */
+public final class Node {
+  private static final Logger log = LoggerFactory.getLogger(Node.class);
+  private static final Duration TICK = Duration.ofSeconds(2);
+  private static final Duration WATCH = Duration.ofSeconds(20);
+  private static final Duration RETRY = Duration.ofMillis(500);
+  private static final Duration TYPES_EVERY = Duration.ofSeconds(60);
+  private static final Duration CLOUD_TIMEOUT = Duration.ofSeconds(3);
+  private static final int FINALS_KEPT = 20_000;
+
+  final Settings settings;
+  final Timeline time;
+  final HttpCaller http;
+  final StoreClient store;
+  final Election election;
+
+  /** Final states never change, so any copy of them may be told. */
+  private final Cache<String, JobWire.Status> finals =
+      Caffeine.newBuilder().maximumSize(FINALS_KEPT).executor(Runnable::run).build();
+
+  private Leader leader;
+  private List<MachineType> types = List.of();
+  private OperatorSettings operator = OperatorSettings.DEFAULTS;
+  private Instant typesAt;
+  private boolean stopped;
+
+  public Node(Settings settings, Timeline time, HttpCaller http, String nonce) {
+    this.settings = settings;
+    this.time = time;
+    this.http = http;
+    this.store = new StoreClient(http, time, settings.storeAddress(), settings.store());
+    this.election = new Election(store, time, settings, nonce, new Part());
+  }
+
+  public void start() {
+    log.info("controller {} starts in zone {}", settings.member(), settings.zone());
+    election.start();
+    readConf();
+    tick();
+  }
+
+  /** Ends all activity, as a killed process would. */
+  public void stop() {
+    stopped = true;
+    if (leader != null) {
+      leader.close();
+    }
+  }
+
+  private final class Part implements Election.Listener {
+    @Override
+    public void onElected(long term) {
+      leader = new Leader(settings, store, http, time, term, operator, new LeaderHost());
+      leader.load();
+      fetchTypes();
+    }
+
+    @Override
+    public void onCertain() {
+      if (leader != null) {
+        leader.onCertain();
+      }
+    }
+
+    @Override
+    public void onLost(String reason) {
+      if (leader != null) {
+        leader.close();
+        leader = null;
+      }
+    }
+
+    @Override
+    public void onLeaderKnown(RecordWire.LeaderRecord known) {
+      log.debug("the leader is {}", known);
+    }
+  }
+
+  private final class LeaderHost implements Leader.Host {
+    @Override
+    public boolean mayAct() {
+      return !stopped && election.isValid();
+    }
+
+    @Override
+    public void resign(String reason) {
+      election.lose(reason);
+    }
+
+    @Override
+    public void superseded() {
+      election.lose("a worker follows a later leader");
+    }
+
+    @Override
+    public void onFinal(String job, JobWire.Status status) {
+      finals.put(job, status);
+    }
+
+    @Override
+    public List<MachineType> types() {
+      return types;
+    }
+
+    @Override
+    public void onConf(List<StoreWire.Entry> entries) {
+      entries.forEach(Node.this::learnConf);
+    }
+  }
+
+  /** The leader when this node may act as such now, or null. */
+  Leader actingLeader() {
+    boolean leading = leader != null && leader.state() == Leader.State.LEADING;
+    return leading && election.isValid() ? leader : null;
+  }
+
+  /** The leader's memory while this node holds the term, certain or in doubt, or null. */
+  Leader termHolder() {
+    return election.holdsTerm() ? leader : null;
+  }
+
+  JobWire.Status finalState(String job) {
+    return finals.getIfPresent(job);
+  }
+
+  void learnFinal(String job, JobWire.Status status) {
+    finals.put(job, status);
+  }
+
+  List<MachineType> types() {
+    return types;
+  }
+
+  OperatorSettings operator() {
+    return operator;
+  }
+
+  // ---- settings kept in the store
+
+  private void readConf() {
+    store.list(
+        Keys.CONF,
+        () -> !stopped,
+        listing -> {
+          listing.entries().forEach(this::learnConf);
+          watchConf(listing.revision());
+        });
+  }
+
+  private void watchConf(long after) {
+    if (stopped) {
+      return;
+    }
+    store.watch(
+        Keys.CONF,
+        after,
+        WATCH,
+        reply -> {
+          try {
+            if (reply.is(200)) {
+              StoreWire.Changes changes = StoreWire.parseChanges(reply.body());
+              changes.entries().forEach(this::learnConf);
+              watchConf(changes.revision());
+              return;
+            }
+          } catch (MalformedException e) {
+            log.warn("the stored settings cannot be followed: {}", e.getMessage());
+          }
+          time.after(RETRY, reply.is(410) ? this::readConf : () -> watchConf(after));
+        });
+  }
+
+  private void learnConf(StoreWire.Entry entry) {
+    if (entry.value() == null) {
+      return;
+    }
+    try {
+      if (entry.key().equals(Keys.TYPES)) {
+        learnTypes(RecordWire.parseTypes(entry.value()));
+      } else if (entry.key().equals(Keys.OPERATOR)) {
+        operator = RecordWire.parseOperator(entry.value(), OperatorSettings.DEFAULTS);
+        if (leader != null) {
+          leader.configure(operator);
+        }
+      }
+    } catch (MalformedException e) {
+      log.warn("{} cannot be read: {}", entry.key(), e.getMessage());
+    }
+  }
+
+  private void learnTypes(List<MachineType> known) {
+    types = List.copyOf(known);
+    if (leader != null) {
+      leader.onTypes(types);
+    }
+  }
+
+  /** Asks the cloud for its machine types, and keeps them for times when it cannot be asked. */
+  private void fetchTypes() {
+    typesAt = time.now();
+    http.call(
+        Request.get(settings.cloudAddress(), "/flavors", CLOUD_TIMEOUT),
+        reply -> {
+          try {
+            if (!reply.is(200)) {
+              return;
+            }
+            List<MachineType> known = CloudWire.parseTypes(reply.body());
+            boolean changed = !known.equals(types);
+            learnTypes(known);
+            if (changed && leader != null) {
+              leader.storeTypes(known);
+            }
+          } catch (MalformedException e) {
+            log.warn("the cloud's machine types are malformed: {}", e.getMessage());
+          }
+        });
+  }
+
+  private void tick() {
+    if (stopped) {
+      return;
+    }
+    if (election.holdsTerm()) {
+      Duration every = types.isEmpty() ? TICK : TYPES_EVERY;
+      if (typesAt == null || !typesAt.plus(every).isAfter(time.now())) {
+        fetchTypes();
+      }
+    } else {
+      // Its watches may wait for long; this tells whether the store still answers this node.
+      store.read(Keys.LEADER, read -> {});
+    }
+    time.after(TICK, this::tick);
+  }
+}
--- /dev/null
+++ b/src/main/java/io/pineladder/fleet/Fleet.java
@@ -0,0 +1,683 @@
+package io.pineladder.fleet;
+
+import io.pineladder.model.Attempt;
+import io.pineladder.model.Job;
+import io.pineladder.model.JobSpec;
+import io.pineladder.model.Machine;
+import io.pineladder.model.MachineType;
+import io.pineladder.model.OperatorSettings;
+import io.pineladder.model.Rank;
+import io.pineladder.model.Resources;
+import io.pineladder.model.Settings;
+import io.pineladder.model.Team;
+import io.pineladder.net.HttpCaller;
+import io.pineladder.net.HttpCaller.Reply;
+import io.pineladder.net.HttpCaller.Request;
+import io.pineladder.net.Timeline;
+import io.pineladder.queue.QueueEntry;
+import io.pineladder.scheduling.Cluster;
+import io.pineladder.scheduling.Scheduler;
+import io.pineladder.store.RateBudget;
+import io.pineladder.store.Records;
+import io.pineladder.wire.CloudWire;
+import io.pineladder.wire.MalformedException;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Rents machines for what waits and what is likely to come, and returns those that are not needed. */
+public final class Fleet {
+  private static final Logger log = LoggerFactory.getLogger(Fleet.class);
+  private static final Duration TICK = Duration.ofSeconds(1);
+  private static final Duration TIMEOUT = Duration.ofSeconds(4);
+  private static final Duration REFUSED_FOR = Duration.ofSeconds(6);
+  private static final Duration TROUBLE_FOR = Duration.ofSeconds(2);
+
+  /** A booting machine counts on for so many times its type's usual boot time. */
+  private static final double LATE_BOOTS = 2.5;
+
+  /** A machine that has not come up after so many is returned. */
+  private static final double DEAD_BOOTS = 5;
+
+  private static final Duration FORECAST = Duration.ofSeconds(60);
+
+  /** The part of the forecast kept ready for jobs that can wait for a machine to boot. */
+  private static final double PATIENT_PART = 0.25;
+
+  private final Cluster cluster;
+  private final Scheduler scheduler;
+  private final Records records;
+  private final HttpCaller http;
+  private final Timeline time;
+  private final long term;
+  private final String address;
+  private final Effects effects;
+  private final RateBudget calls;
+  private final Map<Pool, Instant> refused = new HashMap<>();
+  private final Map<String, Instant> released = new LinkedHashMap<>();
+  private final Set<String> toRelease = new LinkedHashSet<>();
+  private final List<Rental> rentals = new ArrayList<>();
+  private OperatorSettings operator;
+  private boolean listing;
+  private Instant listedAt = Instant.MIN;
+  private boolean releasing;
+  private Instant troubleUntil = Instant.MIN;
+  private long requests;
+  private boolean closed;
+  private final Instant startedAt;
+  private final Forecast tight = new Forecast();
+  private final Forecast patientOrdinary = new Forecast();
+  private final Forecast patientSpot = new Forecast();
+  private double meanImageGb;
+
+  /** What the fleet asks of the leader. */
+  public interface Effects {
+    boolean mayAct();
+
+    void resign(String reason);
+  }
+
+  /** What can be refused on its own. */
+  private record Pool(String type, String zone, boolean spot) {}
+
+  private static final class Rental {
+    final String request;
+    final Pool pool;
+    final int count;
+    boolean sent;
+
+    Rental(String request, Pool pool, int count) {
+      this.request = request;
+      this.pool = pool;
+      this.count = count;
+    }
+  }
+
+  /** Machines' worth of work arriving per second, as an exponential average. */
+  private static final class Forecast {
+    private double rate;
+    private Instant at;
+
+    void add(double machines, Instant now) {
+      decay(now);
+      rate += machines / FORECAST.toSeconds();
+    }
+
+    double rate(Instant now) {
+      decay(now);
+      return rate;
+    }
+
+    private void decay(Instant now) {
+      if (at != null) {
+        double seconds = Duration.between(at, now).toMillis() / 1000.0;
+        rate *= Math.exp(-seconds / FORECAST.toSeconds());
+      }
+      at = now;
+    }
+  }
+
+  public Fleet(
+      Cluster cluster,
+      Scheduler scheduler,
+      Records records,
+      HttpCaller http,
+      Timeline time,
+      long term,
+      OperatorSettings operator,
+      Effects effects) {
+    this.cluster = cluster;
+    this.scheduler = scheduler;
+    this.records = records;
+    this.http = http;
+    this.time = time;
+    this.term = term;
+    this.address = cluster.settings.cloudAddress();
+    this.operator = operator;
+    this.effects = effects;
+    double rps = cluster.settings.cloud().requestsPerSecond() * 0.85;
+    this.calls = new RateBudget(rps, Math.max(1, rps * 2), time.now());
+    this.startedAt = time.now();
+  }
+
+  public void configure(OperatorSettings next) {
+    operator = next;
+  }
+
+  public void start() {
+    tick();
+  }
+
+  public void close() {
+    closed = true;
+  }
+
+  private void tick() {
+    if (closed) {
+      return;
+    }
+    if (effects.mayAct()) {
+      Instant now = time.now();
+      list(now);
+      findSilent(now);
+      retire(now);
+      sendReleases();
+      rent(now);
+    }
+    time.after(TICK, this::tick);
+  }
+
+  private boolean call(Request request, Consumer<Reply> onReply) {
+    Instant now = time.now();
+    if (calls.available(now) < 1 || now.isBefore(troubleUntil)) {
+      return false;
+    }
+    calls.take(1, now);
+    http.call(
+        request,
+        reply -> {
+          if (!reply.is(200) && !reply.is(400) && !isRefusal(reply)) {
+            troubleUntil = time.now().plus(TROUBLE_FOR);
+          }
+          if (!closed) {
+            onReply.accept(reply);
+          }
+        });
+    return true;
+  }
+
+  private static boolean isRefusal(Reply reply) {
+    return reply.is(503) && new String(reply.body(), StandardCharsets.UTF_8)
+        .contains("no capacity");
+  }
+
+  // ---- what there is
+
+  private void list(Instant now) {
+    Duration every = cluster.settings.cloud().listLag().plusSeconds(2);
+    if (listing || now.isBefore(listedAt.plus(every))) {
+      return;
+    }
+    listing = listPage("", now);
+  }
+
+  private boolean listPage(String after, Instant begun) {
+    String path = "/rentals?page=" + CloudWire.PAGE + (after.isEmpty() ? "" : "&since=" + after);
+    return call(
+        Request.get(address, path, TIMEOUT),
+        reply -> {
+          listing = false;
+          if (!reply.is(200)) {
+            return;
+          }
+          try {
+            CloudWire.Page page = CloudWire.parsePage(reply.body());
+            page.machines().forEach(this::listed);
+            if (page.more() && !page.machines().isEmpty()) {
+              String last = page.machines().get(page.machines().size() - 1).name();
+              listing = listPage(last, begun);
+            } else {
+              listedAt = begun;
+            }
+          } catch (MalformedException e) {
+            log.warn("the machine list is malformed: {}", e.getMessage());
+          }
+        });
+  }
+
+  private void listed(CloudWire.Listed listed) {
+    if (released.containsKey(listed.name())) {
+      return;
+    }
+    Machine machine = cluster.machines.get(listed.name());
+    if (machine == null) {
+      MachineType type = cluster.type(listed.type());
+      if (type == null) {
+        return;
+      }
+      Instant since = time.now().minus(listed.age());
+      machine = new Machine(listed.name(), type, listed.zone(), listed.spot(), since);
+      machine.address = listed.address();
+      cluster.machines.put(machine.name, machine);
+    }
+    if (machine.address == null) {
+      machine.address = listed.address();
+    }
+    machine.listedRunning |= listed.life() == CloudWire.Life.RUNNING;
+    if (listed.life() == CloudWire.Life.FAILED && !machine.failed) {
+      machine.failed = true;
+      log.info("machine {} has failed", machine);
+      release(machine);
+    }
+  }
+
+  /** How long a machine may be silent: a report's time, a lost response and another node's try. */
+  private Duration silence() {
+    Duration report = cluster.settings.workers().report();
+    return report.plus(report.dividedBy(4)).plusSeconds(6);
+  }
+
+  /**
+   * Machines that have stopped reporting are cut off by returning them, which is the proof that
+   * their tasks are gone. When most of a zone is silent the fault is likely between us and them, and
+   * their workers may keep their tasks as long as their lease runs; then they get that time.
+   */
+  private void findSilent(Instant now) {
+    Duration allowed = silence();
+    Map<String, int[]> zones = new HashMap<>();
+    List<Machine> silent = new ArrayList<>();
+    int up = 0;
+    for (Machine machine : cluster.machines.values()) {
+      Instant since = silentSince(machine);
+      if (since == null) {
+        continue;
+      }
+      up++;
+      int[] counts = zones.computeIfAbsent(machine.zone, z -> new int[2]);
+      counts[0]++;
+      if (since.plus(allowed).isBefore(now)) {
+        counts[1]++;
+        silent.add(machine);
+        if (machine.state() == Machine.State.CONFIRMED) {
+          machine.moveTo(Machine.State.SILENT);
+          log.info("machine {} is silent", machine);
+        }
+      }
+    }
+    if (up >= 2 && silent.size() == up) {
+      if (silent.stream().allMatch(m -> silentSince(m).plus(allowed.plusSeconds(4)).isBefore(now))) {
+        // No worker reaches this node, while others may reach another.
+        effects.resign("no worker is heard");
+      }
+      return;
+    }
+    Duration lease = cluster.settings.workers().lease().plusSeconds(10);
+    for (Machine machine : silent) {
+      int[] counts = zones.get(machine.zone);
+      boolean cut = counts[0] >= 3 && counts[1] * 2 > counts[0];
+      boolean urgent = isUrgent(machine, now);
+      if (!cut || urgent || silentSince(machine).plus(lease).isBefore(now)) {
+        release(machine);
+      }
+    }
+  }
+
+  /** A cancelled job's task is still there and its time is running out. */
+  private boolean isUrgent(Machine machine, Instant now) {
+    Duration half = cluster.settings.workers().cancel().dividedBy(2);
+    for (Attempt attempt : machine.attempts.values()) {
+      if (attempt.job.endStored
+          && attempt.holdsRoom()
+          && attempt.killedAt != null
+          && attempt.killedAt.plus(half).isBefore(now)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /** Since when nothing was heard of a machine that should report, or null if it need not yet. */
+  private Instant silentSince(Machine machine) {
+    return switch (machine.state()) {
+      case HEARD, CONFIRMED, SILENT -> machine.heardAt;
+      case EXPECTED -> {
+        if (machine.listedRunning || !machine.attempts.isEmpty()) {
+          Instant from = machine.since.isAfter(startedAt) ? machine.since : startedAt;
+          yield from.plusSeconds(machine.listedRunning ? 20 : 10);
+        }
+        yield null;
+      }
+      case RELEASING, GONE -> null;
+    };
+  }
+
+  // ---- returning
+
+  /** Asks the cloud to take the machine away; only its answer proves that the tasks are gone. */
+  public void release(Machine machine) {
+    if (machine.state() == Machine.State.RELEASING || machine.state() == Machine.State.GONE) {
+      return;
+    }
+    log.info("returning machine {} ({}, {})", machine, machine.state(), machine.attempts.size());
+    machine.moveTo(Machine.State.RELEASING);
+    toRelease.add(machine.name);
+    sendReleases();
+  }
+
+  private void sendReleases() {
+    if (releasing || toRelease.isEmpty() || !effects.mayAct()) {
+      return;
+    }
+    List<String> names =
+        toRelease.stream().limit(CloudWire.MOST_RELEASED).toList();
+    releasing =
+        call(
+            Request.post(address, "/rentals/release", CloudWire.release(names), TIMEOUT),
+            reply -> {
+              releasing = false;
+              if (reply.is(200)) {
+                names.forEach(this::gone);
+              }
+            });
+  }
+
+  private void gone(String name) {
+    toRelease.remove(name);
+    released.put(name, time.now());
+    if (released.size() > 2000) {
+      released.remove(released.keySet().iterator().next());
+    }
+    Machine machine = cluster.machines.remove(name);
+    if (machine == null) {
+      return;
+    }
+    machine.moveTo(Machine.State.GONE);
+    for (Attempt attempt : List.copyOf(machine.attempts.values())) {
+      scheduler.gone(attempt, "the machine was returned");
+    }
+    records.machineGone(machine);
+  }
+
+  /** Returns machines that are to go: faulty or never up, or idle for long enough. */
+  private void retire(Instant now) {
+    Map<Boolean, Double> spare = new HashMap<>();
+    List<Machine> idle = new ArrayList<>();
+    for (Machine machine : cluster.machines.values()) {
+      Duration age = Duration.between(machine.since, now);
+      switch (machine.state()) {
+        case EXPECTED -> {
+          if (!machine.listedRunning
+              && machine.attempts.isEmpty()
+              && age.compareTo(times(machine.type.boot(), DEAD_BOOTS)) > 0) {
+            log.info("machine {} never came up", machine);
+            release(machine);
+          }
+        }
+        case CONFIRMED -> {
+          if (!machine.attempts.isEmpty()) {
+            machine.idleSince = null;
+          } else if (machine.idleSince == null) {
+            machine.idleSince = now;
+          }
+          if (machine.draining && machine.attempts.isEmpty()) {
+            release(machine);
+          } else if (machine.takesWork()) {
+            double free = 1 - machine.used.shareOf(machine.type.size());
+            spare.merge(machine.spot, free, Double::sum);
+            Duration keep = keepIdle(machine.type);
+            if (machine.idleSince != null && machine.idleSince.plus(keep).isBefore(now)) {
+              idle.add(machine);
+            }
+          }
+        }
+        default -> {}
+      }
+    }
+    idle.sort(Comparator.comparing(m -> m.idleSince));
+    for (Machine machine : idle) {
+      double left = spare.get(machine.spot) - 1;
+      if (left >= headroom(machine.spot, machine.type, now)) {
+        spare.put(machine.spot, left);
+        release(machine);
+      }
+    }
+  }
+
+  /** An idle machine is kept as long as having one ready again would take, twice over. */
+  private Duration keepIdle(MachineType type) {
+    double fetch = meanImageGb / Math.max(1e-3, type.fetchGbPerSecond());
+    Duration again = type.boot().plusMillis((long) (fetch * 1000)).multipliedBy(2);
+    return again.compareTo(operator.idleRelease()) > 0 ? again : operator.idleRelease();
+  }
+
+  private static Duration times(Duration duration, double factor) {
+    return Duration.ofMillis((long) (duration.toMillis() * factor));
+  }
+
+  // ---- renting
+
+  /** A job has come in: it counts for the forecast. */
+  public void accepted(Job job) {
+    JobSpec spec = job.spec;
+    MachineType type = cheapest(spec);
+    if (type == null) {
+      return;
+    }
+    Instant now = time.now();
+    long perMachine = Math.max(1, spec.each().countIn(type.size()));
+    double machines = (double) spec.tasks() / perMachine;
+    boolean patient = spec.rank() != Rank.PRODUCTION;
+    if (!patient) {
+      tight.add(machines, now);
+    } else if (spec.spotAllowed()) {
+      patientSpot.add(machines, now);
+    } else {
+      patientOrdinary.add(machines, now);
+    }
+    meanImageGb = meanImageGb == 0 ? spec.imageGb() : 0.9 * meanImageGb + 0.1 * spec.imageGb();
+  }
+
+  /** Machines' worth of room to have ready for what comes while another boots. */
+  private double headroom(boolean spot, MachineType type, Instant now) {
+    double boot = type.boot().toMillis() / 1000.0;
+    return spot
+        ? patientSpot.rate(now) * boot * PATIENT_PART
+        : tight.rate(now) * boot + patientOrdinary.rate(now) * boot * PATIENT_PART;
+  }
+
+  private MachineType cheapest(JobSpec spec) {
+    MachineType best = null;
+    double bestPrice = Double.MAX_VALUE;
+    for (MachineType type : cluster.types()) {
+      long count = spec.each().countIn(type.size());
+      if (!spec.allowsType(type.name())
+          || count == 0
+          || (spec.zone() != null && !type.zones().contains(spec.zone()))) {
+        continue;
+      }
+      double price = type.price() / Math.min(count, spec.tasks());
+      if (price < bestPrice) {
+        best = type;
+        bestPrice = price;
+      }
+    }
+    return best;
+  }
+
+  /** Machines wanted of a type, by what they may be. */
+  private static final class Want {
+    double spotAllowed;
+    double ordinary;
+    final Map<String, Double> zones = new HashMap<>();
+  }
+
+  private void rent(Instant now) {
+    resend();
+    if (rentals.stream().anyMatch(r -> r.sent)) {
+      return;
+    }
+    Map<MachineType, Want> wants = wants();
+    for (MachineType type : cluster.types()) {
+      Want want = wants.getOrDefault(type, new Want());
+      double bootingSpot = 0;
+      double bootingOrdinary = 0;
+      double spareSpot = 0;
+      double spareOrdinary = 0;
+      for (Machine machine : cluster.machines.values()) {
+        if (machine.type != type) {
+          continue;
+        }
+        if (machine.state() == Machine.State.EXPECTED || machine.state() == Machine.State.HEARD) {
+          Duration age = Duration.between(machine.since, now);
+          if (age.compareTo(times(type.boot(), LATE_BOOTS)) < 0) {
+            bootingSpot += machine.spot ? 1 : 0;
+            bootingOrdinary += machine.spot ? 0 : 1;
+          }
+        } else if (machine.takesWork()) {
+          double free = Math.max(0, 1 - machine.used.shareOf(type.size()));
+          spareSpot += machine.spot ? free : 0;
+          spareOrdinary += machine.spot ? 0 : free;
+        }
+      }
+      double wantOrdinary =
+          Math.max(want.ordinary, headroom(false, type, now) - spareOrdinary) - bootingOrdinary;
+      double overOrdinary = Math.max(0, -wantOrdinary);
+      double wantSpot =
+          Math.max(want.spotAllowed, headroom(true, type, now) - spareSpot)
+              - bootingSpot
+              - (want.spotAllowed > 0 ? overOrdinary : 0);
+      String zone = heaviest(want.zones);
+      if (wantOrdinary > 0.05) {
+        ask(type, zone, false, (int) Math.ceil(wantOrdinary), now);
+      }
+      if (wantSpot > 0.05) {
+        int count = (int) Math.ceil(wantSpot);
+        // Nothing waits yet when it is for the forecast only: then no dearer kind is taken.
+        if (!ask(type, zone, true, count, now) && want.spotAllowed > 0.05 && wantOrdinary <= 0.05) {
+          ask(type, zone, false, count, now);
+        }
+      }
+    }
+  }
+
+  private static String heaviest(Map<String, Double> zones) {
+    return zones.entrySet().stream()
+        .max(Map.Entry.comparingByValue())
+        .map(Map.Entry::getKey)
+        .orElse(null);
+  }
+
+  /** Machines' worth of tasks that found no room, within what their teams may use. */
+  private Map<MachineType, Want> wants() {
+    Map<MachineType, Want> wants = new HashMap<>();
+    Map<String, Resources> planned = new HashMap<>();
+    for (QueueEntry entry : scheduler.waiting()) {
+      Job job = entry.job;
+      JobSpec spec = job.spec;
+      boolean lacksRoom =
+          entry.rejectedBy() != null
+              && switch (entry.rejectedBy()) {
+                case FIT, PLACE, SPREAD, TOGETHER -> true;
+                case TEAM_LIMIT, PREDECESSOR -> false;
+              };
+      MachineType type = cheapest(spec);
+      if (!lacksRoom || type == null || entry.place() == QueueEntry.Place.BACKOFF_ERROR) {
+        continue;
+      }
+      Team team = cluster.team(spec.team());
+      Resources used = cluster.usage(spec.team());
+      Resources before = planned.getOrDefault(spec.team(), Resources.NONE);
+      int count = job.pending.cardinality();
+      while (count > 0 && !team.allows(used.plus(before).plus(spec.each().times(count)))) {
+        count = count > 64 ? count / 2 : count - 1;
+      }
+      planned.merge(spec.team(), spec.each().times(count), Resources::plus);
+      double machines = (double) count / spec.each().countIn(type.size());
+      Want want = wants.computeIfAbsent(type, t -> new Want());
+      if (spec.spotAllowed()) {
+        want.spotAllowed += machines;
+      } else {
+        want.ordinary += machines;
+      }
+      if (spec.zone() != null) {
+        want.zones.merge(spec.zone(), machines, Double::sum);
+      }
+    }
+    return wants;
+  }
+
+  private boolean ask(MachineType type, String zone, boolean spot, int count, Instant now) {
+    List<String> zones = zone == null ? new ArrayList<>(type.zones()) : List.of(zone);
+    Map<String, Integer> there = new HashMap<>();
+    for (Machine machine : cluster.machines.values()) {
+      if (machine.type == type && machine.spot == spot) {
+        there.merge(machine.zone, 1, Integer::sum);
+      }
+    }
+    zones = new ArrayList<>(zones);
+    zones.sort(Comparator.comparing(z -> there.getOrDefault(z, 0)));
+    List<Pool> open = new ArrayList<>();
+    for (String each : zones) {
+      Pool pool = new Pool(type.name(), each, spot);
+      Instant until = refused.get(pool);
+      if (until == null || until.isBefore(now)) {
+        open.add(pool);
+      }
+    }
+    int left = Math.min(count, CloudWire.MOST_RENTED);
+    boolean asked = false;
+    for (int i = 0; i < open.size() && left > 0; i++) {
+      int part = (int) Math.ceil((double) left / (open.size() - i));
+      Rental rental = new Rental("c-" + term + "-" + ++requests, open.get(i), part);
+      if (send(rental)) {
+        rentals.add(rental);
+        left -= part;
+        asked = true;
+      }
+    }
+    return asked;
+  }
+
+  private void resend() {
+    for (Rental rental : List.copyOf(rentals)) {
+      if (!rental.sent) {
+        send(rental);
+      }
+    }
+  }
+
+  private boolean send(Rental rental) {
+    Pool pool = rental.pool;
+    rental.sent =
+        call(
+            Request.post(
+                address,
+                "/rentals",
+                CloudWire.rent(rental.request, pool.type, pool.zone, pool.spot, rental.count),
+                TIMEOUT),
+            reply -> onRented(rental, reply));
+    return rental.sent;
+  }
+
+  private void onRented(Rental rental, Reply reply) {
+    rental.sent = false;
+    Pool pool = rental.pool;
+    if (!reply.isAnswered()) {
+      // It may have been executed: the same request again tells, and rents nothing twice.
+      return;
+    }
+    rentals.remove(rental);
+    if (!reply.is(200)) {
+      if (isRefusal(reply)) {
+        refused.put(pool, time.now().plus(REFUSED_FOR));
+      }
+      return;
+    }
+    try {
+      List<String> names = CloudWire.parseRented(reply.body());
+      log.info("rented {} of {} {}", names.size(), rental.count, pool);
+      if (names.size() < rental.count) {
+        refused.put(pool, time.now().plus(REFUSED_FOR));
+      }
+      for (String name : names) {
+        if (!cluster.machines.containsKey(name) && !released.containsKey(name)) {
+          MachineType type = cluster.type(pool.type);
+          cluster.machines.put(name, new Machine(name, type, pool.zone, pool.spot, time.now()));
+        }
+      }
+    } catch (MalformedException e) {
+      log.warn("the cloud's answer to a rental is malformed");
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/io/pineladder/leadership/Election.java
@@ -0,0 +1,340 @@
+package io.pineladder.leadership;
+
+import io.pineladder.model.Settings;
+import io.pineladder.net.HttpCaller.Outcome;
+import io.pineladder.net.HttpCaller.Reply;
+import io.pineladder.net.Timeline;
+import io.pineladder.store.Keys;
+import io.pineladder.store.StoreClient;
+import io.pineladder.wire.MalformedException;
+import io.pineladder.wire.RecordWire;
+import io.pineladder.wire.RecordWire.LeaderRecord;
+import io.pineladder.wire.StoreWire;
+import java.time.Duration;
+import java.time.Instant;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Who leads. A node that finds no leader takes a lease in the state service and writes the leader's
+ * key under it, on condition that there is none. The revision of that key is the term: it is the
+ * token toward workers and the condition of every transaction.
+ */
+public final class Election {
+  private static final Logger log = LoggerFactory.getLogger(Election.class);
+
+  /** The clocks' worst drift against one another, with room for rounding. */
+  private static final double DRIFT = 0.002;
+
+  private static final Duration RETRY = Duration.ofMillis(300);
+  private static final Duration WATCH = Duration.ofSeconds(20);
+
+  /** Where a node stands. */
+  public enum State {
+    /** Does not lead; looks for a leader, or knows one. */
+    FOLLOWING,
+    /** Has asked for a lease or for the leader's key. */
+    CANDIDATE,
+    /** Leads, and its lease holds as far as its own clock can tell. */
+    LEADING,
+    /**
+     * Holds the leader's key as far as it knows, but its lease may have run out. It decides
+     * nothing. When the state service had an outage, the next renewal shows that the lease is
+     * still there and the term goes on.
+     */
+    IN_DOUBT
+  }
+
+  /** What the node does when its part changes. */
+  public interface Listener {
+    void onElected(long term);
+
+    /** The lease turned out to hold after all. */
+    void onCertain();
+
+    void onLost(String reason);
+
+    void onLeaderKnown(LeaderRecord leader);
+  }
+
+  private final StoreClient store;
+  private final Timeline time;
+  private final Duration life;
+  private final LeaderRecord self;
+  private final Listener listener;
+  private State state = State.FOLLOWING;
+  private long lease;
+  private long term;
+  private Instant leaseUntil = Instant.MIN;
+  private LeaderRecord known;
+  private long knownVersion;
+  /** Changes with every new try, so that late replies of an older one are told apart. */
+  private int round;
+
+  public Election(
+      StoreClient store, Timeline time, Settings settings, String nonce, Listener listener) {
+    this.store = store;
+    this.time = time;
+    this.self = new LeaderRecord(settings.member(), settings.clusterAddress(), nonce);
+    this.listener = listener;
+    this.life = lifeFor(settings.workers().lease());
+  }
+
+  /**
+   * A takeover after a crash costs the lease's life, and a worker must hear the new leader well
+   * before its own lease ends; too short a life makes a busy node lose it by a pause.
+   */
+  static Duration lifeFor(Duration workerLease) {
+    Duration part = workerLease.dividedBy(6);
+    Duration least = Duration.ofMillis(3000);
+    Duration most = Duration.ofMillis(5000);
+    return part.compareTo(least) < 0 ? least : part.compareTo(most) > 0 ? most : part;
+  }
+
+  private void moveTo(State next) {
+    if (state != next) {
+      log.info("leadership: {} -> {} (term {})", state, next, term);
+      state = next;
+    }
+  }
+
+  public State state() {
+    return state;
+  }
+
+  public long term() {
+    return term;
+  }
+
+  /** The leader as last heard of, perhaps this node itself, or null. */
+  public LeaderRecord known() {
+    return known;
+  }
+
+  /** Whether this node may act: asked before every effect, as any pause may have come before it. */
+  public boolean isValid() {
+    if (state != State.LEADING) {
+      return false;
+    }
+    if (time.now().isBefore(leaseUntil)) {
+      return true;
+    }
+    moveTo(State.IN_DOUBT);
+    return false;
+  }
+
+  /** Whether this node holds the term, certain or in doubt. */
+  public boolean holdsTerm() {
+    return state == State.LEADING || state == State.IN_DOUBT;
+  }
+
+  public void start() {
+    look(++round);
+  }
+
+  private void look(int of) {
+    if (of != round || holdsTerm()) {
+      return;
+    }
+    store.urgent(
+        store.get(StoreWire.keyPath(Keys.LEADER)),
+        reply -> {
+          if (of != round) {
+            return;
+          }
+          try {
+            if (reply.is(200)) {
+              StoreWire.Entry entry = StoreWire.parseEntry(reply.body());
+              learn(entry);
+              watch(of, entry.version());
+              return;
+            }
+            if (reply.is(404)) {
+              learn(null);
+              stand(of);
+              return;
+            }
+          } catch (MalformedException e) {
+            log.warn("the store's answer on the leader is malformed");
+          }
+          time.after(RETRY, () -> look(of));
+        });
+  }
+
+  private void learn(StoreWire.Entry entry) throws MalformedException {
+    known = entry == null ? null : RecordWire.parseLeader(entry.value());
+    knownVersion = entry == null ? 0 : entry.version();
+    listener.onLeaderKnown(known);
+  }
+
+  private void watch(int of, long after) {
+    store.watch(
+        Keys.LEADER_PREFIX,
+        after,
+        WATCH,
+        reply -> {
+          if (of != round) {
+            return;
+          }
+          if (!reply.is(200)) {
+            time.after(RETRY, () -> look(of));
+            return;
+          }
+          look(of);
+        });
+  }
+
+  private void stand(int of) {
+    moveTo(State.CANDIDATE);
+    Instant sent = time.now();
+    store.urgent(
+        store.post("/holds", StoreWire.lease(life)),
+        reply -> {
+          if (of != round) {
+            return;
+          }
+          try {
+            if (reply.is(200)) {
+              lease = StoreWire.parseLease(reply.body());
+              claim(of, sent, false);
+              return;
+            }
+          } catch (MalformedException e) {
+            log.warn("the store's answer on a lease is malformed");
+          }
+          moveTo(State.FOLLOWING);
+          time.after(RETRY, () -> look(of));
+        });
+  }
+
+  private void claim(int of, Instant leaseSent, boolean again) {
+    byte[] body =
+        new StoreWire.Transaction()
+            .require(Keys.LEADER, 0)
+            .put(Keys.LEADER, RecordWire.leader(self), lease)
+            .bytes();
+    store.urgent(store.post("/multi", body), reply -> onClaim(of, leaseSent, again, reply));
+  }
+
+  private void onClaim(int of, Instant leaseSent, boolean again, Reply reply) {
+    if (of != round) {
+      return;
+    }
+    try {
+      if (reply.is(200)) {
+        elected(StoreWire.parseRevision(reply.body()), leaseSent);
+        return;
+      }
+    } catch (MalformedException e) {
+      log.warn("the store's answer on the claim is malformed");
+    }
+    if (reply.is(409) && again) {
+      // The first copy, which got no reply, may be what stands there.
+      store.urgent(
+          store.get(StoreWire.keyPath(Keys.LEADER)), read -> onOwnClaimRead(of, leaseSent, read));
+      return;
+    }
+    boolean unknown = reply.outcome() == Outcome.UNKNOWN;
+    if (unknown && time.now().isBefore(leaseSent.plus(life))) {
+      time.after(RETRY, () -> claimAgain(of, leaseSent));
+      return;
+    }
+    giveUp(of);
+  }
+
+  private void claimAgain(int of, Instant leaseSent) {
+    if (of == round) {
+      claim(of, leaseSent, true);
+    }
+  }
+
+  private void onOwnClaimRead(int of, Instant leaseSent, Reply read) {
+    if (of != round) {
+      return;
+    }
+    try {
+      if (read.is(200)) {
+        StoreWire.Entry entry = StoreWire.parseEntry(read.body());
+        if (RecordWire.parseLeader(entry.value()).equals(self)) {
+          elected(entry.version(), leaseSent);
+          return;
+        }
+      }
+    } catch (MalformedException e) {
+      log.warn("the leader's record is malformed");
+    }
+    giveUp(of);
+  }
+
+  private void giveUp(int of) {
+    // A late copy of the claim finds no lease and does nothing.
+    store.urgent(store.delete("/holds/" + lease), reply -> {});
+    moveTo(State.FOLLOWING);
+    time.after(RETRY, () -> look(of));
+  }
+
+  private void elected(long newTerm, Instant leaseSent) {
+    term = newTerm;
+    known = self;
+    knownVersion = newTerm;
+    extend(leaseSent);
+    int of = ++round;
+    moveTo(State.LEADING);
+    listener.onLeaderKnown(self);
+    listener.onElected(newTerm);
+    time.after(life.dividedBy(4), () -> renew(of));
+  }
+
+  private void extend(Instant sent) {
+    long nanos = life.toNanos();
+    leaseUntil = sent.plusNanos(nanos - (long) (nanos * DRIFT)).minusMillis(20);
+  }
+
+  private void renew(int of) {
+    if (of != round || !holdsTerm()) {
+      return;
+    }
+    isValid();
+    Instant sent = time.now();
+    store.urgent(
+        store.post("/holds/" + lease + "/touch", StoreWire.lease(life)),
+        reply -> {
+          if (of != round || !holdsTerm()) {
+            return;
+          }
+          if (reply.is(404)) {
+            lose("the lease has ended");
+            return;
+          }
+          boolean good = reply.is(200);
+          if (good) {
+            boolean doubted = state == State.IN_DOUBT;
+            extend(sent);
+            moveTo(State.LEADING);
+            if (doubted && isValid()) {
+              listener.onCertain();
+            }
+          }
+          time.after(good ? life.dividedBy(4) : RETRY, () -> renew(of));
+        });
+  }
+
+  /** Gives the term up: it is over, or this node cannot go on. */
+  public void lose(String reason) {
+    if (!holdsTerm()) {
+      return;
+    }
+    log.warn("term {} is over: {}", term, reason);
+    int of = ++round;
+    known = null;
+    moveTo(State.FOLLOWING);
+    store.urgent(store.delete("/holds/" + lease), reply -> {});
+    listener.onLost(reason);
+    time.after(RETRY, () -> look(of));
+  }
+
+  /** The revision of the leader's key as last read, to tell newer news from older. */
+  public long knownVersion() {
+    return knownVersion;
+  }
+}
--- /dev/null
+++ b/src/main/java/io/pineladder/model/Job.java
@@ -0,0 +1,95 @@
+package io.pineladder.model;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/** An accepted job while the leader works on it. */
+public final class Job {
+  /** Where a job stands. Both ends are final. */
+  public enum State {
+    ACTIVE,
+    CANCELLED,
+    DONE
+  }
+
+  public final JobSpec spec;
+
+  /** When it was accepted, by the time of day of the node that did. */
+  public final Instant acceptedAt;
+
+  private State state;
+
+  /** Tasks that are complete. */
+  public final BitSet done = new BitSet();
+
+  /** Tasks that wait to be placed; a bit each, whatever the job's size. */
+  public final BitSet pending = new BitSet();
+
+  /** Attempts that may be on a machine, by task; one that was superseded stays until proven gone. */
+  public final Map<Integer, Set<Attempt>> attempts = new HashMap<>();
+
+  /** Machines on which it failed. */
+  public final Set<String> avoid = new HashSet<>();
+
+
+  /** The final state is on its way to the store; other records of the job no longer matter. */
+  public boolean ending;
+
+  /** Only its final state is to be kept; its own record is being deleted. */
+  public boolean removing;
+
+  /** The final state is in the store, so users may be told. */
+  public boolean endStored;
+
+  /** Called when the final state is stored. */
+  public final List<Runnable> endWaiters = new ArrayList<>();
+
+  public Job(JobSpec spec, Instant acceptedAt, State state) {
+    this.spec = spec;
+    this.acceptedAt = acceptedAt;
+    this.state = state;
+  }
+
+  public State state() {
+    return state;
+  }
+
+  /** The one place where a job's state changes. */
+  public void moveTo(State next) {
+    if (state != State.ACTIVE && state != next) {
+      throw new IllegalStateException(spec.id() + " is " + state + " and cannot become " + next);
+    }
+    state = next;
+  }
+
+  public boolean isActive() {
+    return state == State.ACTIVE;
+  }
+
+  public void add(Attempt attempt) {
+    attempts.computeIfAbsent(attempt.task, t -> new HashSet<>(2)).add(attempt);
+  }
+
+  public void remove(Attempt attempt) {
+    Set<Attempt> of = attempts.get(attempt.task);
+    if (of != null && of.remove(attempt) && of.isEmpty()) {
+      attempts.remove(attempt.task);
+    }
+  }
+
+  /** Whether a task may be started: nothing of it can be anywhere. */
+  public boolean isFree(int task) {
+    return !attempts.containsKey(task) && !done.get(task);
+  }
+
+  @Override
+  public String toString() {
+    return spec.id();
+  }
+}
--- /dev/null
+++ b/src/main/java/io/pineladder/model/JobSpec.java
@@ -0,0 +1,46 @@
+package io.pineladder.model;
+
+import java.time.Duration;
+import java.util.List;
+
+/**
+ * What a user submitted. {@code types} is null for any type, {@code zone} null for any zone, {@code
+ * deadline} null for none; {@code checkpointEvery} zero means that the task never saves.
+ */
+public record JobSpec(
+    String id,
+    String jobClass,
+    String team,
+    Shape shape,
+    Rank rank,
+    int tasks,
+    Resources each,
+    List<String> types,
+    String zone,
+    boolean together,
+    boolean spread,
+    boolean spotAllowed,
+    String image,
+    double imageGb,
+    Duration estimate,
+    Duration checkpointEvery,
+    Duration saveTime,
+    Duration deadline) {
+
+  public boolean allowsType(String type) {
+    return types == null || types.contains(type);
+  }
+
+  public boolean allowsZone(String name) {
+    return zone == null || zone.equals(name);
+  }
+
+  public boolean savesWork() {
+    return !checkpointEvery.isZero();
+  }
+
+  /** What must be free of the team's limit before any of it can run. */
+  public Resources least() {
+    return shape == Shape.ARRAY ? each : each.times(tasks);
+  }
+}
--- /dev/null
+++ b/src/main/java/io/pineladder/model/Machine.java
@@ -0,0 +1,137 @@
+package io.pineladder.model;
+
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/** A machine as the leader knows it. */
+public final class Machine {
+  /** Where a machine stands. */
+  public enum State {
+    /** Rented or listed, never heard in this term. */
+    EXPECTED,
+    /** Heard, but not yet with our token: older orders may still reach it. */
+    HEARD,
+    /** Heard with our token: what it reports is all there is. */
+    CONFIRMED,
+    /** Was confirmed and has gone silent. */
+    SILENT,
+    /** Its return to the cloud has been asked for. */
+    RELEASING,
+    GONE
+  }
+
+  public final String name;
+  public final MachineType type;
+  public final String zone;
+  public final boolean spot;
+  public final Instant since;
+  private State state = State.EXPECTED;
+
+  public String address;
+  public long session;
+  public long sequence = -1;
+  public Instant heardAt;
+
+  /** When the cloud takes it away, or null. */
+  public Instant takenAt;
+
+  /** No new work: it is to be returned. */
+  public boolean draining;
+
+  /** The cloud has listed it as running. */
+  public boolean listedRunning;
+
+  /** Its state as the cloud lists it said that it stopped by itself. */
+  public boolean failed;
+
+  /** Attempts that it may list, exited ones included. */
+  public final Map<String, Attempt> attempts = new LinkedHashMap<>();
+
+  /** What its attempts take, counting everything that may be there. */
+  public Resources used = Resources.NONE;
+
+  /** Room kept for the job that had others stopped here, until that time. */
+  public Job reservedFor;
+
+  public Resources reserved = Resources.NONE;
+  public Instant reservedUntil;
+
+  /** Images thought to be cached, the most recently used last, with their size. */
+  public final LinkedHashMap<String, Double> images = new LinkedHashMap<>(8, 0.75f, true);
+
+  /** Jobs that failed here, to tell a faulty machine from a faulty job. */
+  public final Map<String, Integer> failures = new HashMap<>();
+
+  /** Since when it has had no work, or null. */
+  public Instant idleSince;
+
+  /** Its stored record is due to be written. */
+  public boolean recordDue;
+
+  public boolean recorded;
+
+  /** A direct order is under way; one at a time. */
+  public boolean ordering;
+
+  /** The last direct order got no answer: orders go with report responses until one is heard. */
+  public boolean unanswered;
+
+  /** Reported tasks that nothing is known of hold an unknown amount of it. */
+  public boolean strangers;
+
+  public Machine(String name, MachineType type, String zone, boolean spot, Instant since) {
+    this.name = name;
+    this.type = type;
+    this.zone = zone;
+    this.spot = spot;
+    this.since = since;
+  }
+
+  public State state() {
+    return state;
+  }
+
+  /** The one place where a machine's state changes. */
+  public void moveTo(State next) {
+    if (state == State.GONE && next != State.GONE) {
+      throw new IllegalStateException(name + " is gone and cannot become " + next);
+    }
+    if (state == State.RELEASING && next != State.GONE) {
+      return;
+    }
+    state = next;
+  }
+
+  public boolean takesWork() {
+    return state == State.CONFIRMED && !draining && takenAt == null && !strangers;
+  }
+
+  public Resources free() {
+    return type.size().minus(used);
+  }
+
+  public void touchImage(String image, double gb) {
+    images.remove(image);
+    images.put(image, gb);
+    double total = 0;
+    for (double each : images.values()) {
+      total += each;
+    }
+    var oldest = images.entrySet().iterator();
+    while (total > type.cacheGb() && oldest.hasNext() && images.size() > 1) {
+      total -= oldest.next().getValue();
+      oldest.remove();
+    }
+  }
+
+  public static String key(String job, int task, long number) {
+    return job + "/" + task + "#" + number;
+  }
+
+  @Override
+  public String toString() {
+    return name;
+  }
+}
--- /dev/null
+++ b/src/main/java/io/pineladder/model/Team.java
@@ -0,0 +1,23 @@
+package io.pineladder.model;
+
+/** A team's guarantee and limit; a limit of zero means none. */
+public record Team(String name, Resources guarantee, double maxCpus, double maxGpus) {
+
+  /** Whether a team with {@code usage} stays within its limit. */
+  public boolean allows(Resources usage) {
+    Resources limit = Resources.of(maxCpus, maxGpus, 0);
+    return (limit.microCpus() == 0 || usage.microCpus() <= limit.microCpus())
+        && (limit.microGpus() == 0 || usage.microGpus() <= limit.microGpus());
+  }
+
+  public boolean hasGuarantee() {
+    return guarantee.microCpus() > 0 || guarantee.microGpus() > 0;
+  }
+
+  /** A guarantee counts in the dimensions it names; the others are not part of it. */
+  public boolean guarantees(Resources usage) {
+    return hasGuarantee()
+        && (guarantee.microCpus() == 0 || usage.microCpus() <= guarantee.microCpus())
+        && (guarantee.microGpus() == 0 || usage.microGpus() <= guarantee.microGpus());
+  }
+}
--- /dev/null
+++ b/src/main/java/io/pineladder/net/HttpHandlerAsync.java
@@ -0,0 +1,9 @@
+package io.pineladder.net;
+
+import java.util.function.Consumer;
+
+/** Answers requests, at once or later, always on the event thread. */
+@FunctionalInterface
+public interface HttpHandlerAsync {
+  void handle(String method, String path, byte[] body, Consumer<HttpAnswer> answer);
+}
--- /dev/null
+++ b/src/main/java/io/pineladder/net/Timeline.java
@@ -0,0 +1,16 @@
+package io.pineladder.net;
+
+import java.time.Duration;
+import java.time.Instant;
+
+/** The clocks and timers that the rest of the program sees; simulated in the tests. */
+public interface Timeline {
+  /** The steady clock. Its origin means nothing; differences do. */
+  Instant now();
+
+  /** The time of day, which may jump within the bound that the settings give. */
+  Instant timeOfDay();
+
+  /** Runs {@code action} on the one event thread after {@code delay}. */
+  void after(Duration delay, Runnable action);
+}
--- /dev/null
+++ b/src/main/java/io/pineladder/queue/QueueEntry.java
@@ -0,0 +1,56 @@
+package io.pineladder.queue;
+
+import io.pineladder.model.Job;
+import java.time.Instant;
+
+/** A job's pending tasks in the queue: one entry whatever their number, a gang placed as a whole. */
+public final class QueueEntry {
+  /** Where an entry is. */
+  public enum Place {
+    OUTSIDE,
+    ACTIVE,
+    /** Being tried. */
+    IN_FLIGHT,
+    BACKOFF_REJECTED,
+    BACKOFF_ERROR,
+    UNSCHEDULABLE
+  }
+
+  public final Job job;
+  Place place = Place.OUTSIDE;
+  Check rejectedBy;
+  int attempts;
+  Instant triedAt = Instant.MIN;
+  Instant expiry = Instant.MIN;
+  /** Sort keys, fixed while the entry is in the heap. */
+  boolean guaranteed;
+  Instant due = Instant.MAX;
+  long arrival;
+
+  public QueueEntry(Job job) {
+    this.job = job;
+  }
+
+  public Place place() {
+    return place;
+  }
+
+  /** The check that parked it, or null. */
+  public Check rejectedBy() {
+    return rejectedBy;
+  }
+
+  public int attempts() {
+    return attempts;
+  }
+
+  /** Part of it was placed: what is left starts its back-off anew. */
+  public void progressed() {
+    attempts = 0;
+  }
+
+  @Override
+  public String toString() {
+    return job + " " + place;
+  }
+}
--- /dev/null
+++ b/src/main/java/io/pineladder/queue/SchedulingQueue.java
@@ -0,0 +1,247 @@
+package io.pineladder.queue;
+
+import io.pineladder.model.OperatorSettings;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.EnumMap;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Set;
+
+/**
+ * The pending entries in their three places: the active heap, two back-off heaps (rejections and
+ * errors) ordered by expiry, and the unschedulable set, kept by rejecting check.
+ */
+public final class SchedulingQueue {
+  private static final Comparator<QueueEntry> BY_PRIORITY =
+      Comparator.<QueueEntry, Boolean>comparing(e -> !e.guaranteed)
+          .thenComparing(e -> e.job.spec.rank())
+          .thenComparing(e -> e.due)
+          .thenComparing(e -> e.arrival);
+  private static final Comparator<QueueEntry> BY_EXPIRY =
+      Comparator.<QueueEntry, Instant>comparing(e -> e.expiry).thenComparing(e -> e.arrival);
+
+  /** The sort keys of an entry, asked for whenever it enters the active heap. */
+  public interface Ordering {
+    boolean isGuaranteed(QueueEntry entry);
+
+    Instant due(QueueEntry entry);
+  }
+
+  private final PriorityQueue<QueueEntry> active = new PriorityQueue<>(BY_PRIORITY);
+  private final PriorityQueue<QueueEntry> rejected = new PriorityQueue<>(BY_EXPIRY);
+  private final PriorityQueue<QueueEntry> errors = new PriorityQueue<>(BY_EXPIRY);
+  private final EnumMap<Check, Set<QueueEntry>> unschedulable = new EnumMap<>(Check.class);
+
+  /** Entries being tried, each with the events seen meanwhile. */
+  private final Map<QueueEntry, List<Event>> inFlight = new LinkedHashMap<>();
+
+  private final HintTable hints;
+  private final Ordering ordering;
+  private OperatorSettings settings;
+  private long arrivals;
+
+  public SchedulingQueue(HintTable hints, Ordering ordering, OperatorSettings settings) {
+    this.hints = hints;
+    this.ordering = ordering;
+    this.settings = settings;
+    for (Check check : Check.values()) {
+      unschedulable.put(check, new LinkedHashSet<>());
+    }
+  }
+
+  public void configure(OperatorSettings next) {
+    settings = next;
+  }
+
+  /** The one place where an entry changes its place. */
+  private void moveTo(QueueEntry entry, QueueEntry.Place next) {
+    switch (entry.place) {
+      case ACTIVE -> active.remove(entry);
+      case BACKOFF_REJECTED -> rejected.remove(entry);
+      case BACKOFF_ERROR -> errors.remove(entry);
+      case UNSCHEDULABLE -> unschedulable.get(entry.rejectedBy).remove(entry);
+      case IN_FLIGHT -> inFlight.remove(entry);
+      case OUTSIDE -> {}
+    }
+    entry.place = next;
+    switch (next) {
+      case ACTIVE -> {
+        entry.guaranteed = ordering.isGuaranteed(entry);
+        entry.due = ordering.due(entry);
+        active.add(entry);
+      }
+      case BACKOFF_REJECTED -> rejected.add(entry);
+      case BACKOFF_ERROR -> errors.add(entry);
+      case UNSCHEDULABLE -> unschedulable.get(entry.rejectedBy).add(entry);
+      case IN_FLIGHT -> inFlight.put(entry, new ArrayList<>());
+      case OUTSIDE -> {}
+    }
+  }
+
+  /** Puts a new entry, or one whose job has got new pending tasks, into the active heap. */
+  public void add(QueueEntry entry) {
+    if (entry.place == QueueEntry.Place.ACTIVE || entry.place == QueueEntry.Place.IN_FLIGHT) {
+      return;
+    }
+    if (entry.place == QueueEntry.Place.OUTSIDE) {
+      entry.arrival = ++arrivals;
+    }
+    moveTo(entry, QueueEntry.Place.ACTIVE);
+  }
+
+  public void remove(QueueEntry entry) {
+    moveTo(entry, QueueEntry.Place.OUTSIDE);
+  }
+
+  /** Takes the entry with the highest priority to be tried; null when none is active. */
+  public QueueEntry pop(Instant now) {
+    QueueEntry entry = active.peek();
+    if (entry == null) {
+      return null;
+    }
+    moveTo(entry, QueueEntry.Place.IN_FLIGHT);
+    entry.triedAt = now;
+    entry.attempts++;
+    return entry;
+  }
+
+  /** Puts an entry back after a try that left more to do, without any delay. */
+  public void again(QueueEntry entry) {
+    moveTo(entry, QueueEntry.Place.ACTIVE);
+  }
+
+  /** Parks a tried entry under the check that rejected it, unless an event came in meanwhile. */
+  public void park(QueueEntry entry, Check by, Instant now) {
+    List<Event> seen = inFlight.getOrDefault(entry, List.of());
+    Hint best = Hint.SKIP;
+    for (Event event : seen) {
+      Hint hint = hints.hint(by, entry, event);
+      if (hint.compareTo(best) > 0) {
+        best = hint;
+      }
+    }
+    entry.rejectedBy = by;
+    entry.expiry = expiry(entry);
+    moveTo(entry, QueueEntry.Place.UNSCHEDULABLE);
+    requeue(entry, best, now);
+  }
+
+  /** Puts an entry that failed by an error, not by a check, into its back-off. */
+  public void failed(QueueEntry entry, Instant now) {
+    entry.triedAt = now;
+    entry.attempts = Math.max(1, entry.attempts);
+    entry.expiry = expiry(entry);
+    if (entry.place == QueueEntry.Place.OUTSIDE) {
+      entry.arrival = ++arrivals;
+    }
+    moveTo(entry, QueueEntry.Place.BACKOFF_ERROR);
+  }
+
+  /** Counts another failure, which doubles the next back-off. */
+  public void countFailure(QueueEntry entry) {
+    entry.attempts++;
+  }
+
+  private void requeue(QueueEntry entry, Hint hint, Instant now) {
+    if (hint == Hint.QUEUE_AT_ONCE || (hint == Hint.QUEUE && !entry.expiry.isAfter(now))) {
+      moveTo(entry, QueueEntry.Place.ACTIVE);
+    } else if (hint == Hint.QUEUE) {
+      moveTo(entry, QueueEntry.Place.BACKOFF_REJECTED);
+    }
+  }
+
+  /** The end of the back-off: initial times two to the attempts less one, capped, in windows. */
+  private Instant expiry(QueueEntry entry) {
+    Duration delay = settings.initialBackoff();
+    for (int i = 1; i < entry.attempts && delay.compareTo(settings.maxBackoff()) < 0; i++) {
+      delay = delay.multipliedBy(2);
+    }
+    if (delay.compareTo(settings.maxBackoff()) > 0) {
+      delay = settings.maxBackoff();
+    }
+    Instant end = entry.triedAt.plus(delay);
+    long window = settings.backoffWindow().toNanos();
+    if (window == 0) {
+      return end;
+    }
+    Duration sinceOrigin = Duration.between(Instant.EPOCH, end);
+    long over = Math.floorMod(sinceOrigin.toNanos(), window);
+    return over == 0 ? end : end.plusNanos(window - over);
+  }
+
+  /** Wakes what the event may help. */
+  public void onEvent(Event event, Instant now) {
+    Map<Check, HintTable.HintFunction> interested = hints.interested(event.kind());
+    if (interested.isEmpty()) {
+      return;
+    }
+    inFlight.values().forEach(events -> events.add(event));
+    interested.forEach(
+        (check, function) -> {
+          Set<QueueEntry> parked = unschedulable.get(check);
+          if (parked.isEmpty()) {
+            return;
+          }
+          for (QueueEntry entry : List.copyOf(parked)) {
+            requeue(entry, function.hint(entry, event), now);
+          }
+        });
+    // An entry in back-off for a rejection was parked too: a sure event need not wait either.
+    if (!rejected.isEmpty()) {
+      for (QueueEntry entry : List.copyOf(rejected)) {
+        HintTable.HintFunction function = interested.get(entry.rejectedBy);
+        if (function != null && function.hint(entry, event) == Hint.QUEUE_AT_ONCE) {
+          moveTo(entry, QueueEntry.Place.ACTIVE);
+        }
+      }
+    }
+  }
+
+  /** Moves what has served its back-off to the active heap. */
+  public void releaseExpired(Instant now) {
+    for (PriorityQueue<QueueEntry> heap : List.of(rejected, errors)) {
+      while (!heap.isEmpty() && !heap.peek().expiry.isAfter(now)) {
+        moveTo(heap.peek(), QueueEntry.Place.ACTIVE);
+      }
+    }
+  }
+
+  /** When the next back-off ends, or null. */
+  public Instant nextExpiry() {
+    Instant first = rejected.isEmpty() ? null : rejected.peek().expiry;
+    Instant second = errors.isEmpty() ? null : errors.peek().expiry;
+    if (first == null || (second != null && second.isBefore(first))) {
+      return second;
+    }
+    return first;
+  }
+
+  public boolean hasActive() {
+    return !active.isEmpty();
+  }
+
+  /** How many entries are in each place, for operators. */
+  public Map<QueueEntry.Place, Integer> sizes() {
+    EnumMap<QueueEntry.Place, Integer> sizes = new EnumMap<>(QueueEntry.Place.class);
+    sizes.put(QueueEntry.Place.ACTIVE, active.size());
+    sizes.put(QueueEntry.Place.IN_FLIGHT, inFlight.size());
+    sizes.put(QueueEntry.Place.BACKOFF_REJECTED, rejected.size());
+    sizes.put(QueueEntry.Place.BACKOFF_ERROR, errors.size());
+    sizes.put(
+        QueueEntry.Place.UNSCHEDULABLE, unschedulable.values().stream().mapToInt(Set::size).sum());
+    return sizes;
+  }
+
+  /** How many entries each check has parked, for operators. */
+  public Map<Check, Integer> parked() {
+    EnumMap<Check, Integer> counts = new EnumMap<>(Check.class);
+    unschedulable.forEach((check, entries) -> counts.put(check, entries.size()));
+    return counts;
+  }
+}
--- /dev/null
+++ b/src/main/java/io/pineladder/scheduling/Preemptor.java
@@ -0,0 +1,109 @@
+package io.pineladder.scheduling;
+
+import io.pineladder.model.Attempt;
+import io.pineladder.model.Job;
+import io.pineladder.model.JobSpec;
+import io.pineladder.model.Machine;
+import io.pineladder.model.Resources;
+import io.pineladder.model.Shape;
+import io.pineladder.model.Team;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+
+/** Finds the work whose stopping costs least and lets a job of higher priority in. */
+final class Preemptor {
+  private final Cluster cluster;
+
+  Preemptor(Cluster cluster) {
+    this.cluster = cluster;
+  }
+
+  /** Attempts to stop on one machine. */
+  record Plan(Machine machine, List<Attempt> victims) {}
+
+  /** Room for one task of the job, or null when nothing may be stopped for it. */
+  Plan plan(Job job, Instant now) {
+    JobSpec spec = job.spec;
+    if (spec.shape() == Shape.GANG && spec.tasks() > 1) {
+      // Stopping work for a part of a gang frees room that the gang may not be able to use.
+      return null;
+    }
+    Team team = cluster.team(spec.team());
+    boolean guaranteed =
+        cluster.isGuaranteed(job)
+            && team.guarantees(cluster.usage(spec.team()).plus(spec.each()));
+    Plan best = null;
+    double bestLoss = Double.MAX_VALUE;
+    for (Machine machine : cluster.machines.values()) {
+      if (!machine.takesWork() || !Placer.isAllowed(job, machine)) {
+        continue;
+      }
+      if (machine.reservedFor == job && machine.reservedUntil.isAfter(now)) {
+        // Its victims are still leaving.
+        return null;
+      }
+      List<Attempt> victims = victims(job, machine, guaranteed, now);
+      if (victims == null) {
+        continue;
+      }
+      double loss = Placer.fetchSeconds(job, machine);
+      for (Attempt victim : victims) {
+        loss += loss(victim, now);
+      }
+      if (loss < bestLoss) {
+        bestLoss = loss;
+        best = new Plan(machine, victims);
+      }
+    }
+    return best;
+  }
+
+  private List<Attempt> victims(Job job, Machine machine, boolean guaranteed, Instant now) {
+    Resources room = Placer.room(job, machine, now);
+    List<Attempt> candidates = new ArrayList<>();
+    for (Attempt attempt : machine.attempts.values()) {
+      if (!attempt.holdsRoom()) {
+        continue;
+      }
+      if (!attempt.isWanted()) {
+        // It is leaving anyway.
+        room = room.plus(attempt.job.spec.each());
+      } else if (mayDisplace(job, attempt.job, guaranteed)) {
+        candidates.add(attempt);
+      }
+    }
+    candidates.sort(Comparator.comparingDouble(a -> loss(a, now)));
+    List<Attempt> victims = new ArrayList<>();
+    for (Attempt candidate : candidates) {
+      if (job.spec.each().fitsIn(room)) {
+        break;
+      }
+      victims.add(candidate);
+      room = room.plus(candidate.job.spec.each());
+    }
+    return job.spec.each().fitsIn(room) && !victims.isEmpty() ? victims : null;
+  }
+
+  /** A higher rank, or a guarantee against what another team has beyond its own. */
+  private boolean mayDisplace(Job job, Job victim, boolean guaranteed) {
+    boolean victimGuaranteed = cluster.isGuaranteed(victim);
+    if (job.spec.rank().isAbove(victim.spec.rank())) {
+      return guaranteed || !victimGuaranteed;
+    }
+    return guaranteed && !victimGuaranteed && !victim.spec.team().equals(job.spec.team());
+  }
+
+  /** Seconds of work that stopping it throws away. */
+  private static double loss(Attempt attempt, Instant now) {
+    Instant from = attempt.runningSince == null ? attempt.since : attempt.runningSince;
+    Duration ran = Duration.between(from, now);
+    if (attempt.job.spec.savesWork()) {
+      Duration save = attempt.job.spec.saveTime();
+      return Math.min(ran.toMillis(), save.toMillis()) / 1000.0;
+    }
+    return ran.toMillis() / 1000.0;
+  }
+}
--- /dev/null
+++ b/src/main/java/io/pineladder/scheduling/Scheduler.java
@@ -0,0 +1,549 @@
+package io.pineladder.scheduling;
+
+import io.pineladder.model.Attempt;
+import io.pineladder.model.Cause;
+import io.pineladder.model.Job;
+import io.pineladder.model.JobSpec;
+import io.pineladder.model.Machine;
+import io.pineladder.model.OperatorSettings;
+import io.pineladder.model.Resources;
+import io.pineladder.model.Settings;
+import io.pineladder.model.Shape;
+import io.pineladder.net.Timeline;
+import io.pineladder.queue.Check;
+import io.pineladder.queue.Event;
+import io.pineladder.queue.Hint;
+import io.pineladder.queue.HintTable;
+import io.pineladder.queue.QueueEntry;
+import io.pineladder.queue.SchedulingQueue;
+import io.pineladder.store.Records;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** The scheduling loop: takes entries from the queue, places their tasks, and follows their ends. */
+public final class Scheduler {
+  private static final Logger log = LoggerFactory.getLogger(Scheduler.class);
+
+  /** Tasks of one entry placed before others of higher priority get a look. */
+  private static final int TASKS_A_TURN = 32;
+
+  /** Turns taken before waiting messages are read. */
+  private static final int TURNS_A_PASS = 40;
+
+  private static final Duration RESERVATION = Duration.ofSeconds(20);
+
+  /** Different jobs that must fail on a machine before it is taken for faulty. */
+  private static final int FAILED_JOBS = 2;
+
+  /** Attempt numbers of a term; they start from the term, so no other leader uses them. */
+  private static final int NUMBER_BITS = 20;
+
+  /** What the scheduler causes outside. */
+  public interface Effects {
+    boolean mayAct();
+
+    /** Orders for this machine are ready to go out. */
+    void ordersDue(Machine machine);
+
+    /** This term can go no further. */
+    void resign(String reason);
+  }
+
+  private final Cluster cluster;
+  private final Timeline time;
+  private final Effects effects;
+  private final Placer placer;
+  private final Preemptor preemptor;
+  private final SchedulingQueue queue;
+  private final Map<String, QueueEntry> entries = new HashMap<>();
+  private final long term;
+  private Records records;
+  private long numbers;
+  private boolean passSet;
+  private Instant wakeAt;
+
+  public Scheduler(
+      Cluster cluster, Timeline time, long term, OperatorSettings operator, Effects effects) {
+    this.cluster = cluster;
+    this.time = time;
+    this.term = term;
+    this.effects = effects;
+    this.placer = new Placer(cluster);
+    this.preemptor = new Preemptor(cluster);
+    this.queue = new SchedulingQueue(hints(), new ByObjective(), operator);
+  }
+
+  public void useRecords(Records made) {
+    records = made;
+  }
+
+  public SchedulingQueue queue() {
+    return queue;
+  }
+
+  /** Guarantees first, then what has the nearest time to keep. */
+  private final class ByObjective implements SchedulingQueue.Ordering {
+    @Override
+    public boolean isGuaranteed(QueueEntry entry) {
+      return cluster.isGuaranteed(entry.job);
+    }
+
+    @Override
+    public Instant due(QueueEntry entry) {
+      return entry.job.acceptedAt.plus(allowance(entry.job.spec));
+    }
+  }
+
+  /** How long after its submission a job should have started for its tightest objective. */
+  private Duration allowance(JobSpec spec) {
+    Duration allowance = Duration.ofMinutes(10);
+    for (Settings.Objective objective : cluster.settings.objectives()) {
+      if (!spec.jobClass().equals(objective.jobClass())) {
+        continue;
+      }
+      Duration until = objective.within() == null ? spec.deadline() : objective.within();
+      if (until == null) {
+        continue;
+      }
+      Duration start = objective.kind().equals("wait") ? until : until.minus(spec.estimate());
+      if (start.compareTo(allowance) < 0) {
+        allowance = start;
+      }
+    }
+    return allowance;
+  }
+
+  /** Which events may help which rejections. */
+  private HintTable hints() {
+    HintTable.HintFunction room =
+        (entry, event) -> {
+          Machine machine = event.machine();
+          Job job = entry.job;
+          if (!machine.takesWork()
+              || !Placer.isAllowed(job, machine)
+              || !job.spec.each().fitsIn(Placer.room(job, machine, time.now()))) {
+            return Hint.SKIP;
+          }
+          return job.spec.shape() == Shape.GANG && job.spec.tasks() > 1
+              ? Hint.QUEUE
+              : Hint.QUEUE_AT_ONCE;
+        };
+    HintTable.HintFunction ownTask =
+        (entry, event) -> event.job() == entry.job ? Hint.QUEUE_AT_ONCE : Hint.SKIP;
+    HintTable table = new HintTable();
+    for (Check check : List.of(Check.PLACE, Check.FIT, Check.SPREAD, Check.TOGETHER)) {
+      table.on(check, Event.Kind.ROOM_FREED, room).on(check, Event.Kind.MACHINE_READY, room);
+    }
+    for (Check check : List.of(Check.SPREAD, Check.TOGETHER, Check.PREDECESSOR)) {
+      table.on(check, Event.Kind.ATTEMPT_GONE, ownTask);
+    }
+    return table.on(
+        Check.TEAM_LIMIT,
+        Event.Kind.TEAM_FREED,
+        (entry, event) -> {
+          JobSpec spec = entry.job.spec;
+          if (!spec.team().equals(event.team())) {
+            return Hint.SKIP;
+          }
+          return cluster.team(spec.team()).allows(cluster.usage(spec.team()).plus(spec.least()))
+              ? Hint.QUEUE_AT_ONCE
+              : Hint.SKIP;
+        });
+  }
+
+  // ---- jobs
+
+  /** A new job, or one read from the store whose attempts are known already. */
+  public void add(Job job) {
+    cluster.addJob(job);
+    if (!job.isActive()) {
+      job.ending = true;
+      job.endStored = true;
+      killAll(job, Duration.ZERO);
+      forgetIfOver(job);
+      return;
+    }
+    if (job.spec.shape() == Shape.GANG && !job.attempts.isEmpty()) {
+      // A gang is started as a whole. One whose placements were stored in part never completes.
+      if (job.attempts.size() < job.spec.tasks()) {
+        killAll(job, Duration.ZERO);
+      }
+      return;
+    }
+    for (int task = 0; task < job.spec.tasks(); task++) {
+      if (job.isFree(task)) {
+        job.pending.set(task);
+      }
+    }
+    enqueue(job);
+  }
+
+  private void enqueue(Job job) {
+    if (job.isActive() && !job.pending.isEmpty()) {
+      queue.add(entries.computeIfAbsent(job.spec.id(), id -> new QueueEntry(job)));
+      kick();
+    }
+  }
+
+  /** The user wants the job gone: nothing of it starts from here on. */
+  public void cancel(Job job) {
+    if (!job.isActive()) {
+      return;
+    }
+    job.moveTo(Job.State.CANCELLED);
+    leaveQueue(job);
+    records.end(job);
+  }
+
+  private void leaveQueue(Job job) {
+    job.pending.clear();
+    QueueEntry entry = entries.remove(job.spec.id());
+    if (entry != null) {
+      queue.remove(entry);
+    }
+  }
+
+  /** The job's final state is stored. */
+  public void onEndStored(Job job) {
+    log.info("job {} is {}", job, job.state());
+    List.copyOf(job.endWaiters).forEach(Runnable::run);
+    job.endWaiters.clear();
+    killAll(job, Duration.ZERO);
+    forgetIfOver(job);
+  }
+
+  /** Stops everything of a job that may be somewhere. */
+  public void killAll(Job job, Duration grace) {
+    List<Attempt> all = new ArrayList<>();
+    job.attempts.values().forEach(all::addAll);
+    all.forEach(attempt -> kill(attempt, grace));
+  }
+
+  private void forgetIfOver(Job job) {
+    if (job.endStored && job.attempts.isEmpty()) {
+      records.remove(job);
+      cluster.removeJob(job);
+    }
+  }
+
+  // ---- attempts
+
+  /** Decides that an attempt is to stop; with a shorter grace than before it stops sooner. */
+  public void kill(Attempt attempt, Duration grace) {
+    if (!attempt.holdsRoom()) {
+      return;
+    }
+    boolean neverSent = attempt.state() == Attempt.State.STORED && attempt.sentSession == 0;
+    if (attempt.state() == Attempt.State.STORING || neverSent) {
+      gone(attempt, "never started");
+      return;
+    }
+    if (attempt.killGrace == null) {
+      attempt.killedAt = time.now();
+      attempt.killGrace = grace;
+    } else if (grace.compareTo(attempt.killGrace) < 0) {
+      attempt.killGrace = grace;
+      attempt.killSent = false;
+    } else {
+      return;
+    }
+    effects.ordersDue(attempt.machine);
+  }
+
+  /** The placement is stored, so its start may go out. */
+  public void onPlacementStored(Attempt attempt) {
+    cluster.move(attempt, Attempt.State.STORED);
+    effects.ordersDue(attempt.machine);
+  }
+
+  /** A machine lists the attempt in a state other than exited. */
+  public void seen(Attempt attempt, Attempt.State state) {
+    if (attempt.state() == Attempt.State.EXITED) {
+      return;
+    }
+    if (state == Attempt.State.RUNNING || state == Attempt.State.GATHERING) {
+      attempt.machine.touchImage(attempt.job.spec.image(), attempt.job.spec.imageGb());
+    }
+    if (state == Attempt.State.RUNNING && attempt.runningSince == null) {
+      attempt.runningSince = time.now();
+    }
+    cluster.move(attempt, state);
+  }
+
+  /** A machine lists the attempt as exited. */
+  public void exited(Attempt attempt, Cause cause) {
+    if (!attempt.holdsRoom()) {
+      return;
+    }
+    boolean wanted = attempt.isWanted();
+    attempt.cause = cause;
+    cluster.move(attempt, Attempt.State.EXITED);
+    Job job = attempt.job;
+    if (cause == Cause.DONE && job.spec.shape() != Shape.SERVICE) {
+      completed(attempt);
+    } else {
+      attempt.forgettable = true;
+      if (cause == Cause.ERROR) {
+        blame(attempt);
+      }
+      lost(attempt, wanted && isRefusalOrError(cause));
+    }
+    freed(attempt);
+  }
+
+  private static boolean isRefusalOrError(Cause cause) {
+    return switch (cause) {
+      case ERROR, NO_ROOM, BUSY, UNKNOWN_JOB -> true;
+      default -> false;
+    };
+  }
+
+  private void completed(Attempt attempt) {
+    Job job = attempt.job;
+    if (!job.isActive()) {
+      attempt.forgettable = true;
+      forgetIfOver(job);
+      return;
+    }
+    // The tasks of a gang complete together.
+    if (job.spec.shape() == Shape.GANG) {
+      job.done.set(0, job.spec.tasks());
+    } else {
+      job.done.set(attempt.task);
+    }
+    job.pending.clear(attempt.task);
+    records.taskDone(job, attempt);
+    if (job.done.cardinality() == job.spec.tasks()) {
+      job.moveTo(Job.State.DONE);
+      leaveQueue(job);
+      records.end(job);
+    }
+  }
+
+  /** Proof has come that the attempt is not on its machine and never will be. */
+  public void gone(Attempt attempt, String proof) {
+    boolean held = attempt.holdsRoom();
+    cluster.move(attempt, Attempt.State.GONE);
+    if (held) {
+      log.debug("{}: {}", attempt, proof);
+      lost(attempt, false);
+      freed(attempt);
+    }
+  }
+
+  /** The attempt ended without completing its task. */
+  private void lost(Attempt attempt, boolean backoff) {
+    Job job = attempt.job;
+    if (!job.isActive()) {
+      forgetIfOver(job);
+      return;
+    }
+    if (job.spec.shape() == Shape.GANG) {
+      if (!job.attempts.isEmpty()) {
+        // A gang that lost a task is stopped as a whole and started again as a whole.
+        killAll(job, job.spec.saveTime());
+        return;
+      }
+      job.pending.set(0, job.spec.tasks());
+    } else if (job.isFree(attempt.task)) {
+      job.pending.set(attempt.task);
+    }
+    if (job.pending.isEmpty()) {
+      return;
+    }
+    if (backoff) {
+      QueueEntry entry = entries.computeIfAbsent(job.spec.id(), id -> new QueueEntry(job));
+      if (entry.place() != QueueEntry.Place.ACTIVE) {
+        queue.countFailure(entry);
+        queue.failed(entry, time.now());
+        wakeForBackoff();
+      }
+    } else {
+      enqueue(job);
+    }
+  }
+
+  private void freed(Attempt attempt) {
+    Instant now = time.now();
+    queue.onEvent(Event.teamFreed(attempt.job.spec.team()), now);
+    queue.onEvent(Event.roomFreed(attempt.machine), now);
+    queue.onEvent(Event.attemptGone(attempt.job), now);
+    kick();
+  }
+
+  private void blame(Attempt attempt) {
+    Job job = attempt.job;
+    Machine machine = attempt.machine;
+    machine.failures.merge(job.spec.id(), 1, Integer::sum);
+    job.avoid.add(machine.name);
+    // A job that fails everywhere must not run out of machines.
+    if (job.avoid.size() > cluster.machines.size() / 2) {
+      job.avoid.clear();
+    }
+    if (machine.failures.size() >= FAILED_JOBS && !machine.draining) {
+      log.info("machine {} fails different jobs and is retired", machine);
+      machine.draining = true;
+    }
+  }
+
+  /** A machine can take work now, or more than before. */
+  public void machineReady(Machine machine) {
+    queue.onEvent(Event.machineReady(machine), time.now());
+    kick();
+  }
+
+  // ---- the loop
+
+  /** Has the queue looked at soon. */
+  public void kick() {
+    if (!passSet) {
+      passSet = true;
+      time.after(Duration.ZERO, this::pass);
+    }
+  }
+
+  private void pass() {
+    passSet = false;
+    if (!effects.mayAct()) {
+      return;
+    }
+    Instant now = time.now();
+    queue.releaseExpired(now);
+    for (int turn = 0; turn < TURNS_A_PASS; turn++) {
+      QueueEntry entry = queue.pop(now);
+      if (entry == null) {
+        wakeForBackoff();
+        return;
+      }
+      attempt(entry, now);
+    }
+    kick();
+  }
+
+  private void wakeForBackoff() {
+    Instant next = queue.nextExpiry();
+    Instant now = time.now();
+    if (next == null || (wakeAt != null && wakeAt.isAfter(now) && !next.isBefore(wakeAt))) {
+      return;
+    }
+    wakeAt = next;
+    Duration wait = Duration.between(now, next);
+    time.after(
+        wait.isNegative() ? Duration.ZERO : wait.plusMillis(1),
+        () -> {
+          wakeAt = null;
+          kick();
+        });
+  }
+
+  private void attempt(QueueEntry entry, Instant now) {
+    Job job = entry.job;
+    if (!job.isActive() || job.pending.isEmpty()) {
+      queue.remove(entry);
+      entries.remove(job.spec.id());
+      return;
+    }
+    if (job.spec.shape() == Shape.GANG) {
+      if (!job.attempts.isEmpty()) {
+        queue.park(entry, Check.PREDECESSOR, now);
+        return;
+      }
+      Placer.Decision decision = placer.place(job, now);
+      if (!decision.isPlaced()) {
+        reject(entry, decision.rejectedBy(), now);
+        return;
+      }
+      long number = nextNumber();
+      for (int task = 0; task < job.spec.tasks(); task++) {
+        start(job, task, number, decision.machines().get(task), now);
+      }
+      queue.remove(entry);
+      entries.remove(job.spec.id());
+      return;
+    }
+    for (int count = 0; count < TASKS_A_TURN; count++) {
+      int task = job.pending.nextSetBit(0);
+      if (task < 0) {
+        queue.remove(entry);
+        entries.remove(job.spec.id());
+        return;
+      }
+      Placer.Decision decision = placer.place(job, now);
+      if (!decision.isPlaced()) {
+        reject(entry, decision.rejectedBy(), now);
+        return;
+      }
+      start(job, task, nextNumber(), decision.machines().get(0), now);
+      entry.progressed();
+    }
+    queue.again(entry);
+  }
+
+  private void reject(QueueEntry entry, Check by, Instant now) {
+    if (by == Check.FIT || by == Check.SPREAD || by == Check.TOGETHER) {
+      Preemptor.Plan plan = preemptor.plan(entry.job, now);
+      if (plan != null) {
+        Machine machine = plan.machine();
+        log.info("{} displaces {} on {}", entry.job, plan.victims(), machine);
+        machine.reservedFor = entry.job;
+        machine.reserved = entry.job.spec.each();
+        machine.reservedUntil = now.plus(RESERVATION);
+        plan.victims().forEach(victim -> displace(victim));
+      }
+    }
+    queue.park(entry, by, now);
+  }
+
+  /** Stops an attempt to free its room; the rest of a gang goes with it. */
+  public void displace(Attempt attempt) {
+    JobSpec spec = attempt.job.spec;
+    Duration grace = spec.savesWork() ? spec.saveTime().plusSeconds(1) : Duration.ZERO;
+    if (spec.shape() == Shape.GANG) {
+      killAll(attempt.job, grace);
+    } else {
+      kill(attempt, grace);
+    }
+  }
+
+  private long nextNumber() {
+    if (++numbers >= 1L << NUMBER_BITS) {
+      effects.resign("the term's attempt numbers are used up");
+    }
+    return (term << NUMBER_BITS) + numbers;
+  }
+
+  private void start(Job job, int task, long number, Machine machine, Instant now) {
+    if (machine.reservedFor == job) {
+      machine.reservedFor = null;
+      machine.reserved = Resources.NONE;
+    }
+    job.pending.clear(task);
+    cluster.addAttempt(job, task, number, machine, now, Attempt.State.STORING);
+    records.machineDue(machine);
+  }
+
+  /** Tasks that wait, by job, for the fleet's demand. */
+  public Iterable<QueueEntry> waiting() {
+    return entries.values();
+  }
+
+  /** Everything of a job that may be on a machine. */
+  public static int running(Job job) {
+    int count = 0;
+    for (Set<Attempt> attempts : job.attempts.values()) {
+      for (Attempt attempt : attempts) {
+        if (attempt.state() == Attempt.State.RUNNING) {
+          count++;
+        }
+      }
+    }
+    return count;
+  }
+}
--- /dev/null
+++ b/src/main/java/io/pineladder/store/Committer.java
@@ -0,0 +1,380 @@
+package io.pineladder.store;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.pineladder.net.HttpCaller.Outcome;
+import io.pineladder.net.HttpCaller.Reply;
+import io.pineladder.net.Timeline;
+import io.pineladder.wire.Json;
+import io.pineladder.wire.MalformedException;
+import io.pineladder.wire.StoreWire;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * One leader's changes to the store, one transaction under way at a time.
+ *
+ * <p>Each transaction asks that the leader's key still has this term's revision and that every key
+ * it writes has the revision last known. So a transaction of an older leader never applies, and one
+ * that got no reply can be sent again unchanged: if the first copy was executed the second fails,
+ * and whichever of the two comes late fails as well.
+ */
+public final class Committer {
+  private static final Logger log = LoggerFactory.getLogger(Committer.class);
+
+  /** The service takes 64 KiB; the rest is for conditions. */
+  private static final int MAX_BYTES = 48 * 1024;
+
+  private static final Duration FIRST_RETRY = Duration.ofMillis(100);
+  private static final Duration MOST_RETRY = Duration.ofSeconds(1);
+
+  /** Where the committer stands. */
+  private enum State {
+    IDLE,
+    /** Waiting for the write budget or before another try. */
+    WAITING,
+    IN_FLIGHT,
+    /** Reading back what a transaction without a reply did. */
+    SETTLING,
+    CLOSED
+  }
+
+  private final StoreClient store;
+  private final Timeline time;
+  private final long term;
+  private final Consumer<String> onFenced;
+  private final Map<String, Long> versions = new HashMap<>();
+  private final EnumMap<Mutation.Priority, Deque<Mutation>> queues =
+      new EnumMap<>(Mutation.Priority.class);
+  private State state = State.IDLE;
+  private Batch batch;
+  private Duration retry = FIRST_RETRY;
+
+  private static final class Batch {
+    final List<Mutation> mutations = new ArrayList<>();
+    final Map<String, JsonNode> values = new HashMap<>();
+    byte[] body;
+
+    /** A copy of it was sent and not answered. */
+    boolean ambiguous;
+  }
+
+  public Committer(StoreClient store, Timeline time, long term, Consumer<String> onFenced) {
+    this.store = store;
+    this.time = time;
+    this.term = term;
+    this.onFenced = onFenced;
+    for (Mutation.Priority priority : Mutation.Priority.values()) {
+      queues.put(priority, new ArrayDeque<>());
+    }
+  }
+
+  private void moveTo(State next) {
+    if (state != State.CLOSED) {
+      state = next;
+    }
+  }
+
+  /** Tells the revision of a key that was read. */
+  public void known(String key, long version) {
+    versions.put(key, version);
+  }
+
+  public void submit(Mutation mutation) {
+    queues.get(mutation.priority()).addLast(mutation);
+    if (state == State.IDLE) {
+      // Changes decided by one message go together.
+      moveTo(State.WAITING);
+      time.after(Duration.ofMillis(1), this::next);
+    }
+  }
+
+  public int waiting() {
+    int count = batch == null ? 0 : batch.mutations.size();
+    for (Deque<Mutation> queue : queues.values()) {
+      count += queue.size();
+    }
+    return count;
+  }
+
+  public void close() {
+    moveTo(State.CLOSED);
+  }
+
+  private void next() {
+    if (state == State.CLOSED) {
+      return;
+    }
+    if (batch == null) {
+      Instant now = time.now();
+      int ops = Math.min(store.limits().transactionOps(), store.writes().available(now));
+      batch = gather(ops);
+      if (batch == null) {
+        Integer least = leastWaiting();
+        if (least == null) {
+          moveTo(State.IDLE);
+        } else {
+          moveTo(State.WAITING);
+          time.after(store.writes().until(least, now).plusMillis(1), this::next);
+        }
+        return;
+      }
+    }
+    sendBatch();
+  }
+
+  private Integer leastWaiting() {
+    for (Deque<Mutation> queue : queues.values()) {
+      if (!queue.isEmpty()) {
+        return queue.peekFirst().writes().size();
+      }
+    }
+    return null;
+  }
+
+  private Batch gather(int ops) {
+    Batch made = new Batch();
+    StoreWire.Transaction transaction =
+        new StoreWire.Transaction().require(Keys.LEADER, term);
+    Set<String> keys = new HashSet<>();
+    int left = ops;
+    int bytes = 0;
+    int conditions = 4 * store.limits().transactionOps() - 1;
+    for (Deque<Mutation> queue : queues.values()) {
+      while (!queue.isEmpty()) {
+        Mutation mutation = queue.peekFirst();
+        if (!mutation.wanted().getAsBoolean()) {
+          queue.pollFirst();
+          continue;
+        }
+        int wants = mutation.writes().size();
+        boolean repeats = mutation.writes().stream().anyMatch(w -> keys.contains(w.key()));
+        if (wants > left || repeats || wants + mutation.absent().size() > conditions) {
+          // Nothing of lower priority may overtake it, or it could starve.
+          return made.mutations.isEmpty() ? null : finish(made, transaction);
+        }
+        int size = 0;
+        Map<String, JsonNode> values = new HashMap<>();
+        for (Mutation.Write write : mutation.writes()) {
+          JsonNode value = write.value().get();
+          values.put(write.key(), value);
+          size += value == null ? 0 : Json.bytes(value).length;
+        }
+        if (!made.mutations.isEmpty() && bytes + size > MAX_BYTES) {
+          return finish(made, transaction);
+        }
+        queue.pollFirst();
+        bytes += size;
+        left -= wants;
+        conditions -= wants + mutation.absent().size();
+        made.mutations.add(mutation);
+        made.values.putAll(values);
+        for (String key : mutation.absent()) {
+          transaction.require(key, 0);
+        }
+        for (Mutation.Write write : mutation.writes()) {
+          keys.add(write.key());
+          transaction.require(write.key(), versions.getOrDefault(write.key(), 0L));
+          JsonNode value = values.get(write.key());
+          if (value == null) {
+            transaction.delete(write.key());
+          } else {
+            transaction.put(write.key(), value);
+          }
+        }
+      }
+    }
+    return made.mutations.isEmpty() ? null : finish(made, transaction);
+  }
+
+  private static Batch finish(Batch made, StoreWire.Transaction transaction) {
+    made.body = transaction.bytes();
+    return made;
+  }
+
+  private void sendBatch() {
+    moveTo(State.IN_FLIGHT);
+    store.writes().take(batch.values.size(), time.now());
+    store.send(store.post("/multi", batch.body), this::onReply);
+  }
+
+  private void onReply(Reply reply) {
+    if (state == State.CLOSED) {
+      return;
+    }
+    try {
+      if (reply.is(200)) {
+        committed(StoreWire.parseRevision(reply.body()));
+        return;
+      }
+      if (reply.is(409)) {
+        List<String> failed = StoreWire.parseFailed(reply.body());
+        if (failed.contains(Keys.LEADER)) {
+          fenced("another leader holds the store");
+        } else if (batch.ambiguous) {
+          settle();
+        } else {
+          refused(failed);
+        }
+        return;
+      }
+    } catch (MalformedException e) {
+      log.warn("the store answered {}", reply);
+    }
+    if (reply.is(400)) {
+      fenced("the store refused a transaction as malformed: " + reply);
+      return;
+    }
+    if (reply.outcome() == Outcome.UNKNOWN || reply.is(200) || reply.is(409)) {
+      batch.ambiguous = true;
+    } else if (!batch.ambiguous) {
+      // Not executed, so what waits may be put together anew when the store is back.
+      requeue(batch.mutations);
+      batch = null;
+    }
+    moveTo(State.WAITING);
+    Duration pause = retry;
+    retry = min(retry.multipliedBy(2), MOST_RETRY);
+    time.after(pause, this::next);
+  }
+
+  private static Duration min(Duration a, Duration b) {
+    return a.compareTo(b) <= 0 ? a : b;
+  }
+
+  private void requeue(List<Mutation> mutations) {
+    for (int i = mutations.size() - 1; i >= 0; i--) {
+      Mutation mutation = mutations.get(i);
+      queues.get(mutation.priority()).addFirst(mutation);
+    }
+  }
+
+  private void committed(long revision) {
+    Batch over = batch;
+    batch = null;
+    retry = FIRST_RETRY;
+    over.values.forEach(
+        (key, value) -> {
+          // Final records are never written again; remembering them all would cost memory.
+          if (value == null || key.startsWith(Keys.END)) {
+            versions.remove(key);
+          } else {
+            versions.put(key, revision);
+          }
+        });
+    moveTo(State.WAITING);
+    for (Mutation mutation : over.mutations) {
+      mutation.onCommitted().run();
+    }
+    next();
+  }
+
+  /** Nothing was executed: some conditions did not hold. */
+  private void refused(List<String> failed) {
+    Batch over = batch;
+    batch = null;
+    List<Mutation> again = new ArrayList<>();
+    List<Mutation> existing = new ArrayList<>();
+    for (Mutation mutation : over.mutations) {
+      boolean hit =
+          mutation.writes().stream().anyMatch(w -> failed.contains(w.key()))
+              || mutation.absent().stream().anyMatch(failed::contains);
+      if (hit && !mutation.isCreation()) {
+        fenced("a record changed under its owner: " + failed);
+        return;
+      }
+      (hit ? existing : again).add(mutation);
+    }
+    requeue(again);
+    moveTo(State.WAITING);
+    existing.forEach(mutation -> mutation.onExists().run());
+    next();
+  }
+
+  /**
+   * A copy without a reply came before this refusal. Only this leader writes its own records, so
+   * one of them tells whether that copy was executed; creations can also have met another node's.
+   */
+  private void settle() {
+    moveTo(State.SETTLING);
+    List<String> keys = new ArrayList<>();
+    String own = null;
+    for (Mutation mutation : batch.mutations) {
+      for (Mutation.Write write : mutation.writes()) {
+        keys.add(write.key());
+        boolean put = batch.values.get(write.key()) != null;
+        if (!mutation.isCreation() && (own == null || put)) {
+          own = write.key();
+        }
+      }
+    }
+    if (own != null) {
+      String key = own;
+      store.read(key, read -> onOwnRead(key, read));
+    } else {
+      settleCreations(keys, 0, new ArrayList<>());
+    }
+  }
+
+  private void onOwnRead(String key, StoreClient.Read read) {
+    if (state == State.CLOSED) {
+      return;
+    }
+    if (!read.certain()) {
+      time.after(retry, this::settle);
+      return;
+    }
+    long version = read.found() ? read.entry().version() : 0;
+    if (version != versions.getOrDefault(key, 0L)) {
+      committed(read.revision());
+    } else {
+      List<String> creations = new ArrayList<>();
+      for (Mutation mutation : batch.mutations) {
+        if (mutation.isCreation()) {
+          creations.add(mutation.writes().get(0).key());
+        }
+      }
+      settleCreations(creations, 0, new ArrayList<>());
+    }
+  }
+
+  private void settleCreations(List<String> keys, int from, List<String> found) {
+    if (state == State.CLOSED) {
+      return;
+    }
+    if (from == keys.size()) {
+      // A creation whose key is free met a final record, or will simply be tried again.
+      batch.ambiguous = false;
+      refused(found);
+      return;
+    }
+    store.read(
+        keys.get(from),
+        read -> {
+          if (!read.certain()) {
+            time.after(retry, () -> settleCreations(keys, from, found));
+            return;
+          }
+          if (read.found()) {
+            found.add(keys.get(from));
+          }
+          settleCreations(keys, from + 1, found);
+        });
+  }
+
+  private void fenced(String reason) {
+    moveTo(State.CLOSED);
+    onFenced.accept(reason);
+  }
+}
--- /dev/null
+++ b/src/main/java/io/pineladder/store/StoreClient.java
@@ -0,0 +1,209 @@
+package io.pineladder.store;
+
+import io.pineladder.model.Settings;
+import io.pineladder.net.HttpCaller;
+import io.pineladder.net.HttpCaller.Reply;
+import io.pineladder.net.HttpCaller.Request;
+import io.pineladder.net.Timeline;
+import io.pineladder.wire.MalformedException;
+import io.pineladder.wire.StoreWire;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+
+/** Requests to the state service, within its rate and with what is known of its health. */
+public final class StoreClient {
+  private static final Duration TIMEOUT = Duration.ofMillis(1500);
+  private static final Duration RETRY = Duration.ofMillis(250);
+
+  /** The limits are the whole cluster's; the other nodes' few requests need their part. */
+  private static final double OUR_PART = 0.85;
+
+  private final HttpCaller http;
+  private final Timeline time;
+  private final String address;
+  private final Settings.StoreLimits limits;
+  private final RateBudget requests;
+  private final RateBudget writes;
+  private final Deque<Waiting> waiting = new ArrayDeque<>();
+  private boolean pumpSet;
+  private Instant answeredAt;
+  private boolean healthy;
+
+  private record Waiting(Request request, Consumer<Reply> onReply) {}
+
+  public StoreClient(
+      HttpCaller http, Timeline time, String address, Settings.StoreLimits limits) {
+    this.http = http;
+    this.time = time;
+    this.address = address;
+    this.limits = limits;
+    Instant now = time.now();
+    double rps = limits.requestsPerSecond() * OUR_PART;
+    double wps = limits.writesPerSecond() * OUR_PART;
+    requests = new RateBudget(rps, Math.max(1, rps), now);
+    // A whole transaction must fit into the burst, or it would never be sent.
+    writes = new RateBudget(wps, Math.max(limits.transactionOps(), wps), now);
+  }
+
+  public Settings.StoreLimits limits() {
+    return limits;
+  }
+
+  RateBudget writes() {
+    return writes;
+  }
+
+  /** Whether the last answer was one that executed, not a refusal, and came lately. */
+  public boolean isHealthy() {
+    return healthy;
+  }
+
+  /** When the service last answered with anything but a refusal; null for never. */
+  public Instant answeredAt() {
+    return answeredAt;
+  }
+
+  private Consumer<Reply> observed(Consumer<Reply> onReply) {
+    return reply -> {
+      boolean executed = reply.isAnswered() && reply.status() < 429;
+      if (executed) {
+        answeredAt = time.now();
+        healthy = true;
+      } else if (!reply.is(429)) {
+        healthy = false;
+      }
+      onReply.accept(reply);
+    };
+  }
+
+  /** Sends at once, whatever the budget says: for lease renewals, which everything depends on. */
+  public void urgent(Request request, Consumer<Reply> onReply) {
+    requests.take(1, time.now());
+    http.call(request, observed(onReply));
+  }
+
+  /** Sends when the budget allows. */
+  void send(Request request, Consumer<Reply> onReply) {
+    waiting.addLast(new Waiting(request, onReply));
+    pump();
+  }
+
+  private void pump() {
+    Instant now = time.now();
+    while (!waiting.isEmpty() && requests.available(now) >= 1) {
+      Waiting next = waiting.pollFirst();
+      requests.take(1, now);
+      http.call(next.request, observed(next.onReply));
+    }
+    if (!waiting.isEmpty() && !pumpSet) {
+      pumpSet = true;
+      time.after(
+          requests.until(1, now).plusMillis(1),
+          () -> {
+            pumpSet = false;
+            pump();
+          });
+    }
+  }
+
+  public Request get(String path) {
+    return Request.get(address, path, TIMEOUT);
+  }
+
+  public Request post(String path, byte[] body) {
+    return Request.post(address, path, body, TIMEOUT);
+  }
+
+  public Request delete(String path) {
+    return new Request(address, "DELETE", path, null, TIMEOUT);
+  }
+
+  /** What one read of a key gave. */
+  public record Read(boolean certain, StoreWire.Entry entry, long revision) {
+    static final Read FAILED = new Read(false, null, 0);
+
+    public boolean found() {
+      return entry != null;
+    }
+  }
+
+  /** Reads one key afresh; without certainty nothing may be concluded. */
+  public void read(String key, Consumer<Read> onRead) {
+    send(get(StoreWire.keyPath(key)), reply -> onRead.accept(toRead(reply)));
+  }
+
+  private static Read toRead(Reply reply) {
+    try {
+      if (reply.is(200)) {
+        StoreWire.Entry entry = StoreWire.parseEntry(reply.body());
+        return new Read(true, entry, entry.version());
+      }
+      if (reply.is(404)) {
+        return new Read(true, null, StoreWire.parseRevision(reply.body()));
+      }
+    } catch (MalformedException e) {
+      return Read.FAILED;
+    }
+    return Read.FAILED;
+  }
+
+  /** Everything under {@code prefix}, and the revision from which changes are to be followed. */
+  public record Listing(List<StoreWire.Entry> entries, long revision) {}
+
+  /** Reads all keys with a prefix, trying again until it succeeds or {@code wanted} says no. */
+  public void list(String prefix, BooleanSupplier wanted, Consumer<Listing> onDone) {
+    listPage(prefix, null, new ArrayList<>(), -1, wanted, onDone);
+  }
+
+  private void listPage(
+      String prefix,
+      String after,
+      List<StoreWire.Entry> found,
+      long firstRevision,
+      BooleanSupplier wanted,
+      Consumer<Listing> onDone) {
+    if (!wanted.getAsBoolean()) {
+      return;
+    }
+    send(
+        get(StoreWire.listPath(prefix, after)),
+        reply -> {
+          if (!wanted.getAsBoolean()) {
+            return;
+          }
+          try {
+            if (reply.is(200)) {
+              StoreWire.Page page = StoreWire.parsePage(reply.body());
+              found.addAll(page.entries());
+              // Changes made while later pages are read are seen again by following from the first.
+              long revision = firstRevision < 0 ? page.revision() : firstRevision;
+              if (page.more() && !page.entries().isEmpty()) {
+                String last = page.entries().get(page.entries().size() - 1).key();
+                listPage(prefix, last, found, revision, wanted, onDone);
+              } else {
+                onDone.accept(new Listing(found, revision));
+              }
+              return;
+            }
+          } catch (MalformedException e) {
+            // Tried again, as any other answer that is no page.
+          }
+          time.after(
+              RETRY, () -> listPage(prefix, after, found, firstRevision, wanted, onDone));
+        });
+  }
+
+  /** Waits for changes under a prefix; the reply is handed on as it came. */
+  public void watch(String prefix, long after, Duration wait, Consumer<Reply> onReply) {
+    requests.take(1, time.now());
+    http.call(
+        Request.get(address, StoreWire.watchPath(prefix, after, wait), wait.plusSeconds(5)),
+        onReply);
+  }
+}
--- /dev/null
+++ b/src/main/java/io/pineladder/wire/CloudWire.java
@@ -0,0 +1,128 @@
+package io.pineladder.wire;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.pineladder.model.MachineType;
+import io.pineladder.model.Resources;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+
+/** The cloud's messages. */
+public final class CloudWire {
+  public static final int MOST_RENTED = 50;
+  public static final int MOST_RELEASED = 100;
+  public static final int PAGE = 500;
+  private static final double MAX = 1e9;
+
+  private CloudWire() {}
+
+  /** What the cloud says of a machine's life. */
+  public enum Life {
+    BOOTING,
+    RUNNING,
+    FAILED
+  }
+
+  /** A machine in the cloud's list. */
+  public record Listed(
+      String name,
+      String address,
+      String type,
+      String zone,
+      boolean spot,
+      Life life,
+      Duration age) {}
+
+  /** A page of the machine list. */
+  public record Page(List<Listed> machines, boolean more) {}
+
+  public static List<MachineType> parseTypes(byte[] body) throws MalformedException {
+    return types(new Fields(Json.parseObject(body)));
+  }
+
+  static List<MachineType> types(Fields in) throws MalformedException {
+    List<MachineType> types = new ArrayList<>();
+    for (Fields type : in.objects("hulls")) {
+      List<String> zones = type.textsOrNull("yards");
+      types.add(
+          new MachineType(
+              type.text("sku"),
+              Resources.of(
+                  type.number("vcpus", 0, MAX),
+                  type.number("cards", 0, MAX),
+                  type.number("memory_gb", 0, MAX)),
+              type.number("local_gb", 0, MAX),
+              type.number("pull_gb_per_s", 0, MAX),
+              type.number("hourly", 0, MAX),
+              type.number("spot_price", 0, MAX),
+              type.seconds("boot_s"),
+              zones == null ? List.of() : List.copyOf(zones)));
+    }
+    return types;
+  }
+
+  static ObjectNode writeTypes(List<MachineType> types) {
+    ObjectNode out = Json.object();
+    ArrayNode list = out.putArray("hulls");
+    for (MachineType type : types) {
+      ObjectNode item =
+          list.addObject()
+              .put("sku", type.name())
+              .put("vcpus", type.size().cpus())
+              .put("cards", type.size().gpus())
+              .put("memory_gb", type.size().memoryGb())
+              .put("local_gb", type.cacheGb())
+              .put("pull_gb_per_s", type.fetchGbPerSecond())
+              .put("hourly", type.price())
+              .put("spot_price", type.spotPrice())
+              .put("boot_s", JobWire.seconds(type.boot()));
+      ArrayNode zones = item.putArray("yards");
+      type.zones().forEach(zones::add);
+    }
+    return out;
+  }
+
+  public static byte[] rent(String request, String type, String zone, boolean spot, int count) {
+    return Json.bytes(
+        Json.object()
+            .put("charter", request)
+            .put("hull", type)
+            .put("yard", zone)
+            .put("loaners", spot)
+            .put("count", count));
+  }
+
+  public static List<String> parseRented(byte[] body) throws MalformedException {
+    List<String> names = new Fields(Json.parseObject(body)).textsOrNull("hosts");
+    return names == null ? List.of() : names;
+  }
+
+  public static byte[] release(List<String> machines) {
+    ObjectNode out = Json.object();
+    ArrayNode list = out.putArray("hosts");
+    machines.forEach(list::add);
+    return Json.bytes(out);
+  }
+
+  public static Page parsePage(byte[] body) throws MalformedException {
+    Fields in = new Fields(Json.parseObject(body));
+    List<Listed> machines = new ArrayList<>();
+    for (Fields item : in.objects("hosts")) {
+      machines.add(
+          new Listed(
+              item.text("ref"),
+              item.textOr("addr", null),
+              item.text("hull"),
+              item.text("yard"),
+              item.flagOr("loaners", false),
+              switch (item.text("status")) {
+                case "booting" -> Life.BOOTING;
+                case "failed" -> Life.FAILED;
+                default -> Life.RUNNING;
+              },
+              item.seconds("age_s")));
+    }
+    return new Page(machines, in.flagOr("truncated", false));
+  }
+}
--- /dev/null
+++ b/src/main/java/io/pineladder/wire/Fields.java
@@ -0,0 +1,129 @@
+package io.pineladder.wire;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Typed reads of one object's fields, with the reason when a field does not fit. */
+final class Fields {
+  private static final double MAX_SECONDS = 1e9;
+
+  private final ObjectNode object;
+
+  Fields(ObjectNode object) {
+    this.object = object;
+  }
+
+  static Fields of(JsonNode node) throws MalformedException {
+    if (!(node instanceof ObjectNode object)) {
+      throw new MalformedException("not an object");
+    }
+    return new Fields(object);
+  }
+
+  private JsonNode present(String name) {
+    JsonNode node = object.get(name);
+    return node == null || node.isNull() ? null : node;
+  }
+
+  private JsonNode required(String name) throws MalformedException {
+    JsonNode node = present(name);
+    if (node == null) {
+      throw new MalformedException(name + " is missing");
+    }
+    return node;
+  }
+
+  String text(String name) throws MalformedException {
+    JsonNode node = required(name);
+    if (!node.isTextual() || node.textValue().isEmpty()) {
+      throw new MalformedException(name + " is not a text");
+    }
+    return node.textValue();
+  }
+
+  String textOr(String name, String fallback) throws MalformedException {
+    return present(name) == null ? fallback : text(name);
+  }
+
+  boolean flag(String name) throws MalformedException {
+    JsonNode node = required(name);
+    if (!node.isBoolean()) {
+      throw new MalformedException(name + " is not true or false");
+    }
+    return node.booleanValue();
+  }
+
+  boolean flagOr(String name, boolean fallback) throws MalformedException {
+    return present(name) == null ? fallback : flag(name);
+  }
+
+  long whole(String name, long least, long most) throws MalformedException {
+    JsonNode node = required(name);
+    if (!node.isIntegralNumber() || !node.canConvertToLong()) {
+      throw new MalformedException(name + " is not a whole number");
+    }
+    long value = node.longValue();
+    if (value < least || value > most) {
+      throw new MalformedException(name + " is out of range");
+    }
+    return value;
+  }
+
+  double number(String name, double least, double most) throws MalformedException {
+    JsonNode node = required(name);
+    if (!node.isNumber()) {
+      throw new MalformedException(name + " is not a number");
+    }
+    double value = node.doubleValue();
+    if (!(value >= least && value <= most)) {
+      throw new MalformedException(name + " is out of range");
+    }
+    return value;
+  }
+
+  Duration seconds(String name) throws MalformedException {
+    return Duration.ofNanos(Math.round(number(name, 0, MAX_SECONDS) * 1e9));
+  }
+
+  Duration secondsOrNull(String name) throws MalformedException {
+    return present(name) == null ? null : seconds(name);
+  }
+
+  /** The texts of a list, or null when the field is absent. */
+  List<String> textsOrNull(String name) throws MalformedException {
+    JsonNode node = present(name);
+    if (node == null) {
+      return null;
+    }
+    if (!node.isArray()) {
+      throw new MalformedException(name + " is not a list");
+    }
+    List<String> texts = new ArrayList<>();
+    for (JsonNode item : node) {
+      if (!item.isTextual()) {
+        throw new MalformedException(name + " holds something that is not a text");
+      }
+      texts.add(item.textValue());
+    }
+    return texts;
+  }
+
+  List<Fields> objects(String name) throws MalformedException {
+    JsonNode node = required(name);
+    if (!node.isArray()) {
+      throw new MalformedException(name + " is not a list");
+    }
+    List<Fields> items = new ArrayList<>(node.size());
+    for (JsonNode item : node) {
+      items.add(of(item));
+    }
+    return items;
+  }
+
+  JsonNode node(String name) throws MalformedException {
+    return required(name);
+  }
+}
--- /dev/null
+++ b/src/main/java/io/pineladder/wire/JobWire.java
@@ -0,0 +1,170 @@
+package io.pineladder.wire;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.pineladder.model.JobSpec;
+import io.pineladder.model.Rank;
+import io.pineladder.model.Resources;
+import io.pineladder.model.Shape;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.regex.Pattern;
+
+/** The user API's job in JSON; also the form in which jobs are stored. */
+public final class JobWire {
+  /** A request body may not be longer. */
+  public static final int MAX_BODY = 64 * 1024;
+
+  private static final int MAX_TASKS = 100_000;
+  private static final int MAX_NAME = 200;
+  private static final double MAX_AMOUNT = 1e6;
+  private static final Pattern ID = Pattern.compile("req-[A-Za-z0-9_.-]{1,120}");
+  private static final Map<String, Shape> SHAPES =
+      Map.of("array", Shape.ARRAY, "group", Shape.GANG, "service", Shape.SERVICE);
+  private static final Map<String, Rank> RANKS =
+      Map.of(
+          "prod", Rank.PRODUCTION, "urgent", Rank.HIGH, "standard", Rank.NORMAL, "low", Rank.LOW);
+
+  private JobWire() {}
+
+  public static boolean isId(String text) {
+    return ID.matcher(text).matches();
+  }
+
+  public static JobSpec parse(byte[] body) throws MalformedException {
+    if (body.length > MAX_BODY) {
+      throw new MalformedException("longer than 64 KiB");
+    }
+    return parse(new Fields(Json.parseObject(body)));
+  }
+
+  static JobSpec parse(Fields in) throws MalformedException {
+    String id = in.text("ref");
+    if (!isId(id)) {
+      throw new MalformedException("ref is not a job id");
+    }
+    List<String> types = in.textsOrNull("hulls");
+    if (types != null && types.isEmpty()) {
+      throw new MalformedException("hulls is empty");
+    }
+    return new JobSpec(
+        id,
+        name(in, "jobclass"),
+        name(in, "owner"),
+        choice(in, "shape", SHAPES),
+        choice(in, "rank", RANKS),
+        (int) in.whole("pieces", 1, MAX_TASKS),
+        Resources.of(
+            in.number("vcpus", 0, MAX_AMOUNT),
+            in.number("cards", 0, MAX_AMOUNT),
+            in.number("memory_gb", 0, MAX_AMOUNT)),
+        types == null ? null : List.copyOf(types),
+        in.textOr("yard", null),
+        in.flagOr("together", false),
+        in.flagOr("spread", false),
+        in.flagOr("loaners", false),
+        name(in, "bundle"),
+        in.number("image_gb", 0, MAX_AMOUNT),
+        in.seconds("guess_s"),
+        in.seconds("mark_every_s"),
+        in.seconds("stow_s"),
+        in.secondsOrNull("due_s"));
+  }
+
+  private static String name(Fields in, String field) throws MalformedException {
+    String text = in.text(field);
+    if (text.length() > MAX_NAME) {
+      throw new MalformedException(field + " is too long");
+    }
+    return text;
+  }
+
+  private static <T> T choice(Fields in, String field, Map<String, T> choices)
+      throws MalformedException {
+    T chosen = choices.get(in.text(field));
+    if (chosen == null) {
+      throw new MalformedException(field + " is none of " + choices.keySet());
+    }
+    return chosen;
+  }
+
+  static ObjectNode write(JobSpec spec) {
+    ObjectNode out = Json.object();
+    out.put("ref", spec.id());
+    out.put("jobclass", spec.jobClass());
+    out.put("owner", spec.team());
+    out.put("shape", keyOf(SHAPES, spec.shape()));
+    out.put("rank", keyOf(RANKS, spec.rank()));
+    out.put("pieces", spec.tasks());
+    out.put("vcpus", spec.each().cpus());
+    out.put("cards", spec.each().gpus());
+    out.put("memory_gb", spec.each().memoryGb());
+    if (spec.types() != null) {
+      ArrayNode types = out.putArray("hulls");
+      spec.types().forEach(types::add);
+    }
+    if (spec.zone() != null) {
+      out.put("yard", spec.zone());
+    }
+    out.put("together", spec.together());
+    out.put("spread", spec.spread());
+    out.put("loaners", spec.spotAllowed());
+    out.put("bundle", spec.image());
+    out.put("image_gb", spec.imageGb());
+    out.put("guess_s", seconds(spec.estimate()));
+    out.put("mark_every_s", seconds(spec.checkpointEvery()));
+    out.put("stow_s", seconds(spec.saveTime()));
+    if (spec.deadline() != null) {
+      out.put("due_s", seconds(spec.deadline()));
+    }
+    return out;
+  }
+
+  private static <T> String keyOf(Map<String, T> map, T value) {
+    return map.entrySet().stream()
+        .filter(e -> e.getValue().equals(value))
+        .findFirst()
+        .orElseThrow()
+        .getKey();
+  }
+
+  static double seconds(Duration duration) {
+    return duration.toNanos() / 1e9;
+  }
+
+  /** What a user is told of a job. */
+  public enum Status {
+    PENDING("pending"),
+    RUNNING("running"),
+    DONE("done"),
+    CANCELLED("aborted");
+
+    private final String word;
+
+    Status(String word) {
+      this.word = word;
+    }
+
+    public boolean isFinal() {
+      return this == DONE || this == CANCELLED;
+    }
+  }
+
+  public static byte[] view(String id, Status status) {
+    return Json.bytes(Json.object().put("ref", id).put("status", status.word));
+  }
+
+  public static byte[] view(String id, Status status, int done, int running) {
+    return Json.bytes(
+        Json.object()
+            .put("ref", id)
+            .put("status", status.word)
+            .put("done", done)
+            .put("running", running));
+  }
+
+  public static byte[] error(String reason) {
+    return Json.bytes(Json.object().put("error", reason));
+  }
+}
--- /dev/null
+++ b/src/main/java/io/pineladder/wire/Json.java
@@ -0,0 +1,48 @@
+package io.pineladder.wire;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+
+/** JSON in and out, always as trees: no reflection, so nothing to warm up at the start. */
+public final class Json {
+  private static final ObjectMapper MAPPER =
+      new ObjectMapper()
+          .enable(com.fasterxml.jackson.databind.DeserializationFeature.FAIL_ON_TRAILING_TOKENS);
+
+  private Json() {}
+
+  public static ObjectNode object() {
+    return JsonNodeFactory.instance.objectNode();
+  }
+
+  public static ArrayNode array() {
+    return JsonNodeFactory.instance.arrayNode();
+  }
+
+  public static byte[] bytes(JsonNode node) {
+    try {
+      return MAPPER.writeValueAsBytes(node);
+    } catch (JsonProcessingException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  /** Reads a JSON object. */
+  public static ObjectNode parseObject(byte[] body) throws MalformedException {
+    JsonNode node;
+    try {
+      node = MAPPER.readTree(body);
+    } catch (IOException e) {
+      throw new MalformedException("not JSON");
+    }
+    if (!(node instanceof ObjectNode object)) {
+      throw new MalformedException("not an object");
+    }
+    return object;
+  }
+}
--- /dev/null
+++ b/src/main/java/io/pineladder/wire/PeerWire.java
@@ -0,0 +1,87 @@
+package io.pineladder.wire;
+
+import io.pineladder.net.HttpAnswer;
+import java.io.IOException;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessageUnpacker;
+
+/** What controllers send one another, in MessagePack. */
+public final class PeerWire {
+  /** The path, on the cluster listener, that takes these messages. */
+  public static final String PATH = "/peer/v1";
+
+  private static final int VERSION = 1;
+
+  private PeerWire() {}
+
+  /** A request handed on; {@code hops} says how often it may be handed on again. */
+  public record Forward(String method, String path, byte[] body, int hops) {}
+
+  /** The answer, with the name of the leader that the answering node knows, or null. */
+  public record Answer(boolean decided, HttpAnswer answer, String leader) {}
+
+  public static byte[] write(Forward forward) {
+    try (MessageBufferPacker out = MessagePack.newDefaultBufferPacker()) {
+      out.packInt(VERSION);
+      out.packString(forward.method());
+      out.packString(forward.path());
+      out.packBinaryHeader(forward.body().length);
+      out.writePayload(forward.body());
+      out.packInt(forward.hops());
+      return out.toByteArray();
+    } catch (IOException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  public static Forward parseForward(byte[] body) throws MalformedException {
+    try (MessageUnpacker in = MessagePack.newDefaultUnpacker(body)) {
+      if (in.unpackInt() != VERSION) {
+        throw new MalformedException("another version");
+      }
+      String method = in.unpackString();
+      String path = in.unpackString();
+      byte[] payload = in.readPayload(in.unpackBinaryHeader());
+      return new Forward(method, path, payload, in.unpackInt());
+    } catch (IOException | RuntimeException e) {
+      throw new MalformedException("not a forwarded request");
+    }
+  }
+
+  public static byte[] write(Answer answer) {
+    try (MessageBufferPacker out = MessagePack.newDefaultBufferPacker()) {
+      out.packInt(VERSION);
+      out.packBoolean(answer.decided());
+      HttpAnswer http = answer.answer();
+      out.packInt(http.status());
+      out.packInt(http.retryAfterSeconds());
+      out.packBinaryHeader(http.body().length);
+      out.writePayload(http.body());
+      if (answer.leader() == null) {
+        out.packNil();
+      } else {
+        out.packString(answer.leader());
+      }
+      return out.toByteArray();
+    } catch (IOException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  public static Answer parseAnswer(byte[] body) throws MalformedException {
+    try (MessageUnpacker in = MessagePack.newDefaultUnpacker(body)) {
+      if (in.unpackInt() != VERSION) {
+        throw new MalformedException("another version");
+      }
+      boolean decided = in.unpackBoolean();
+      int status = in.unpackInt();
+      int retryAfter = in.unpackInt();
+      byte[] payload = in.readPayload(in.unpackBinaryHeader());
+      String leader = in.tryUnpackNil() ? null : in.unpackString();
+      return new Answer(decided, new HttpAnswer(status, payload, retryAfter), leader);
+    } catch (IOException | RuntimeException e) {
+      throw new MalformedException("not a peer's answer");
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/io/pineladder/wire/RecordWire.java
@@ -0,0 +1,207 @@
+package io.pineladder.wire;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.pineladder.model.Job;
+import io.pineladder.model.JobSpec;
+import io.pineladder.model.MachineType;
+import io.pineladder.model.OperatorSettings;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.List;
+
+/** The durable records, as values of the state service. */
+public final class RecordWire {
+  private static final long ANY = Long.MAX_VALUE;
+
+  private RecordWire() {}
+
+  /** A stored job with the completions of its first page. */
+  public record StoredJob(JobSpec spec, Instant acceptedAt, Job.State state, BitSet done) {}
+
+  /** A stored placement. */
+  public record Placement(String job, int task, long attempt) {}
+
+  /** A stored machine with all that may be on it. */
+  public record StoredMachine(
+      String address, String type, String zone, boolean spot, List<Placement> placements) {}
+
+  /** The leader's key. */
+  public record LeaderRecord(String member, String address, String nonce) {}
+
+  private static String word(Job.State state) {
+    return switch (state) {
+      case ACTIVE -> "active";
+      case CANCELLED -> "cancelled";
+      case DONE -> "done";
+    };
+  }
+
+  private static Job.State state(String word) throws MalformedException {
+    return switch (word) {
+      case "active" -> Job.State.ACTIVE;
+      case "cancelled" -> Job.State.CANCELLED;
+      case "done" -> Job.State.DONE;
+      default -> throw new MalformedException("unknown job state");
+    };
+  }
+
+  public static ObjectNode job(
+      JobSpec spec, Instant acceptedAt, Job.State state, BitSet done, int pageSize) {
+    ObjectNode out = Json.object();
+    out.set("spec", JobWire.write(spec));
+    out.put("accepted_ms", acceptedAt.toEpochMilli());
+    out.put("state", word(state));
+    out.set("done", ranges(done, 0, pageSize));
+    return out;
+  }
+
+  public static StoredJob parseJob(JsonNode value) throws MalformedException {
+    Fields in = Fields.of(value);
+    BitSet done = new BitSet();
+    addRanges(in.node("done"), done);
+    return new StoredJob(
+        JobWire.parse(Fields.of(in.node("spec"))),
+        Instant.ofEpochMilli(in.whole("accepted_ms", 0, ANY)),
+        state(in.text("state")),
+        done);
+  }
+
+  /** Completed tasks in {@code [from, from + count)} as inclusive ranges. */
+  public static ArrayNode ranges(BitSet done, int from, int count) {
+    ArrayNode out = Json.array();
+    int end = from + count;
+    int first = done.nextSetBit(from);
+    while (first >= 0 && first < end) {
+      int last = Math.min(done.nextClearBit(first), end) - 1;
+      out.addArray().add(first).add(last);
+      first = done.nextSetBit(last + 1);
+    }
+    return out;
+  }
+
+  public static void addRanges(JsonNode value, BitSet done) throws MalformedException {
+    if (!value.isArray()) {
+      throw new MalformedException("done is not a list");
+    }
+    for (JsonNode range : value) {
+      if (range.size() != 2 || range.get(0).asInt(-1) < 0 || range.get(1).asInt(-1) < 0) {
+        throw new MalformedException("done holds something that is not a range");
+      }
+      done.set(range.get(0).intValue(), range.get(1).intValue() + 1);
+    }
+  }
+
+  public static ObjectNode page(BitSet done, int from, int count) {
+    ObjectNode out = Json.object();
+    out.set("done", ranges(done, from, count));
+    return out;
+  }
+
+  public static void parsePage(JsonNode value, BitSet done) throws MalformedException {
+    addRanges(Fields.of(value).node("done"), done);
+  }
+
+  public static ObjectNode end(Job.State state) {
+    return Json.object().put("state", word(state));
+  }
+
+  public static Job.State parseEnd(JsonNode value) throws MalformedException {
+    return state(Fields.of(value).text("state"));
+  }
+
+  public static ObjectNode machine(
+      String address, String type, String zone, boolean spot, List<Placement> placements) {
+    ObjectNode out =
+        Json.object()
+            .put("address", address)
+            .put("type", type)
+            .put("zone", zone)
+            .put("spot", spot);
+    ArrayNode list = out.putArray("placed");
+    for (Placement placement : placements) {
+      list.addArray().add(placement.job()).add(placement.task()).add(placement.attempt());
+    }
+    return out;
+  }
+
+  public static StoredMachine parseMachine(JsonNode value) throws MalformedException {
+    Fields in = Fields.of(value);
+    List<Placement> placements = new ArrayList<>();
+    for (JsonNode item : in.node("placed")) {
+      if (item.size() != 3) {
+        throw new MalformedException("placed holds something that is not a placement");
+      }
+      placements.add(
+          new Placement(item.get(0).asText(), item.get(1).asInt(), item.get(2).asLong()));
+    }
+    return new StoredMachine(
+        in.textOr("address", null),
+        in.text("type"),
+        in.text("zone"),
+        in.flag("spot"),
+        placements);
+  }
+
+  public static ObjectNode leader(LeaderRecord leader) {
+    return Json.object()
+        .put("member", leader.member())
+        .put("address", leader.address())
+        .put("nonce", leader.nonce());
+  }
+
+  public static LeaderRecord parseLeader(JsonNode value) throws MalformedException {
+    Fields in = Fields.of(value);
+    return new LeaderRecord(in.text("member"), in.text("address"), in.text("nonce"));
+  }
+
+  public static ObjectNode types(List<MachineType> types) {
+    return CloudWire.writeTypes(types);
+  }
+
+  public static List<MachineType> parseTypes(JsonNode value) throws MalformedException {
+    return CloudWire.types(Fields.of(value));
+  }
+
+  public static ObjectNode operator(OperatorSettings settings) {
+    return Json.object()
+        .put("initial_backoff_s", JobWire.seconds(settings.initialBackoff()))
+        .put("max_backoff_s", JobWire.seconds(settings.maxBackoff()))
+        .put("backoff_window_s", JobWire.seconds(settings.backoffWindow()))
+        .put("idle_release_s", JobWire.seconds(settings.idleRelease()));
+  }
+
+  /** Reads operator settings; a field that is left out keeps its present value. */
+  public static OperatorSettings parseOperator(JsonNode value, OperatorSettings present)
+      throws MalformedException {
+    ObjectNode merged = operator(present);
+    if (!(value instanceof ObjectNode object)) {
+      throw new MalformedException("not an object");
+    }
+    for (var field : object.properties()) {
+      if (!merged.has(field.getKey())) {
+        throw new MalformedException(field.getKey() + " is no setting");
+      }
+      merged.set(field.getKey(), field.getValue());
+    }
+    Fields in = new Fields(merged);
+    OperatorSettings settings =
+        new OperatorSettings(
+            bounded(in, "initial_backoff_s", 0.01, 60),
+            bounded(in, "max_backoff_s", 0.01, 3600),
+            bounded(in, "backoff_window_s", 0, 60),
+            bounded(in, "idle_release_s", 0, 86_400));
+    if (settings.maxBackoff().compareTo(settings.initialBackoff()) < 0) {
+      throw new MalformedException("max_backoff_s is below initial_backoff_s");
+    }
+    return settings;
+  }
+
+  private static Duration bounded(Fields in, String name, double least, double most)
+      throws MalformedException {
+    return Duration.ofNanos(Math.round(in.number(name, least, most) * 1e9));
+  }
+}
--- /dev/null
+++ b/src/main/java/io/pineladder/wire/SettingsReader.java
@@ -0,0 +1,227 @@
+package io.pineladder.wire;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.dataformat.toml.TomlMapper;
+import io.pineladder.model.Resources;
+import io.pineladder.model.Settings;
+import io.pineladder.model.Team;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.regex.Pattern;
+
+/** Reads the settings file; every fault in it is named in one message. */
+public final class SettingsReader {
+  private static final Pattern ADDRESS =
+      Pattern.compile("\\d{1,3}(\\.\\d{1,3}){3}:([1-9]\\d{0,4}|0)");
+  private static final double MAX = 1e9;
+
+  private final List<String> faults = new ArrayList<>();
+
+  private SettingsReader() {}
+
+  /** A settings file that cannot be used, with every reason. */
+  public static final class BadSettingsException extends Exception {
+    BadSettingsException(List<String> faults) {
+      super("bad settings: " + String.join("; ", faults));
+    }
+  }
+
+  public static Settings read(Path file) throws IOException, BadSettingsException {
+    return parse(Files.readString(file));
+  }
+
+  public static Settings parse(String toml) throws BadSettingsException {
+    JsonNode root;
+    try {
+      root = new TomlMapper().readTree(toml);
+    } catch (IOException e) {
+      throw new BadSettingsException(List.of("not TOML: " + e.getMessage().lines().findFirst().orElse("")));
+    }
+    SettingsReader reader = new SettingsReader();
+    Settings settings = reader.settings(reader.new Table("", root));
+    if (!reader.faults.isEmpty()) {
+      throw new BadSettingsException(reader.faults);
+    }
+    return settings;
+  }
+
+  private Settings settings(Table root) {
+    Table external = root.table("external");
+    Table deployment = root.table("deployment");
+    Table workers = deployment.table("workers");
+    Table state = deployment.table("state");
+    Table cloud = deployment.table("cloud");
+    String member = root.text("member");
+    String zone = root.text("area");
+    String front = root.address("front");
+    String cluster = root.address("cluster_listen");
+    if (!front.isEmpty() && front.equals(cluster)) {
+      faults.add("front and cluster_listen are the same");
+    }
+    List<Settings.Peer> peers = new ArrayList<>();
+    for (Table peer : root.tables("seeds")) {
+      peers.add(
+          new Settings.Peer(peer.text("member"), peer.text("area"), peer.address("address")));
+    }
+    List<Team> teams = new ArrayList<>();
+    for (Table team : deployment.tables("teams")) {
+      teams.add(
+          new Team(
+              team.text("name"),
+              Resources.of(team.number("cpus", 0, MAX), team.number("gpus", 0, MAX), 0),
+              team.number("cpus_max", 0, MAX),
+              team.number("gpus_max", 0, MAX)));
+    }
+    List<Settings.Objective> objectives = new ArrayList<>();
+    for (Table item : deployment.tables("objectives")) {
+      objectives.add(
+          new Settings.Objective(
+              item.text("kind"),
+              item.has("class") ? item.text("class") : null,
+              item.has("within_s") ? item.seconds("within_s", 0) : null,
+              item.has("share") ? item.number("share", 0, 1) : 1));
+    }
+    return new Settings(
+        member,
+        zone,
+        front,
+        cluster,
+        List.copyOf(peers),
+        external.address("cloud"),
+        external.address("state"),
+        deployment.texts("zones"),
+        List.copyOf(teams),
+        List.copyOf(objectives),
+        new Settings.WorkerTimes(
+            workers.seconds("report_s", 0.01),
+            workers.seconds("lease_s", 0.1),
+            workers.seconds("gang_wait_s", 0.01),
+            workers.seconds("gang_peer_s", 0.01),
+            workers.seconds("cancel_s", 0.01)),
+        new Settings.StoreLimits(
+            state.number("rps", 1, MAX),
+            state.number("write_rps", 1, MAX),
+            (int) (state.number("value_kb", 1, 1e5) * 1024),
+            (int) state.number("txn_ops", 3, MAX)),
+        new Settings.CloudLimits(cloud.number("rps", 0.01, MAX), cloud.seconds("list_lag_s", 0)));
+  }
+
+  /** One table of the file, with its place for messages. */
+  private final class Table {
+    private final String place;
+    private final JsonNode node;
+
+    Table(String place, JsonNode node) {
+      this.place = place;
+      this.node = node;
+    }
+
+    private String at(String name) {
+      return place.isEmpty() ? name : place + "." + name;
+    }
+
+    boolean has(String name) {
+      return node != null && node.has(name);
+    }
+
+    private JsonNode get(String name) {
+      JsonNode found = node == null ? null : node.get(name);
+      if (found == null) {
+        faults.add(at(name) + " is missing");
+      }
+      return found;
+    }
+
+    Table table(String name) {
+      JsonNode found = get(name);
+      if (found != null && !found.isObject()) {
+        faults.add(at(name) + " is not a table");
+        found = null;
+      }
+      return new Table(at(name), found);
+    }
+
+    List<Table> tables(String name) {
+      List<Table> tables = new ArrayList<>();
+      JsonNode found = node == null ? null : node.get(name);
+      if (found == null) {
+        return tables;
+      }
+      if (!found.isArray()) {
+        faults.add(at(name) + " is not a list of tables");
+        return tables;
+      }
+      for (JsonNode item : found) {
+        tables.add(new Table(at(name) + "[" + tables.size() + "]", item));
+      }
+      return tables;
+    }
+
+    String text(String name) {
+      JsonNode found = get(name);
+      if (found == null) {
+        return "";
+      }
+      if (!found.isTextual() || found.textValue().isEmpty()) {
+        faults.add(at(name) + " is not a text");
+        return "";
+      }
+      return found.textValue();
+    }
+
+    String address(String name) {
+      String found = text(name);
+      if (!found.isEmpty()) {
+        boolean valid = ADDRESS.matcher(found).matches();
+        if (!valid || Integer.parseInt(found.substring(found.lastIndexOf(':') + 1)) > 65535) {
+          faults.add(at(name) + " is not an IPv4 address with a port");
+        }
+      }
+      return found;
+    }
+
+    List<String> texts(String name) {
+      List<String> texts = new ArrayList<>();
+      JsonNode found = get(name);
+      if (found == null) {
+        return texts;
+      }
+      if (!found.isArray() || found.isEmpty()) {
+        faults.add(at(name) + " is not a list of texts");
+        return texts;
+      }
+      for (JsonNode item : found) {
+        if (!item.isTextual()) {
+          faults.add(at(name) + " holds something that is not a text");
+        }
+        texts.add(item.asText());
+      }
+      return texts;
+    }
+
+    double number(String name, double least, double most) {
+      JsonNode found = get(name);
+      if (found == null) {
+        return least;
+      }
+      if (!found.isNumber()) {
+        faults.add(at(name) + " is not a number");
+        return least;
+      }
+      double value = found.doubleValue();
+      if (!(value >= least && value <= most)) {
+        faults.add(at(name) + " is out of range");
+        return least;
+      }
+      return value;
+    }
+
+    Duration seconds(String name, double least) {
+      return Duration.ofNanos(Math.round(number(name, least, 1e6) * 1e9));
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/io/pineladder/wire/WorkerWire.java
@@ -0,0 +1,162 @@
+package io.pineladder.wire;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.pineladder.model.Cause;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
+/** Reports of workers and orders to them. */
+public final class WorkerWire {
+  private static final Map<String, TaskState> STATES =
+      Map.of(
+          "fetching", TaskState.FETCHING,
+          "gathering", TaskState.GATHERING,
+          "running", TaskState.RUNNING,
+          "flushing", TaskState.SAVING,
+          "ended", TaskState.EXITED);
+  private static final Map<String, Cause> CAUSES =
+      Map.of(
+          "done", Cause.DONE,
+          "stopped", Cause.STOPPED,
+          "peers", Cause.PEERS,
+          "incomplete", Cause.INCOMPLETE,
+          "error", Cause.ERROR,
+          "full", Cause.NO_ROOM,
+          "busy", Cause.BUSY,
+          "unknown", Cause.UNKNOWN_JOB);
+
+  private WorkerWire() {}
+
+  /** A task's state as its worker tells it. */
+  public enum TaskState {
+    FETCHING,
+    GATHERING,
+    RUNNING,
+    SAVING,
+    EXITED
+  }
+
+  /** A task of a job. */
+  public record TaskId(String job, int index) {
+    static TaskId parse(String text) throws MalformedException {
+      int slash = text.lastIndexOf('/');
+      if (slash <= 0 || slash == text.length() - 1 || text.length() - slash > 8) {
+        throw new MalformedException("piece is not a task");
+      }
+      int index = 0;
+      for (int i = slash + 1; i < text.length(); i++) {
+        char c = text.charAt(i);
+        if (c < '0' || c > '9') {
+          throw new MalformedException("piece is not a task");
+        }
+        index = index * 10 + (c - '0');
+      }
+      return new TaskId(text.substring(0, slash), index);
+    }
+
+    @Override
+    public String toString() {
+      return job + "/" + index;
+    }
+  }
+
+  /** One task in a report; {@code cause} is null unless exited. */
+  public record TaskReport(
+      TaskId task, long attempt, TaskState state, Cause cause, boolean saved) {}
+
+  /** A report; {@code notice} is null unless the cloud takes the machine back. */
+  public record Report(
+      String machine,
+      String address,
+      String type,
+      String zone,
+      boolean spot,
+      long session,
+      long sequence,
+      long token,
+      Duration notice,
+      List<TaskReport> tasks) {}
+
+  public static Report parseReport(byte[] body) throws MalformedException {
+    Fields in = new Fields(Json.parseObject(body));
+    List<TaskReport> tasks = new ArrayList<>();
+    for (Fields task : in.objects("pieces")) {
+      TaskState state = STATES.get(task.text("status"));
+      if (state == null) {
+        throw new MalformedException("status is not known");
+      }
+      // A cause this version does not know is treated as a failure of the task.
+      Cause cause =
+          state == TaskState.EXITED
+              ? CAUSES.getOrDefault(task.textOr("cause", "error"), Cause.ERROR)
+              : null;
+      tasks.add(
+          new TaskReport(
+              TaskId.parse(task.text("piece")),
+              task.whole("try", 0, Long.MAX_VALUE),
+              state,
+              cause,
+              task.flagOr("stored", false)));
+    }
+    return new Report(
+        in.text("host"),
+        in.text("addr"),
+        in.text("hull"),
+        in.text("yard"),
+        in.flagOr("loaners", false),
+        in.whole("shift", 0, Long.MAX_VALUE),
+        in.whole("tally", 0, Long.MAX_VALUE),
+        in.whole("baton", 0, Long.MAX_VALUE),
+        in.secondsOrNull("recall_s"),
+        tasks);
+  }
+
+  /** Orders in the sequence in which the worker is to execute them. */
+  public static final class Orders {
+    private final ArrayNode list = Json.array();
+
+    private ObjectNode add(String verb, String job, int index, long attempt) {
+      return list.addObject().put("verb", verb).put("piece", job + "/" + index).put("try", attempt);
+    }
+
+    public void start(String job, int index, long attempt) {
+      add("start", job, index, attempt);
+    }
+
+    public void kill(String job, int index, long attempt, Duration grace) {
+      add("kill", job, index, attempt).put("wind_down_s", JobWire.seconds(grace));
+    }
+
+    public void forget(String job, int index, long attempt) {
+      add("forget", job, index, attempt);
+    }
+
+    public boolean isEmpty() {
+      return list.isEmpty();
+    }
+  }
+
+  public static byte[] reportResponse(long token, Orders orders) {
+    ObjectNode out = Json.object().put("baton", token);
+    out.set("orders", orders.list);
+    return Json.bytes(out);
+  }
+
+  public static byte[] command(long token, long session, Orders orders) {
+    ObjectNode out = Json.object().put("baton", token).put("shift", session);
+    out.set("orders", orders.list);
+    return Json.bytes(out);
+  }
+
+  /** Tells a worker to report to {@code leader}; null when no leader is known. */
+  public static byte[] redirect(String leader) {
+    ObjectNode out = Json.object();
+    if (leader != null) {
+      out.put("foreman", leader);
+    }
+    return Json.bytes(out);
+  }
+}
--- /dev/null
+++ b/src/main/java/io/pineladder/workers/Workers.java
@@ -0,0 +1,431 @@
+package io.pineladder.workers;
+
+import io.pineladder.model.Attempt;
+import io.pineladder.model.Job;
+import io.pineladder.model.Machine;
+import io.pineladder.model.MachineType;
+import io.pineladder.model.Shape;
+import io.pineladder.net.HttpCaller;
+import io.pineladder.net.HttpCaller.Outcome;
+import io.pineladder.net.HttpCaller.Reply;
+import io.pineladder.net.HttpCaller.Request;
+import io.pineladder.net.Timeline;
+import io.pineladder.scheduling.Cluster;
+import io.pineladder.scheduling.Scheduler;
+import io.pineladder.wire.MalformedException;
+import io.pineladder.wire.WorkerWire;
+import io.pineladder.wire.WorkerWire.Orders;
+import io.pineladder.wire.WorkerWire.Report;
+import io.pineladder.wire.WorkerWire.TaskReport;
+import io.pineladder.wire.WorkerWire.TaskState;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.BooleanSupplier;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Dealings with the workers: what their reports prove, and the orders they get. */
+public final class Workers {
+  private static final Logger log = LoggerFactory.getLogger(Workers.class);
+  private static final Duration DIRECT_TIMEOUT = Duration.ofSeconds(2);
+
+  private final Cluster cluster;
+  private final Scheduler scheduler;
+  private final HttpCaller http;
+  private final Timeline time;
+  private final long term;
+  private final BooleanSupplier mayAct;
+  private final Listener listener;
+  private final Set<Machine> due = new HashSet<>();
+  private boolean flushSet;
+
+  /** What the rest of the leader learns from here. */
+  public interface Listener {
+    /** A worker has seen a higher token than ours. */
+    void onSuperseded(long token);
+
+    /** A machine nobody expected reports. */
+    void onMachine(Machine machine);
+  }
+
+  public Workers(
+      Cluster cluster,
+      Scheduler scheduler,
+      HttpCaller http,
+      Timeline time,
+      long term,
+      BooleanSupplier mayAct,
+      Listener listener) {
+    this.cluster = cluster;
+    this.scheduler = scheduler;
+    this.http = http;
+    this.time = time;
+    this.term = term;
+    this.mayAct = mayAct;
+    this.listener = listener;
+  }
+
+  /**
+   * Takes a report and gives the response's orders, or null when the worker follows a later leader
+   * and must not be kept here.
+   */
+  public Orders onReport(Report report) {
+    Machine machine = take(report);
+    if (report.token() > term) {
+      listener.onSuperseded(report.token());
+      return null;
+    }
+    Orders orders = new Orders();
+    boolean newest =
+        machine != null
+            && machine.session == report.session()
+            && machine.sequence == report.sequence();
+    if (newest && report.token() == term && mayAct.getAsBoolean()) {
+      writeOrders(machine, orders, false);
+      writeStrangers(report, machine, orders);
+    }
+    return orders;
+  }
+
+  /** Takes in what a report, or the body of a command's response, says. */
+  private Machine take(Report report) {
+    if (report.token() > term) {
+      return null;
+    }
+    Machine machine = cluster.machines.get(report.machine());
+    if (machine == null) {
+      MachineType type = cluster.type(report.type());
+      if (type == null) {
+        log.warn("machine {} is of the unknown type {}", report.machine(), report.type());
+        return null;
+      }
+      machine = new Machine(report.machine(), type, report.zone(), report.spot(), time.now());
+      cluster.machines.put(machine.name, machine);
+      listener.onMachine(machine);
+    }
+    boolean older =
+        report.session() < machine.session
+            || (report.session() == machine.session && report.sequence() <= machine.sequence);
+    if (older) {
+      return machine;
+    }
+    machine.heardAt = time.now();
+    machine.address = report.address();
+    machine.unanswered = false;
+    if (report.session() > machine.session) {
+      newSession(machine, report.session());
+    }
+    machine.sequence = report.sequence();
+    if (report.notice() != null) {
+      Instant taken = time.now().plus(report.notice());
+      if (machine.takenAt == null) {
+        log.info("machine {} is taken back in {}", machine, report.notice());
+        machine.takenAt = taken;
+      } else if (taken.isBefore(machine.takenAt)) {
+        machine.takenAt = taken;
+      }
+    } else {
+      machine.takenAt = null;
+    }
+    if (report.token() < term) {
+      // Orders of an older leader may still reach it: its list proves nothing yet.
+      if (machine.state() == Machine.State.EXPECTED) {
+        machine.moveTo(Machine.State.HEARD);
+      }
+      return machine;
+    }
+    boolean wasReady = machine.takesWork();
+    machine.moveTo(Machine.State.CONFIRMED);
+    follow(machine, report);
+    if (!wasReady && machine.takesWork()) {
+      scheduler.machineReady(machine);
+    }
+    if (machine.takenAt != null) {
+      evacuate(machine);
+    }
+    return machine;
+  }
+
+  /** A worker forgets all its tasks when its lease ends; the next session starts empty. */
+  private void newSession(Machine machine, long session) {
+    long before = machine.session;
+    machine.session = session;
+    if (before == 0) {
+      return;
+    }
+    log.info("machine {} is in session {}", machine, session);
+    for (Attempt attempt : List.copyOf(machine.attempts.values())) {
+      boolean ofBefore =
+          attempt.wasSeen() || (attempt.sentSession != 0 && attempt.sentSession < session);
+      if (ofBefore) {
+        scheduler.gone(attempt, "the worker's session ended");
+      }
+    }
+  }
+
+  /** Brings the attempts of a machine in step with the newest report of one that has our token. */
+  private void follow(Machine machine, Report report) {
+    Set<String> listed = new HashSet<>();
+    machine.strangers = false;
+    for (TaskReport task : report.tasks()) {
+      String key = Machine.key(task.task().job(), task.task().index(), task.attempt());
+      listed.add(key);
+      Attempt attempt = machine.attempts.get(key);
+      if (attempt == null) {
+        attempt = adopt(machine, task);
+      }
+      if (attempt == null) {
+        if (task.state() != TaskState.EXITED) {
+          machine.strangers = true;
+        }
+        continue;
+      }
+      if (task.state() == TaskState.EXITED) {
+        scheduler.exited(attempt, task.cause());
+      } else {
+        scheduler.seen(attempt, state(task.state()));
+      }
+    }
+    for (Attempt attempt : List.copyOf(machine.attempts.values())) {
+      String key = Machine.key(attempt.job.spec.id(), attempt.task, attempt.number);
+      if (!listed.contains(key)) {
+        absent(attempt, report);
+      }
+    }
+  }
+
+  private static Attempt.State state(TaskState reported) {
+    return switch (reported) {
+      case FETCHING -> Attempt.State.FETCHING;
+      case GATHERING -> Attempt.State.GATHERING;
+      case RUNNING -> Attempt.State.RUNNING;
+      case SAVING -> Attempt.State.SAVING;
+      case EXITED -> Attempt.State.EXITED;
+    };
+  }
+
+  /** A task that no stored placement accounts for: it counts while it is there, and is stopped. */
+  private Attempt adopt(Machine machine, TaskReport task) {
+    Job job = cluster.jobs.get(task.task().job());
+    if (job == null || task.task().index() >= job.spec.tasks()) {
+      return null;
+    }
+    Attempt attempt =
+        cluster.addAttempt(
+            job,
+            task.task().index(),
+            task.attempt(),
+            machine,
+            time.now(),
+            Attempt.State.RECORDED);
+    attempt.sentSession = machine.session;
+    if (task.state() != TaskState.EXITED) {
+      log.info("{} is not expected there", attempt);
+      job.pending.clear(attempt.task);
+      scheduler.kill(attempt, Duration.ZERO);
+    }
+    return attempt;
+  }
+
+  /** The newest report of a machine that has our token does not list the attempt. */
+  private void absent(Attempt attempt, Report report) {
+    switch (attempt.state()) {
+      case STORING, GONE -> {}
+      case STORED -> {
+        if (attempt.sentSession == 0 || attempt.direct || attempt.doubtful) {
+          // Not sent yet, or a direct start is or may be still on its way.
+          return;
+        }
+        if (attempt.sentInReport >= report.sequence()) {
+          return;
+        }
+        // The response that carried the start was dropped, and is never executed late.
+        if (attempt.isWanted()) {
+          attempt.sentSession = 0;
+          attempt.sentInReport = -1;
+        } else {
+          scheduler.gone(attempt, "its start was dropped");
+        }
+      }
+      default -> scheduler.gone(attempt, "not in a newer report");
+    }
+  }
+
+  /** The cloud takes the machine back: its work moves before that, unless it ends in time. */
+  private void evacuate(Machine machine) {
+    Instant now = time.now();
+    for (Attempt attempt : List.copyOf(machine.attempts.values())) {
+      if (!attempt.holdsRoom() || !attempt.isWanted()) {
+        continue;
+      }
+      if (attempt.job.spec.shape() == Shape.ARRAY
+          && attempt.runningSince != null
+          && attempt
+              .runningSince
+              .plus(attempt.job.spec.estimate())
+              .isBefore(machine.takenAt.minusSeconds(1))
+          && attempt.runningSince.plus(attempt.job.spec.estimate()).isAfter(now)) {
+        continue;
+      }
+      scheduler.displace(attempt);
+    }
+  }
+
+  // ---- orders
+
+  /** Orders for the machine are to go out directly, as soon as this message is dealt with. */
+  public void ordersDue(Machine machine) {
+    due.add(machine);
+    if (!flushSet) {
+      flushSet = true;
+      time.after(Duration.ZERO, this::flush);
+    }
+  }
+
+  private void flush() {
+    flushSet = false;
+    List<Machine> now = new ArrayList<>(due);
+    due.clear();
+    now.forEach(this::direct);
+  }
+
+  /**
+   * Sends what a machine is to do at once. An answer that does not come leaves open for ever
+   * whether the orders run, so a machine that did not answer gets them with its reports only.
+   */
+  private void direct(Machine machine) {
+    if (machine.state() != Machine.State.CONFIRMED || machine.ordering || machine.unanswered) {
+      return;
+    }
+    if (!mayAct.getAsBoolean()) {
+      return;
+    }
+    Orders orders = new Orders();
+    List<Attempt> started = writeOrders(machine, orders, true);
+    if (orders.isEmpty()) {
+      return;
+    }
+    machine.ordering = true;
+    long session = machine.session;
+    http.call(
+        Request.post(
+            machine.address,
+            "/do",
+            WorkerWire.command(term, session, orders),
+            DIRECT_TIMEOUT),
+        reply -> onDirectReply(machine, started, reply));
+  }
+
+  private void onDirectReply(Machine machine, List<Attempt> started, Reply reply) {
+    machine.ordering = false;
+    boolean executed = reply.is(200);
+    boolean refused = reply.isAnswered() && !executed || reply.outcome() == Outcome.NOT_SENT;
+    for (Attempt attempt : started) {
+      attempt.direct = false;
+      if (refused) {
+        attempt.sentSession = 0;
+      } else if (!executed) {
+        attempt.doubtful = true;
+      }
+    }
+    if (refused || !executed) {
+      // Kills in it may not have arrived; the next report's response repeats them.
+      machine.attempts.values().forEach(a -> a.killSent = false);
+    }
+    if (!reply.isAnswered()) {
+      machine.unanswered = true;
+      log.info("machine {} did not answer ({})", machine, reply);
+      return;
+    }
+    if (executed || reply.status() == 409) {
+      try {
+        Report report = WorkerWire.parseReport(reply.body());
+        if (report.token() > term) {
+          listener.onSuperseded(report.token());
+          return;
+        }
+        take(report);
+      } catch (MalformedException e) {
+        log.warn("machine {} answered a command with {}", machine, reply);
+        machine.unanswered = true;
+      }
+    }
+    ordersDue(machine);
+  }
+
+  /**
+   * Writes what the machine is to do now.
+   *
+   * @param direct whether it goes out as a command of its own; if not, it goes with the response to
+   *     the report that the machine's present sequence number belongs to
+   * @return the attempts whose starts it holds
+   */
+  private List<Attempt> writeOrders(Machine machine, Orders orders, boolean direct) {
+    List<Attempt> started = new ArrayList<>();
+    for (Attempt attempt : machine.attempts.values()) {
+      String job = attempt.job.spec.id();
+      switch (attempt.state()) {
+        case STORED -> {
+          boolean again = attempt.doubtful && !direct;
+          if (attempt.isWanted() ? attempt.sentSession == 0 || again : again) {
+            if (!attempt.isWanted() && attempt.job.endStored && isLate(attempt)) {
+              continue;
+            }
+            orders.start(job, attempt.task, attempt.number);
+            attempt.sentSession = machine.session;
+            attempt.sentInReport = direct ? -1 : machine.sequence;
+            attempt.direct = direct;
+            if (direct) {
+              started.add(attempt);
+            }
+            if (!attempt.isWanted()) {
+              // Known and ended it cannot be started by a late copy of the first order.
+              orders.kill(job, attempt.task, attempt.number, Duration.ZERO);
+            }
+          }
+        }
+        case RECORDED, FETCHING, GATHERING, RUNNING, SAVING -> {
+          if (!attempt.isWanted() && !(direct && attempt.killSent)) {
+            boolean saving = attempt.state() == Attempt.State.SAVING;
+            if (!saving || attempt.killGrace.isZero()) {
+              orders.kill(job, attempt.task, attempt.number, attempt.killGrace);
+            }
+            attempt.killSent = true;
+          }
+        }
+        case EXITED -> {
+          if (attempt.forgettable && !attempt.doubtful && !direct) {
+            orders.forget(job, attempt.task, attempt.number);
+          }
+        }
+        default -> {}
+      }
+    }
+    return started;
+  }
+
+  /** Whether the time in which a cancelled job's tasks must be gone is nearly over. */
+  private boolean isLate(Attempt attempt) {
+    Duration half = cluster.settings.workers().cancel().dividedBy(2);
+    return attempt.killedAt.plus(half).isBefore(time.now());
+  }
+
+  /** Forgets tasks of jobs that are over, which no attempt here accounts for. */
+  private static void writeStrangers(Report report, Machine machine, Orders orders) {
+    for (TaskReport task : report.tasks()) {
+      String key = Machine.key(task.task().job(), task.task().index(), task.attempt());
+      if (machine.attempts.containsKey(key)) {
+        continue;
+      }
+      if (task.state() == TaskState.EXITED) {
+        orders.forget(task.task().job(), task.task().index(), task.attempt());
+      } else {
+        orders.kill(task.task().job(), task.task().index(), task.attempt(), Duration.ZERO);
+      }
+    }
+  }
+}
