--- a/src/main/java/io/pineladder/cli/Training.java
+++ b/src/main/java/io/pineladder/cli/Training.java
@@ -24,7 +24,8 @@
  */
 final class Training {
   private static final Duration TIMEOUT = Duration.ofSeconds(2);
-  private static final long MOST_SECONDS = 10;
+  private static final Duration RETRY = Duration.ofMillis(200);
+  private static final long MOST_SECONDS = 60;
 
   private Training() {}
 
@@ -39,9 +40,7 @@
       Main.start(settings);
       CountDownLatch over = new CountDownLatch(1);
       UndertowCaller caller = new UndertowCaller(surroundings);
-      surroundings.after(
-          Duration.ofMillis(800),
-          () -> caller.call(Request.post(front, "/v1/jobs", JOB, TIMEOUT), job -> report(caller, front, 1, over)));
+      surroundings.execute(() -> submit(surroundings, caller, front, over));
       return over.await(MOST_SECONDS, TimeUnit.SECONDS) ? Main.EXIT_OK : Main.EXIT_FAILURE;
     } catch (IOException | SettingsReader.BadSettingsException e) {
       System.err.println("the training run failed: " + e.getMessage());
@@ -52,6 +51,20 @@
     }
   }
 
+  /** Tries until the controller leads and takes the job. */
+  private static void submit(
+      XnioRuntime time, UndertowCaller caller, String front, CountDownLatch over) {
+    caller.call(
+        Request.post(front, "/v1/jobs", JOB, TIMEOUT),
+        reply -> {
+          if (reply.is(201)) {
+            report(caller, front, 1, over);
+          } else {
+            time.after(RETRY, () -> submit(time, caller, front, over));
+          }
+        });
+  }
+
   private static void report(UndertowCaller caller, String front, int tally, CountDownLatch over) {
     ObjectNode report =
         Json.object()
