Keep the leases of a zone that is cut off from its leader

Now lateness decides what is a cut, overdue workers are asked directly, a node that cannot reach the leader keeps leases with its token and no orders, and machine records name their images.

--- a/src/main/java/io/pineladder/Front.java
+++ b/src/main/java/io/pineladder/Front.java
@@ -1,9 +1,9 @@
 package io.pineladder;
 
+import io.pineladder.model.Job;
 import io.pineladder.model.JobSpec;
 import io.pineladder.model.MachineType;
 import io.pineladder.model.Settings;
-import io.pineladder.model.Shape;
 import io.pineladder.model.Team;
 import io.pineladder.net.HttpAnswer;
 import io.pineladder.net.HttpCaller.Request;
@@ -29,6 +29,10 @@
 public final class Front {
   private static final Logger log = LoggerFactory.getLogger(Front.class);
   private static final Duration FORWARD_TIMEOUT = Duration.ofMillis(1300);
+
+  /** A submission can be stored by this node itself, so it waits less for the leader. */
+  private static final Duration SUBMIT_TIMEOUT = Duration.ofMillis(700);
+
   private static final Duration COMMIT_TIMEOUT = Duration.ofMillis(2500);
   private static final Duration CONTACT = Duration.ofSeconds(6);
   private static final Duration PING = Duration.ofSeconds(2);
@@ -37,6 +41,11 @@
   private final Node node;
   private Instant peerAt;
   private Instant leaderFailedAt;
+
+  /** The leader that the last pings did not reach, though the store says that it leads; or null. */
+  private RecordWire.LeaderRecord unreachable;
+
+  private int failedPings;
   private boolean ready;
 
   public Front(Node node) {
@@ -137,7 +146,8 @@
     boolean other = known != null && !known.member().equals(node.settings.member());
     Instant now = node.time.now();
     boolean failed =
-        leaderFailedAt != null && leaderFailedAt.plusMillis(1000).isAfter(now);
+        (leaderFailedAt != null && leaderFailedAt.plusMillis(1000).isAfter(now))
+            || (other && known.equals(unreachable));
     if (other && !failed) {
       ways.add(known.address());
     }
@@ -164,7 +174,11 @@
     }
     String way = ways.get(from);
     node.http.call(
-        Request.post(way, PeerWire.PATH, PeerWire.write(forward), FORWARD_TIMEOUT),
+        Request.post(
+            way,
+            PeerWire.PATH,
+            PeerWire.write(forward),
+            forward.path().equals("/v1/jobs") ? SUBMIT_TIMEOUT : FORWARD_TIMEOUT),
         reply -> {
           try {
             if (reply.is(200)) {
@@ -381,7 +395,7 @@
                 RecordWire.job(
                     spec,
                     node.time.timeOfDay(),
-                    io.pineladder.model.Job.State.ACTIVE,
+                    Job.State.ACTIVE,
                     new BitSet(),
                     0))
             .put(Keys.INBOX + id, Json.object().put("by", node.settings.member()))
@@ -487,9 +501,25 @@
     }
     RecordWire.LeaderRecord known = node.election.known();
     boolean other = known != null && !known.member().equals(node.settings.member());
+    if (other && keepsAlive(known) && report.token() <= node.election.knownVersion()) {
+      answer.accept(
+          ok(
+              WorkerWire.reportResponse(
+                  node.election.knownVersion(), new WorkerWire.Orders())));
+      return;
+    }
     answer.accept(new HttpAnswer(421, WorkerWire.redirect(other ? known.member() : null)));
   }
 
+  /**
+   * Whether this node answers reports in place of a leader that it cannot reach, and whose term the
+   * store confirms: without that a zone cut off from its leader would lose all its tasks. It gives
+   * no orders. No leader ever takes the end of a worker's lease as proof, so prolonging it is safe.
+   */
+  private boolean keepsAlive(RecordWire.LeaderRecord known) {
+    return known.equals(unreachable) && node.store.isHealthy();
+  }
+
   // ---- readiness
 
   private boolean isRecent(Instant at) {
@@ -511,17 +541,26 @@
   }
 
   private void ping() {
-    if (!isRecent(node.store.answeredAt())) {
-      byte[] body = PeerWire.write(new PeerWire.Forward("GET", "/ready", EMPTY, 0));
-      for (Settings.Peer peer : node.settings.peers()) {
-        node.http.call(
-            Request.post(peer.address(), PeerWire.PATH, body, FORWARD_TIMEOUT),
-            reply -> {
-              if (reply.is(200)) {
-                peerAt = node.time.now();
-              }
-            });
+    byte[] body = PeerWire.write(new PeerWire.Forward("GET", "/ready", EMPTY, 0));
+    RecordWire.LeaderRecord known = node.election.known();
+    boolean other = known != null && !known.member().equals(node.settings.member());
+    boolean cutOff = !isRecent(node.store.answeredAt());
+    for (Settings.Peer peer : node.settings.peers()) {
+      boolean leads = other && peer.address().equals(known.address());
+      if (!leads && !cutOff) {
+        continue;
       }
+      node.http.call(
+          Request.post(peer.address(), PeerWire.PATH, body, FORWARD_TIMEOUT),
+          reply -> {
+            if (reply.is(200)) {
+              peerAt = node.time.now();
+            }
+            if (leads) {
+              failedPings = reply.is(200) ? 0 : failedPings + 1;
+              unreachable = failedPings >= 2 ? known : null;
+            }
+          });
     }
     node.time.after(PING, this::ping);
   }
@@ -535,8 +574,4 @@
           new HttpAnswer(404, "{}".getBytes(StandardCharsets.UTF_8)));
     }
   }
-
-  static boolean isWhole(JobSpec spec) {
-    return spec.shape() != Shape.ARRAY;
-  }
 }
--- a/src/main/java/io/pineladder/Leader.java
+++ b/src/main/java/io/pineladder/Leader.java
@@ -166,6 +166,11 @@
               public void resign(String reason) {
                 host.resign(reason);
               }
+
+              @Override
+              public void probe(Machine machine) {
+                workers.probe(machine);
+              }
             });
   }
 
@@ -371,6 +376,7 @@
     Machine machine = new Machine(name, type, stored.zone(), stored.spot(), now);
     machine.address = stored.address();
     machine.recorded = true;
+    stored.images().forEach(machine::touchImage);
     cluster.machines.put(name, machine);
     for (RecordWire.Placement placement : stored.placements()) {
       Job job = jobs.get(placement.job());
@@ -641,7 +647,10 @@
   /** Answers a report, or returns null when the worker must go elsewhere. */
   byte[] onReport(WorkerWire.Report report) {
     if (state != State.LEADING) {
-      return null;
+      // The store is still being read: the lease is kept and our token learned, nothing more.
+      return state == State.LOADING && host.mayAct()
+          ? WorkerWire.reportResponse(term, new WorkerWire.Orders())
+          : null;
     }
     WorkerWire.Orders orders = workers.onReport(report);
     return orders == null ? null : WorkerWire.reportResponse(term, orders);
--- a/src/main/java/io/pineladder/fleet/Fleet.java
+++ b/src/main/java/io/pineladder/fleet/Fleet.java
@@ -86,6 +86,9 @@
     boolean mayAct();
 
     void resign(String reason);
+
+    /** Asks a machine that is overdue whether it is there. */
+    void probe(Machine machine);
   }
 
   /** What can be refused on its own. */
@@ -275,6 +278,9 @@
    */
   private void findSilent(Instant now) {
     Duration allowed = silence();
+    // A whole zone falls silent one report after the other: what counts for a cut is who is late,
+    // or the first ones would be given up before the last ones are missed.
+    Duration overdue = allowed.minusSeconds(4);
     Map<String, int[]> zones = new HashMap<>();
     List<Machine> silent = new ArrayList<>();
     int up = 0;
@@ -286,8 +292,13 @@
       up++;
       int[] counts = zones.computeIfAbsent(machine.zone, z -> new int[2]);
       counts[0]++;
-      if (since.plus(allowed).isBefore(now)) {
+      if (since.plus(overdue).isBefore(now)) {
         counts[1]++;
+        if (now.getEpochSecond() % 2 == 0) {
+          effects.probe(machine);
+        }
+      }
+      if (since.plus(allowed).isBefore(now)) {
         silent.add(machine);
         if (machine.state() == Machine.State.CONFIRMED) {
           machine.moveTo(Machine.State.SILENT);
@@ -302,7 +313,8 @@
       }
       return;
     }
-    Duration lease = cluster.settings.workers().lease().plusSeconds(10);
+    // A node inside a zone that is cut off keeps its workers' leases.
+    Duration lease = cluster.settings.workers().lease().multipliedBy(2);
     for (Machine machine : silent) {
       int[] counts = zones.get(machine.zone);
       boolean cut = counts[0] >= 3 && counts[1] * 2 > counts[0];
@@ -334,7 +346,7 @@
       case EXPECTED -> {
         if (machine.listedRunning || !machine.attempts.isEmpty()) {
           Instant from = machine.since.isAfter(startedAt) ? machine.since : startedAt;
-          yield from.plusSeconds(machine.listedRunning ? 20 : 10);
+          yield machine.recorded ? startedAt : from.plusSeconds(15);
         }
         yield null;
       }
--- a/src/main/java/io/pineladder/scheduling/Placer.java
+++ b/src/main/java/io/pineladder/scheduling/Placer.java
@@ -8,6 +8,7 @@
 import io.pineladder.model.Shape;
 import io.pineladder.model.Team;
 import io.pineladder.queue.Check;
+import io.pineladder.store.Records;
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -25,7 +26,7 @@
 
   public Placer(Cluster cluster) {
     this.cluster = cluster;
-    this.mostAttempts = Math.max(1, (cluster.settings.store().valueBytes() - 400) / 180);
+    this.mostAttempts = Math.max(1, (cluster.settings.store().valueBytes() - 600 - Records.IMAGES_KEPT * 230) / 180);
   }
 
   /** Machines for all of a gang's tasks or for one other task, or the check that said no. */
--- a/src/main/java/io/pineladder/store/Records.java
+++ b/src/main/java/io/pineladder/store/Records.java
@@ -10,6 +10,7 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -26,6 +27,9 @@
   /** Room for a job's description in the record that also holds its first page. */
   private static final int SPEC_BYTES = 2500;
 
+  /** Images named in a machine's record, the most recently used ones. */
+  public static final int IMAGES_KEPT = 8;
+
   private final Consumer<Mutation> commit;
   private final Consumer<Attempt> onPlacementStored;
   private final Consumer<Job> onEndStored;
@@ -99,8 +103,13 @@
             new RecordWire.Placement(attempt.job.spec.id(), attempt.task, attempt.number));
       }
     }
+    // Which images are there is worth much to the next leader, and costs no write of its own.
+    Map<String, Double> images = new LinkedHashMap<>();
+    List<String> cached = new ArrayList<>(machine.images.keySet());
+    int from = Math.max(0, cached.size() - IMAGES_KEPT);
+    cached.subList(from, cached.size()).forEach(i -> images.put(i, machine.images.get(i)));
     return RecordWire.machine(
-        machine.address, machine.type.name(), machine.zone, machine.spot, placements);
+        machine.address, machine.type.name(), machine.zone, machine.spot, placements, images);
   }
 
   /** The machine is gone for good. */
--- a/src/main/java/io/pineladder/wire/RecordWire.java
+++ b/src/main/java/io/pineladder/wire/RecordWire.java
@@ -11,7 +11,9 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.BitSet;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 
 /** The durable records, as values of the state service. */
 public final class RecordWire {
@@ -27,7 +29,12 @@
 
   /** A stored machine with all that may be on it. */
   public record StoredMachine(
-      String address, String type, String zone, boolean spot, List<Placement> placements) {}
+      String address,
+      String type,
+      String zone,
+      boolean spot,
+      List<Placement> placements,
+      Map<String, Double> images) {}
 
   /** The leader's key. */
   public record LeaderRecord(String member, String address, String nonce) {}
@@ -114,7 +121,12 @@
   }
 
   public static ObjectNode machine(
-      String address, String type, String zone, boolean spot, List<Placement> placements) {
+      String address,
+      String type,
+      String zone,
+      boolean spot,
+      List<Placement> placements,
+      Map<String, Double> images) {
     ObjectNode out =
         Json.object()
             .put("address", address)
@@ -125,6 +137,8 @@
     for (Placement placement : placements) {
       list.addArray().add(placement.job()).add(placement.task()).add(placement.attempt());
     }
+    ObjectNode cached = out.putObject("images");
+    images.forEach(cached::put);
     return out;
   }
 
@@ -138,12 +152,17 @@
       placements.add(
           new Placement(item.get(0).asText(), item.get(1).asInt(), item.get(2).asLong()));
     }
+    Map<String, Double> images = new LinkedHashMap<>();
+    for (var image : in.node("images").properties()) {
+      images.put(image.getKey(), image.getValue().asDouble());
+    }
     return new StoredMachine(
         in.textOr("address", null),
         in.text("type"),
         in.text("zone"),
         in.flag("spot"),
-        placements);
+        placements,
+        images);
   }
 
   public static ObjectNode leader(LeaderRecord leader) {
--- a/src/main/java/io/pineladder/workers/Workers.java
+++ b/src/main/java/io/pineladder/workers/Workers.java
@@ -320,6 +320,25 @@
         reply -> onDirectReply(machine, started, reply));
   }
 
+  /**
+   * Asks a machine that is overdue for its report, by a command without orders. Its answer carries
+   * our token, so it proves as much as a report; the worker may be kept alive by a node that cannot
+   * reach us, or be on its way from node to node.
+   */
+  public void probe(Machine machine) {
+    if (machine.address == null || machine.ordering || !mayAct.getAsBoolean()) {
+      return;
+    }
+    machine.ordering = true;
+    http.call(
+        Request.post(
+            machine.address,
+            "/do",
+            WorkerWire.command(term, Math.max(1, machine.session), new Orders()),
+            DIRECT_TIMEOUT),
+        reply -> onDirectReply(machine, List.of(), reply));
+  }
+
   private void onDirectReply(Machine machine, List<Attempt> started, Reply reply) {
     machine.ordering = false;
     boolean executed = reply.is(200);
@@ -337,8 +356,10 @@
       machine.attempts.values().forEach(a -> a.killSent = false);
     }
     if (!reply.isAnswered()) {
+      if (!machine.unanswered) {
+        log.info("machine {} did not answer ({})", machine, reply);
+      }
       machine.unanswered = true;
-      log.info("machine {} did not answer ({})", machine, reply);
       return;
     }
     if (executed || reply.status() == 409) {
