--- /dev/null
+++ b/src/test/java/io/pineladder/queue/SchedulingQueueTest.java
@@ -0,0 +1,199 @@
+package io.pineladder.queue;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertSame;
+
+import io.pineladder.model.Job;
+import io.pineladder.model.JobSpec;
+import io.pineladder.model.OperatorSettings;
+import io.pineladder.model.Rank;
+import io.pineladder.model.Resources;
+import io.pineladder.model.Shape;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.random.RandomGenerator;
+import java.util.random.RandomGeneratorFactory;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** The queue against a slow plain model: one list that is searched from end to end. */
+class SchedulingQueueTest {
+  private static final Instant ORIGIN = Instant.EPOCH.plusSeconds(1000);
+  private static final OperatorSettings SETTINGS = OperatorSettings.DEFAULTS;
+
+  /** Team events answer "at once" for the team named, and room events "queue". */
+  private static HintTable hints() {
+    return new HintTable()
+        .on(
+            Check.TEAM_LIMIT,
+            Event.Kind.TEAM_FREED,
+            (entry, event) ->
+                entry.job.spec.team().equals(event.team()) ? Hint.QUEUE_AT_ONCE : Hint.SKIP)
+        .on(Check.FIT, Event.Kind.ROOM_FREED, (entry, event) -> Hint.QUEUE);
+  }
+
+  static Job job(String id, String team, Rank rank, Instant acceptedAt) {
+    JobSpec spec =
+        new JobSpec(
+            id, "class", team, Shape.ARRAY, rank, 1, Resources.of(1, 0, 1), null, null, false,
+            false, false, "image", 1, Duration.ofSeconds(10), Duration.ZERO, Duration.ZERO, null);
+    return new Job(spec, acceptedAt, Job.State.ACTIVE);
+  }
+
+  private static final SchedulingQueue.Ordering BY_ACCEPTANCE =
+      new SchedulingQueue.Ordering() {
+        @Override
+        public boolean isGuaranteed(QueueEntry entry) {
+          return false;
+        }
+
+        @Override
+        public Instant due(QueueEntry entry) {
+          return entry.job.acceptedAt;
+        }
+      };
+
+  private static SchedulingQueue queue() {
+    return new SchedulingQueue(hints(), BY_ACCEPTANCE, SETTINGS);
+  }
+
+  /** What the model knows of an entry. */
+  private static final class Plain {
+    final QueueEntry entry;
+    QueueEntry.Place place = QueueEntry.Place.ACTIVE;
+    Check by;
+    int tries;
+    Instant triedAt;
+    Instant until;
+
+    Plain(QueueEntry entry) {
+      this.entry = entry;
+    }
+
+    /** The back-off worked out term by term. */
+    void backOff() {
+      double seconds = Math.min(10, Math.pow(2, tries - 1));
+      double end = Duration.between(Instant.EPOCH, triedAt).toMillis() / 1000.0 + seconds;
+      until = Instant.EPOCH.plusSeconds((long) Math.ceil(end - 1e-9));
+    }
+  }
+
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
+  void behavesAsThePlainModel(long seed) {
+    RandomGenerator random = RandomGeneratorFactory.of("L64X128MixRandom").create(seed);
+    SchedulingQueue queue = queue();
+    List<Plain> model = new ArrayList<>();
+    Instant now = ORIGIN;
+    for (int step = 0; step < 3000; step++) {
+      now = now.plusMillis(random.nextInt(400));
+      switch (random.nextInt(6)) {
+        case 0 -> {
+          Rank rank = Rank.values()[random.nextInt(4)];
+          QueueEntry entry =
+              new QueueEntry(job("req-" + step, "t" + random.nextInt(3), rank, now));
+          queue.add(entry);
+          model.add(new Plain(entry));
+        }
+        case 1, 2 -> {
+          QueueEntry popped = queue.pop(now);
+          Plain first =
+              model.stream()
+                  .filter(p -> p.place == QueueEntry.Place.ACTIVE)
+                  .min(
+                      Comparator.<Plain, Rank>comparing(p -> p.entry.job.spec.rank())
+                          .thenComparing(p -> p.entry.job.acceptedAt)
+                          .thenComparing(p -> p.entry.arrival))
+                  .orElse(null);
+          if (first == null) {
+            assertNull(popped);
+            break;
+          }
+          assertSame(first.entry, popped);
+          first.tries++;
+          first.triedAt = now;
+          int fate = random.nextInt(4);
+          if (fate == 0) {
+            queue.remove(popped);
+            model.remove(first);
+          } else if (fate == 1) {
+            queue.failed(popped, now);
+            first.backOff();
+            first.place = QueueEntry.Place.BACKOFF_ERROR;
+          } else {
+            first.by = fate == 2 ? Check.TEAM_LIMIT : Check.FIT;
+            queue.park(popped, first.by, now);
+            first.backOff();
+            first.place = QueueEntry.Place.UNSCHEDULABLE;
+          }
+        }
+        case 3 -> {
+          String team = "t" + random.nextInt(3);
+          queue.onEvent(Event.teamFreed(team), now);
+          for (Plain p : model) {
+            boolean waits =
+                p.place == QueueEntry.Place.UNSCHEDULABLE
+                    || p.place == QueueEntry.Place.BACKOFF_REJECTED;
+            if (waits && p.by == Check.TEAM_LIMIT && p.entry.job.spec.team().equals(team)) {
+              p.place = QueueEntry.Place.ACTIVE;
+            }
+          }
+        }
+        case 4 -> {
+          queue.onEvent(Event.roomFreed(null), now);
+          for (Plain p : model) {
+            if (p.place == QueueEntry.Place.UNSCHEDULABLE && p.by == Check.FIT) {
+              p.place =
+                  p.until.isAfter(now)
+                      ? QueueEntry.Place.BACKOFF_REJECTED
+                      : QueueEntry.Place.ACTIVE;
+            }
+          }
+        }
+        default -> {
+          queue.releaseExpired(now);
+          for (Plain p : model) {
+            boolean backingOff =
+                p.place == QueueEntry.Place.BACKOFF_REJECTED
+                    || p.place == QueueEntry.Place.BACKOFF_ERROR;
+            if (backingOff && !p.until.isAfter(now)) {
+              p.place = QueueEntry.Place.ACTIVE;
+            }
+          }
+        }
+      }
+      for (Plain p : model) {
+        assertEquals(p.place, p.entry.place(), "step " + step + " of " + p.entry);
+      }
+    }
+  }
+
+  @Test
+  void anEventDuringATryIsSeenWhenTheEntryParks() {
+    SchedulingQueue queue = queue();
+    QueueEntry entry = new QueueEntry(job("req-1", "t", Rank.NORMAL, ORIGIN));
+    queue.add(entry);
+    queue.pop(ORIGIN);
+    queue.onEvent(Event.teamFreed("t"), ORIGIN);
+    queue.park(entry, Check.TEAM_LIMIT, ORIGIN);
+    assertEquals(QueueEntry.Place.ACTIVE, entry.place());
+  }
+
+  @Test
+  void anEventThatNoCheckCaresAboutWakesNothing() {
+    SchedulingQueue queue = queue();
+    QueueEntry entry = new QueueEntry(job("req-1", "t", Rank.NORMAL, ORIGIN));
+    queue.add(entry);
+    queue.pop(ORIGIN);
+    queue.park(entry, Check.PREDECESSOR, ORIGIN);
+    queue.onEvent(Event.roomFreed(null), ORIGIN.plusSeconds(60));
+    queue.onEvent(Event.teamFreed("t"), ORIGIN.plusSeconds(60));
+    assertEquals(QueueEntry.Place.UNSCHEDULABLE, entry.place());
+    assertEquals(1, queue.parked().get(Check.PREDECESSOR));
+  }
+}
--- /dev/null
+++ b/src/test/java/io/pineladder/sim/ClusterSimulationTest.java
@@ -0,0 +1,313 @@
+package io.pineladder.sim;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.pineladder.Front;
+import io.pineladder.Node;
+import io.pineladder.model.Settings;
+import io.pineladder.net.HttpCaller;
+import io.pineladder.net.Timeline;
+import io.pineladder.wire.Json;
+import io.pineladder.wire.MalformedException;
+import io.pineladder.wire.SettingsReader;
+import io.pineladder.wire.SettingsReaderTest;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Several controllers in virtual time among stand-ins that crash, cut, delay and deliver late. */
+class ClusterSimulationTest {
+  private static final List<String> FRONTS =
+      List.of("10.0.0.1:8080", "10.0.0.2:8080", "10.0.0.3:8080");
+  private static final String STORE = "10.2.0.1:2379";
+
+  /** One controller, from one start to the next. */
+  private static final class Controller {
+    final int index;
+    boolean[] alive = new boolean[1];
+
+    Controller(int index) {
+      this.index = index;
+    }
+  }
+
+  private final List<Controller> controllers = new ArrayList<>();
+  private World world;
+  private StoreStandIn store;
+  private FleetStandIn fleet;
+  private Rules rules;
+  private int jobs;
+  private int unanswered;
+
+  private void begin(long seed) {
+    world = new World(seed);
+    rules = new Rules(world);
+    store = new StoreStandIn(world, 12, 8192);
+    fleet = new FleetStandIn(world, rules, FRONTS);
+    world.serve(STORE, store);
+    world.serve(FleetStandIn.ADDRESS, fleet);
+    for (int i = 0; i < 3; i++) {
+      controllers.add(new Controller(i));
+      start(controllers.get(i));
+    }
+    watch();
+  }
+
+  private void watch() {
+    rules.watchCancelled();
+    world.after(500, this::watch);
+  }
+
+  private Settings settings(int index) {
+    String host = "10.0.0." + (index + 1);
+    StringBuilder toml = new StringBuilder(SettingsReaderTest.GOOD);
+    String text =
+        toml.toString()
+            .replace("member = \"rung-0\"\narea", "member = \"rung-" + index + "\"\narea")
+            .replace("front = \"10.0.0.1:", "front = \"" + host + ":")
+            .replace("cluster_listen = \"10.0.0.1:", "cluster_listen = \"" + host + ":");
+    int other = 0;
+    for (int i = 1; i <= 2; i++) {
+      if (other == index) {
+        other++;
+      }
+      text =
+          text.replace(
+              "member = \"rung-" + i + "\"\narea = \"" + (i == 1 ? "b" : "a")
+                  + "\"\naddress = \"10.0.0." + (i + 1) + ":8081\"",
+              "member = \"RUNG-" + other + "\"\narea = \"a\"\naddress = \"10.0.0."
+                  + (other + 1) + ":8081\"");
+      other++;
+    }
+    try {
+      return SettingsReader.parse(text.replace("RUNG-", "rung-"));
+    } catch (SettingsReader.BadSettingsException e) {
+      throw new AssertionError(e);
+    }
+  }
+
+  private void start(Controller controller) {
+    boolean[] alive = {true};
+    controller.alive = alive;
+    Settings settings = settings(controller.index);
+    double rate = 1 + (world.random.nextDouble() - 0.5) * 0.001;
+    Timeline time = world.timeline(() -> alive[0], rate);
+    HttpCaller http = world.caller("10.0.0." + (controller.index + 1), () -> alive[0]);
+    Node node = new Node(settings, time, http, "nonce-" + world.random.nextLong());
+    Front front = new Front(node);
+    world.serve(settings.frontAddress(), front::handle);
+    world.serve(settings.clusterAddress(), front::handleCluster);
+    node.start();
+    front.start();
+  }
+
+  private void kill(Controller controller, long backMillis) {
+    if (!controller.alive[0]) {
+      return;
+    }
+    controller.alive[0] = false;
+    world.stop(FRONTS.get(controller.index));
+    world.stop("10.0.0." + (controller.index + 1) + ":8081");
+    world.after(backMillis, () -> start(controller));
+  }
+
+  // ---- users
+
+  private ObjectNode job(String shape, int tasks, String owner) {
+    ObjectNode spec =
+        Json.object()
+            .put("ref", String.format("req-%06d", ++jobs))
+            .put("jobclass", shape.equals("service") ? "serve" : "work")
+            .put("owner", owner)
+            .put("shape", shape)
+            .put("rank", shape.equals("service") ? "prod" : jobs % 3 == 0 ? "low" : "standard")
+            .put("pieces", tasks)
+            .put("vcpus", 2.0)
+            .put("cards", 1.0)
+            .put("memory_gb", 4.0)
+            .put("bundle", "img-" + jobs % 3)
+            .put("image_gb", 2.0)
+            .put("together", jobs % 5 == 0)
+            .put("spread", jobs % 5 == 1)
+            .put("loaners", !shape.equals("service") && jobs % 2 == 0)
+            .put("guess_s", shape.equals("service") ? 0 : 5 + jobs % 20)
+            .put("mark_every_s", 0.0)
+            .put("stow_s", 0.0);
+    return spec;
+  }
+
+  private Rules.Known submit(ObjectNode spec) {
+    Rules.Known job = new Rules.Known(spec.get("ref").asText(), spec);
+    rules.jobs.put(job.id, job);
+    send(job, "POST", "/v1/jobs", Json.bytes(spec));
+    return job;
+  }
+
+  private void cancel(Rules.Known job) {
+    job.cancelAsked = true;
+    send(job, "POST", "/v1/jobs/" + job.id + "/cancel", null);
+  }
+
+  private void send(Rules.Known job, String method, String path, byte[] body) {
+    HttpCaller user = world.caller("user", () -> true);
+    String node = FRONTS.get(world.random.nextInt(3));
+    boolean poll = method.equals("GET");
+    boolean wasOver = job.isOver();
+    user.call(
+        new HttpCaller.Request(node, method, path, body, Duration.ofSeconds(poll ? 2 : 5)),
+        reply -> {
+          boolean good = reply.is(200) || reply.is(201);
+          if (reply.isAnswered()) {
+            rules.answered(job, reply.status());
+          }
+          if (good) {
+            try {
+              String status = Json.parseObject(reply.body()).get("status").asText();
+              // What was asked before the job was over may be answered as it was then.
+              if (wasOver == job.isOver() || status.equals("done") || status.equals("aborted")) {
+                rules.told(job, status);
+              }
+            } catch (MalformedException e) {
+              throw new AssertionError(e);
+            }
+          } else {
+            unanswered++;
+          }
+          if (path.equals("/v1/jobs")) {
+            if (good) {
+              job.accepted = true;
+              world.after(2_000, () -> poll(job));
+            } else {
+              world.after(1_000, () -> send(job, method, path, body));
+            }
+          } else if (!poll && !good) {
+            world.after(1_000, () -> send(job, method, path, body));
+          }
+        });
+  }
+
+  private void poll(Rules.Known job) {
+    send(job, "GET", "/v1/jobs/" + job.id, null);
+    world.after(job.isOver() ? 20_000 : 5_000, () -> poll(job));
+  }
+
+  private ObjectNode randomJob() {
+    return switch (world.random.nextInt(4)) {
+      case 0 -> job("service", 1 + world.random.nextInt(2), "red");
+      case 1 -> job("group", 2 + world.random.nextInt(3), "red");
+      default -> job("array", 1 + world.random.nextInt(6), "blue");
+    };
+  }
+
+  /** Gives everything time to settle, then asks that all work is done and nothing is left over. */
+  private void settle(Duration time) {
+    world.lossy = 0;
+    world.runFor(time);
+    for (Rules.Known job : rules.jobs.values()) {
+      boolean service = job.spec.get("shape").asText().equals("service");
+      assertTrue(job.accepted, job.id + " was not accepted");
+      assertTrue(service || job.isOver(), job.id + " did not end: " + job.completed);
+    }
+    assertTrue(rules.starts > 0);
+    assertEquals(0, store.count("inbox/"));
+    int open = (int) rules.jobs.values().stream().filter(j -> !j.isOver()).count();
+    assertEquals(open, store.count("job/"));
+  }
+
+  @Test
+  void aQuietDayIsServedPromptly() {
+    begin(1);
+    world.runFor(Duration.ofSeconds(5));
+    for (int i = 0; i < 8; i++) {
+      submit(job(i % 4 == 0 ? "group" : "array", 3, "red"));
+    }
+    Rules.Known service = submit(job("service", 2, "red"));
+    world.runFor(Duration.ofSeconds(60));
+    cancel(service);
+    settle(Duration.ofSeconds(40));
+    assertTrue(service.cancelled != null);
+    // Users who come before a node knows the machine types are told to come back; nobody else is.
+    assertEquals(0, unanswered);
+  }
+
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12})
+  void theRulesHoldUnderFaultsTogether(long seed) {
+    begin(seed);
+    world.runFor(Duration.ofSeconds(4));
+    world.lossy = 0.03;
+    for (int step = 0; step < 60; step++) {
+      submit(randomJob());
+      List<Rules.Known> open =
+          rules.jobs.values().stream().filter(j -> j.accepted && !j.isOver()).toList();
+      if (!open.isEmpty() && world.random.nextInt(3) == 0) {
+        cancel(open.get(world.random.nextInt(open.size())));
+      }
+      trouble(world.random.nextInt(14));
+      world.runFor(Duration.ofMillis(2_000 + world.random.nextInt(4_000)));
+    }
+    settle(Duration.ofSeconds(300));
+  }
+
+  private void trouble(int kind) {
+    Controller some = controllers.get(world.random.nextInt(3));
+    String host = "10.0.0." + (some.index + 1);
+    long millis = 2_000 + world.random.nextInt(30_000);
+    switch (kind) {
+      case 0 -> kill(some, 6_000);
+      case 1 -> {
+        world.cut(host, "10.2.0.1");
+        world.after(millis, () -> world.heal(host, "10.2.0.1"));
+      }
+      case 2 -> {
+        store.outage = true;
+        world.after(millis, store::endOutage);
+      }
+      case 3 -> {
+        fleet.outage = true;
+        world.after(millis, () -> fleet.outage = false);
+      }
+      case 4 -> {
+        // One zone's workers are cut from one controller.
+        for (FleetStandIn.Worker worker : fleet.up()) {
+          if (worker.zone.equals("a")) {
+            String there = World.host(worker.address);
+            world.cut(host, there);
+            world.after(millis, () -> world.heal(host, there));
+          }
+        }
+      }
+      case 5 -> {
+        for (FleetStandIn.Worker worker : fleet.up()) {
+          if (world.random.nextInt(4) == 0) {
+            for (int i = 1; i <= 3; i++) {
+              String node = "10.0.0." + i;
+              String there = World.host(worker.address);
+              world.cut(node, there);
+              world.after(millis, () -> world.heal(node, there));
+            }
+          }
+        }
+      }
+      case 6 -> {
+        for (Controller each : controllers) {
+          kill(each, 6_000 + each.index * 500L);
+        }
+      }
+      case 7 -> {
+        List<FleetStandIn.Worker> up = fleet.up();
+        if (!up.isEmpty()) {
+          FleetStandIn.Worker taken = up.get(world.random.nextInt(up.size()));
+          fleet.machines.remove(taken.name);
+          taken.end();
+        }
+      }
+      default -> {}
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/io/pineladder/sim/FleetStandIn.java
@@ -0,0 +1,385 @@
+package io.pineladder.sim;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.pineladder.net.HttpAnswer;
+import io.pineladder.net.HttpCaller;
+import io.pineladder.net.HttpHandlerAsync;
+import io.pineladder.wire.Json;
+import io.pineladder.wire.MalformedException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+
+/** The cloud and the workers on its machines, from their protocols, watched by the rules. */
+final class FleetStandIn implements HttpHandlerAsync {
+  static final String ADDRESS = "10.2.0.2:8443";
+  private static final long LEASE_MILLIS = 20_000;
+  private static final int CAPACITY = 12;
+
+  private final World world;
+  private final Rules rules;
+  private final List<String> controllers;
+  private final Map<String, ObjectNode> answered = new HashMap<>();
+  final TreeMap<String, Worker> machines = new TreeMap<>();
+  private int names;
+  boolean outage;
+
+  FleetStandIn(World world, Rules rules, List<String> controllers) {
+    this.world = world;
+    this.rules = rules;
+    this.controllers = controllers;
+  }
+
+  @Override
+  public void handle(String method, String path, byte[] body, Consumer<HttpAnswer> answer) {
+    if (outage) {
+      answer.accept(new HttpAnswer(503, Json.bytes(Json.object().put("error", "trouble"))));
+      return;
+    }
+    try {
+      if (path.equals("/flavors")) {
+        answer.accept(ok(flavors()));
+      } else if (path.equals("/rentals")) {
+        answer.accept(rent(Json.parseObject(body)));
+      } else if (path.equals("/rentals/release")) {
+        for (JsonNode name : Json.parseObject(body).get("hosts")) {
+          Worker worker = machines.remove(name.asText());
+          if (worker != null) {
+            worker.end();
+          }
+        }
+        answer.accept(ok(Json.object()));
+      } else {
+        answer.accept(ok(list()));
+      }
+    } catch (MalformedException e) {
+      throw new AssertionError(e);
+    }
+  }
+
+  private static HttpAnswer ok(JsonNode body) {
+    return new HttpAnswer(200, Json.bytes(body));
+  }
+
+  private static ObjectNode flavors() {
+    ObjectNode out = Json.object();
+    ObjectNode type =
+        out.putArray("hulls")
+            .addObject()
+            .put("sku", "g4")
+            .put("vcpus", 16.0)
+            .put("cards", 4.0)
+            .put("memory_gb", 64.0)
+            .put("local_gb", 50.0)
+            .put("pull_gb_per_s", 1.0)
+            .put("hourly", 4.0)
+            .put("spot_price", 1.0)
+            .put("boot_s", 10.0);
+    type.putArray("yards").add("a").add("b");
+    return out;
+  }
+
+  private HttpAnswer rent(ObjectNode request) {
+    String id = request.get("charter").asText();
+    if (answered.containsKey(id)) {
+      return ok(answered.get(id));
+    }
+    String zone = request.get("yard").asText();
+    boolean spot = request.get("loaners").asBoolean();
+    long there = machines.values().stream().filter(w -> w.zone.equals(zone)).count();
+    int count = (int) Math.min(request.get("count").asInt(), CAPACITY - there);
+    if (count <= 0) {
+      return new HttpAnswer(503, Json.bytes(Json.object().put("error", "no capacity")));
+    }
+    ObjectNode out = Json.object();
+    ArrayNode names = out.putArray("hosts");
+    for (int i = 0; i < count; i++) {
+      names.add(create(zone, spot));
+    }
+    answered.put(id, out);
+    return ok(out);
+  }
+
+  private String create(String zone, boolean spot) {
+    String name = String.format("m-%06d", ++names);
+    Worker worker = new Worker(name, "10.1.0." + names + ":9000", zone, spot);
+    machines.put(name, worker);
+    world.after(5_000 + world.random.nextInt(10_000), worker::boot);
+    return name;
+  }
+
+  private ObjectNode list() {
+    ObjectNode out = Json.object().put("truncated", false);
+    ArrayNode hosts = out.putArray("hosts");
+    for (Worker worker : machines.values()) {
+      hosts
+          .addObject()
+          .put("ref", worker.name)
+          .put("addr", worker.address)
+          .put("hull", "g4")
+          .put("yard", worker.zone)
+          .put("loaners", worker.spot)
+          .put("status", worker.up ? "running" : "booting")
+          .put("age_s", 20.0);
+    }
+    return out;
+  }
+
+  /** One task on a worker. */
+  static final class Task {
+    final String piece;
+    final long attempt;
+    String status = "fetching";
+    String cause;
+    boolean there;
+
+    Task(String piece, long attempt) {
+      this.piece = piece;
+      this.attempt = attempt;
+    }
+
+    String job() {
+      return piece.substring(0, piece.indexOf('/'));
+    }
+  }
+
+  /** A machine with its worker. */
+  final class Worker implements HttpHandlerAsync {
+    final String name;
+    final String address;
+    final String zone;
+    final boolean spot;
+    final LinkedHashMap<String, Task> tasks = new LinkedHashMap<>();
+    boolean up;
+    boolean ended;
+    private long session = 1;
+    private long sequence;
+    private long token;
+    private int at;
+    private long answeredSentMillis;
+    private long reportRound;
+
+    Worker(String name, String address, String zone, boolean spot) {
+      this.name = name;
+      this.address = address;
+      this.zone = zone;
+      this.spot = spot;
+    }
+
+    void boot() {
+      if (ended) {
+        return;
+      }
+      up = true;
+      world.serve(address, this);
+      answeredSentMillis = world.now().toEpochMilli();
+      at = world.random.nextInt(controllers.size());
+      send();
+      watchLease();
+    }
+
+    /** The machine is gone, and everything on it. */
+    void end() {
+      ended = true;
+      up = false;
+      world.stop(address);
+      List.copyOf(tasks.values()).forEach(this::leave);
+      tasks.clear();
+    }
+
+    private void leave(Task task) {
+      if (task.there) {
+        task.there = false;
+        rules.left(task, this);
+      }
+    }
+
+    private void watchLease() {
+      if (ended) {
+        return;
+      }
+      if (world.now().toEpochMilli() - answeredSentMillis > LEASE_MILLIS) {
+        List.copyOf(tasks.values()).forEach(this::leave);
+        tasks.clear();
+        session++;
+        sequence = 0;
+        answeredSentMillis = world.now().toEpochMilli();
+      }
+      world.after(100, this::watchLease);
+    }
+
+    private ObjectNode report() {
+      ObjectNode out =
+          Json.object()
+              .put("host", name)
+              .put("addr", address)
+              .put("hull", "g4")
+              .put("yard", zone)
+              .put("loaners", spot)
+              .put("shift", session)
+              .put("tally", ++sequence)
+              .put("baton", token);
+      ArrayNode pieces = out.putArray("pieces");
+      for (Task task : tasks.values()) {
+        ObjectNode piece =
+            pieces
+                .addObject()
+                .put("piece", task.piece)
+                .put("try", task.attempt)
+                .put("status", task.status);
+        if (task.cause != null) {
+          piece.put("cause", task.cause);
+        }
+      }
+      return out;
+    }
+
+    private void send() {
+      if (ended) {
+        return;
+      }
+      long round = ++reportRound;
+      long sentSession = session;
+      long sentMillis = world.now().toEpochMilli();
+      byte[] body = Json.bytes(report());
+      HttpCaller caller = world.caller(World.host(address), () -> !ended);
+      caller.call(
+          HttpCaller.Request.post(
+              controllers.get(at), "/v1/report", body, Duration.ofSeconds(4)),
+          reply -> {
+            if (round == reportRound) {
+              onReply(reply, sentSession, sentMillis);
+            }
+          });
+    }
+
+    private void onReply(HttpCaller.Reply reply, long sentSession, long sentMillis) {
+      try {
+        if (reply.is(200)) {
+          ObjectNode response = Json.parseObject(reply.body());
+          long given = response.get("baton").asLong();
+          boolean higher = given > token;
+          if (given >= token && sentSession == session) {
+            token = given;
+            answeredSentMillis = sentMillis;
+            execute(response.get("orders"));
+          }
+          world.after(higher ? 500 : 2_250 + world.random.nextInt(1_500), this::send);
+          return;
+        }
+        JsonNode leader = reply.is(421) ? Json.parseObject(reply.body()).get("foreman") : null;
+        if (leader != null) {
+          at = Integer.parseInt(leader.asText().substring("rung-".length()));
+          world.after(world.random.nextInt(500), this::send);
+          return;
+        }
+      } catch (MalformedException e) {
+        throw new AssertionError(e);
+      }
+      at = (at + 1) % controllers.size();
+      world.after(1_000, this::send);
+    }
+
+    private void execute(JsonNode orders) {
+      for (JsonNode order : orders) {
+        String piece = order.get("piece").asText();
+        long attempt = order.get("try").asLong();
+        String key = piece + "#" + attempt;
+        Task task = tasks.get(key);
+        switch (order.get("verb").asText()) {
+          case "start" -> {
+            if (task == null) {
+              begin(key, new Task(piece, attempt));
+            }
+          }
+          case "kill" -> {
+            if (task != null && !task.status.equals("ended")) {
+              exit(task, "stopped");
+            }
+          }
+          default -> {
+            if (task != null && task.status.equals("ended")) {
+              tasks.remove(key);
+            }
+          }
+        }
+      }
+    }
+
+    private void begin(String key, Task task) {
+      tasks.put(key, task);
+      rules.commanded(task);
+      world.after(500 + world.random.nextInt(3_000), () -> arrive(key, task));
+    }
+
+    private void arrive(String key, Task task) {
+      if (ended || tasks.get(key) != task || !task.status.equals("fetching")) {
+        return;
+      }
+      task.there = true;
+      rules.started(task, this);
+      if (rules.isGang(task)) {
+        task.status = "gathering";
+        world.after(15_000, () -> {
+          if (tasks.get(key) == task && task.status.equals("gathering")) {
+            exit(task, "incomplete");
+          }
+        });
+        rules.gather(task);
+      } else {
+        run(key, task);
+      }
+    }
+
+    void run(String key, Task task) {
+      task.status = "running";
+      long millis = rules.runMillis(task);
+      if (millis > 0) {
+        world.after(
+            millis,
+            () -> {
+              if (!ended && tasks.get(key) == task && task.status.equals("running")) {
+                boolean fails = world.random.nextInt(40) == 0 && !rules.isGang(task);
+                if (!fails) {
+                  rules.completed(task);
+                }
+                exit(task, fails ? "error" : "done");
+              }
+            });
+      }
+    }
+
+    private void exit(Task task, String cause) {
+      task.status = "ended";
+      task.cause = cause;
+      leave(task);
+    }
+
+    @Override
+    public void handle(String method, String path, byte[] body, Consumer<HttpAnswer> answer) {
+      try {
+        ObjectNode request = Json.parseObject(body);
+        long given = request.get("baton").asLong();
+        boolean good = given >= token && request.get("shift").asLong() == session;
+        if (good) {
+          token = given;
+          execute(request.get("orders"));
+        }
+        answer.accept(new HttpAnswer(good ? 200 : 409, Json.bytes(report())));
+      } catch (MalformedException e) {
+        throw new AssertionError(e);
+      }
+    }
+  }
+
+  List<Worker> up() {
+    return new ArrayList<>(machines.values().stream().filter(w -> w.up).toList());
+  }
+}
--- /dev/null
+++ b/src/test/java/io/pineladder/sim/Rules.java
@@ -0,0 +1,183 @@
+package io.pineladder.sim;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.pineladder.sim.FleetStandIn.Task;
+import io.pineladder.sim.FleetStandIn.Worker;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Set;
+
+/** The rules at the end of the protocol, checked at every start, exit and answer. */
+final class Rules {
+  private static final Duration CANCEL = Duration.ofSeconds(40);
+  private static final double BLUE_GPUS = 8;
+
+  /** A submitted job as its user knows it. */
+  static final class Known {
+    final String id;
+    final ObjectNode spec;
+    boolean accepted;
+    boolean cancelAsked;
+    Instant cancelled;
+    boolean done;
+    final Set<Integer> completed = new HashSet<>();
+
+    Known(String id, ObjectNode spec) {
+      this.id = id;
+      this.spec = spec;
+    }
+
+    int tasks() {
+      return spec.get("pieces").asInt();
+    }
+
+    boolean isOver() {
+      return done || cancelled != null;
+    }
+  }
+
+  private final World world;
+  final Map<String, Known> jobs = new LinkedHashMap<>();
+
+  /** Where each task is. */
+  private final Map<String, Worker> places = new HashMap<>();
+
+  private final Map<String, Map<String, Worker>> gathered = new HashMap<>();
+  int starts;
+
+  Rules(World world) {
+    this.world = world;
+  }
+
+  private AssertionError broken(String rule, Object what) {
+    return new AssertionError(rule + " at " + world.now() + ": " + what);
+  }
+
+  boolean isGang(Task task) {
+    return jobs.get(task.job()).spec.get("shape").asText().equals("group");
+  }
+
+  long runMillis(Task task) {
+    ObjectNode spec = jobs.get(task.job()).spec;
+    return spec.get("shape").asText().equals("service") ? 0 : spec.get("guess_s").asLong() * 1000;
+  }
+
+  void commanded(Task task) {
+    if (!jobs.containsKey(task.job())) {
+      throw broken("unknown job started", task.piece);
+    }
+  }
+
+  void started(Task task, Worker on) {
+    starts++;
+    Known job = jobs.get(task.job());
+    Worker other = places.get(task.piece);
+    if (other != null && other != on) {
+      throw broken("ran_twice", task.piece + " on " + other.name + " and " + on.name);
+    }
+    if (job.cancelled != null && job.cancelled.plus(CANCEL).isBefore(world.now())) {
+      throw broken("ran_cancelled", task.piece);
+    }
+    places.put(task.piece, on);
+    ObjectNode spec = job.spec;
+    if (on.spot && !spec.get("loaners").asBoolean()) {
+      throw broken("wrong_place", task.piece + " on a spot machine");
+    }
+    if (spec.has("yard") && !spec.get("yard").asText().equals(on.zone)) {
+      throw broken("wrong_place", task.piece + " in zone " + on.zone);
+    }
+    int inZone = 0;
+    double gpus = 0;
+    for (var place : places.entrySet()) {
+      String id = place.getKey().substring(0, place.getKey().indexOf('/'));
+      if (id.equals(job.id)) {
+        inZone += place.getValue().zone.equals(on.zone) ? 1 : 0;
+        if (spec.get("together").asBoolean() && !place.getValue().zone.equals(on.zone)) {
+          throw broken("wrong_place", task.piece + " apart from the others");
+        }
+      }
+      if (jobs.get(id).spec.get("owner").asText().equals(spec.get("owner").asText())) {
+        gpus += jobs.get(id).spec.get("cards").asDouble();
+      }
+    }
+    if (spec.get("spread").asBoolean() && inZone > (job.tasks() + 1) / 2) {
+      throw broken("wrong_place", task.piece + " is one too many in zone " + on.zone);
+    }
+    if (spec.get("owner").asText().equals("blue") && gpus > BLUE_GPUS) {
+      throw broken("quota", gpus + " used at the start of " + task.piece);
+    }
+  }
+
+  void left(Task task, Worker from) {
+    places.remove(task.piece, from);
+    Map<String, Worker> of = gathered.get(task.job() + "#" + task.attempt);
+    if (of != null) {
+      of.remove(task.piece);
+    }
+  }
+
+  /** A gang's tasks start together once all of one attempt are there. */
+  void gather(Task task) {
+    String key = task.job() + "#" + task.attempt;
+    Map<String, Worker> of = gathered.computeIfAbsent(key, k -> new HashMap<>());
+    of.put(task.piece, places.get(task.piece));
+    if (of.size() == jobs.get(task.job()).tasks()) {
+      for (var each : of.entrySet()) {
+        String at = each.getKey() + "#" + task.attempt;
+        each.getValue().run(at, each.getValue().tasks.get(at));
+      }
+    }
+  }
+
+  void completed(Task task) {
+    Known job = jobs.get(task.job());
+    int index = Integer.parseInt(task.piece.substring(task.piece.indexOf('/') + 1));
+    job.completed.add(index);
+    if (isGang(task)) {
+      for (int i = 0; i < job.tasks(); i++) {
+        job.completed.add(i);
+      }
+    }
+  }
+
+  /** Tasks of cancelled jobs must be gone in time; asked again and again. */
+  void watchCancelled() {
+    for (var place : places.entrySet()) {
+      Known job = jobs.get(place.getKey().substring(0, place.getKey().indexOf('/')));
+      if (job.cancelled != null && job.cancelled.plus(CANCEL).isBefore(world.now())) {
+        throw broken("ran_cancelled", place.getKey() + " is still on " + place.getValue().name);
+      }
+    }
+  }
+
+  /** A user was told a state. */
+  void told(Known job, String status) {
+    if (status.equals("done") && job.completed.size() < job.tasks()) {
+      throw broken("not_done", job.id);
+    }
+    if (job.done && !status.equals("done")) {
+      throw broken("went_back", job.id + " was done and is called " + status);
+    }
+    if (job.cancelled != null && !status.equals("aborted")) {
+      throw broken("went_back", job.id + " was cancelled and is called " + status);
+    }
+    if (status.equals("aborted") && !job.cancelAsked) {
+      throw broken("went_back", job.id + " is called cancelled by no wish of its user");
+    }
+    if (status.equals("done")) {
+      job.done = true;
+    } else if (status.equals("aborted") && job.cancelled == null) {
+      job.cancelled = world.now();
+    }
+  }
+
+  void answered(Known job, int status) {
+    if (job.accepted && (status == 404 || status == 400 || status == 422)) {
+      throw broken("forgotten", job.id + " got " + status);
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/io/pineladder/sim/StoreStandIn.java
@@ -0,0 +1,262 @@
+package io.pineladder.sim;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.pineladder.net.HttpAnswer;
+import io.pineladder.net.HttpHandlerAsync;
+import io.pineladder.wire.Json;
+import io.pineladder.wire.MalformedException;
+import java.nio.charset.StandardCharsets;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+
+/** The state service, from its protocol: keys, transactions, leases, watches, outages. */
+final class StoreStandIn implements HttpHandlerAsync {
+  private record Value(JsonNode value, long version, long lease) {}
+
+  private static final class Lease {
+    Instant until;
+    long life;
+  }
+
+  private record Watch(String prefix, long since, Consumer<HttpAnswer> answer, boolean[] over) {}
+
+  private final World world;
+  private final int txnOps;
+  private final int valueBytes;
+  private final TreeMap<String, Value> keys = new TreeMap<>();
+  private final Map<Long, Lease> leases = new HashMap<>();
+  private final List<ObjectNode> log = new ArrayList<>();
+  private final List<Watch> watches = new ArrayList<>();
+  private long revision;
+  private long leaseIds;
+  boolean outage;
+
+  StoreStandIn(World world, int txnOps, int valueBytes) {
+    this.world = world;
+    this.txnOps = txnOps;
+    this.valueBytes = valueBytes;
+    expire();
+  }
+
+  JsonNode value(String key) {
+    Value found = keys.get(key);
+    return found == null ? null : found.value;
+  }
+
+  int count(String prefix) {
+    return (int) keys.keySet().stream().filter(k -> k.startsWith(prefix)).count();
+  }
+
+  /** After an outage every lease has its full time again. */
+  void endOutage() {
+    outage = false;
+    leases.values().forEach(l -> l.until = world.now().plusMillis(l.life));
+    wake();
+  }
+
+  private void expire() {
+    if (!outage) {
+      List.copyOf(leases.entrySet()).stream()
+          .filter(e -> e.getValue().until.isBefore(world.now()))
+          .forEach(e -> end(e.getKey()));
+    }
+    world.after(50, this::expire);
+  }
+
+  private void end(long lease) {
+    leases.remove(lease);
+    List<String> attached =
+        keys.entrySet().stream()
+            .filter(e -> e.getValue().lease == lease)
+            .map(Map.Entry::getKey)
+            .toList();
+    if (!attached.isEmpty()) {
+      revision++;
+      attached.forEach(this::remove);
+      wake();
+    }
+  }
+
+  private void remove(String key) {
+    if (keys.remove(key) != null) {
+      log.add(Json.object().put("remove", key).put("stamp", revision));
+    }
+  }
+
+  private static HttpAnswer answer(int status, JsonNode body) {
+    return new HttpAnswer(status, Json.bytes(body));
+  }
+
+  private static Map<String, String> query(String path) {
+    Map<String, String> found = new HashMap<>();
+    for (String part : path.substring(path.indexOf('?') + 1).split("&")) {
+      int is = part.indexOf('=');
+      found.put(part.substring(0, is), part.substring(is + 1));
+    }
+    return found;
+  }
+
+  @Override
+  public void handle(String method, String path, byte[] body, Consumer<HttpAnswer> answer) {
+    if (outage) {
+      answer.accept(answer(503, Json.object().put("error", "outage")));
+      return;
+    }
+    try {
+      if (path.startsWith("/follow?")) {
+        follow(query(path), answer);
+      } else {
+        answer.accept(now(method, path, body));
+      }
+    } catch (MalformedException e) {
+      throw new AssertionError("the store was sent " + new String(body, StandardCharsets.UTF_8), e);
+    }
+  }
+
+  private HttpAnswer now(String method, String path, byte[] body) throws MalformedException {
+    if (path.startsWith("/keys?")) {
+      return list(query(path));
+    }
+    if (path.startsWith("/keys/")) {
+      String key = path.substring("/keys/".length());
+      Value found = keys.get(key);
+      if (found == null) {
+        return answer(404, Json.object().put("epoch", revision));
+      }
+      return answer(200, entry(key, found));
+    }
+    if (path.equals("/multi")) {
+      return multi(Json.parseObject(body));
+    }
+    if (path.equals("/holds")) {
+      Lease lease = new Lease();
+      lease.life = Json.parseObject(body).get("life_ms").asLong();
+      lease.until = world.now().plusMillis(lease.life);
+      leases.put(++leaseIds, lease);
+      return answer(200, Json.object().put("hold", leaseIds));
+    }
+    long id = Long.parseLong(path.split("/")[2]);
+    Lease lease = leases.get(id);
+    if (lease == null) {
+      return answer(404, Json.object());
+    }
+    if (method.equals("DELETE")) {
+      end(id);
+    } else {
+      lease.until = world.now().plusMillis(lease.life);
+    }
+    return answer(200, Json.object());
+  }
+
+  private static ObjectNode entry(String key, Value value) {
+    ObjectNode out = Json.object().put("path", key).put("stamp", value.version);
+    out.set("v", value.value);
+    return out;
+  }
+
+  private HttpAnswer list(Map<String, String> query) {
+    ObjectNode out = Json.object().put("epoch", revision);
+    ArrayNode entries = out.putArray("entries");
+    boolean more = false;
+    for (var found : keys.tailMap(query.getOrDefault("since", ""), false).entrySet()) {
+      if (!found.getKey().startsWith(query.get("prefix"))) {
+        continue;
+      }
+      // Small pages, so that reading on is part of every test.
+      if (entries.size() == 20) {
+        more = true;
+        break;
+      }
+      entries.add(entry(found.getKey(), found.getValue()));
+    }
+    return answer(200, out.put("truncated", more));
+  }
+
+  private HttpAnswer multi(ObjectNode txn) {
+    JsonNode changes = txn.get("apply");
+    if (changes.size() > txnOps || txn.get("if").size() > 4 * txnOps) {
+      throw new AssertionError("a transaction is too large: " + txn);
+    }
+    ArrayNode failed = Json.array();
+    for (JsonNode condition : txn.get("if")) {
+      Value found = keys.get(condition.get("path").asText());
+      long version = found == null ? 0 : found.version;
+      if (version != condition.get("stamp").asLong()) {
+        failed.add(condition.get("path").asText());
+      }
+    }
+    for (JsonNode change : changes) {
+      if (change.has("hold") && !leases.containsKey(change.get("hold").asLong())) {
+        return answer(400, Json.object().put("error", "no such lease"));
+      }
+    }
+    if (!failed.isEmpty()) {
+      ObjectNode out = Json.object().put("epoch", revision);
+      out.set("failed", failed);
+      return answer(409, out);
+    }
+    revision++;
+    for (JsonNode change : changes) {
+      if (change.has("remove")) {
+        remove(change.get("remove").asText());
+        continue;
+      }
+      String key = change.get("write").asText();
+      JsonNode value = change.get("v");
+      if (Json.bytes(value).length > valueBytes) {
+        throw new AssertionError("the value of " + key + " is too large");
+      }
+      long lease = change.has("hold") ? change.get("hold").asLong() : 0;
+      keys.put(key, new Value(value, revision, lease));
+      log.add(entryEvent(key, value));
+    }
+    wake();
+    return answer(200, Json.object().put("epoch", revision));
+  }
+
+  private ObjectNode entryEvent(String key, JsonNode value) {
+    ObjectNode event = Json.object().put("write", key).put("stamp", revision);
+    event.set("v", value);
+    return event;
+  }
+
+  private void follow(Map<String, String> query, Consumer<HttpAnswer> answer) {
+    long wait = Long.parseLong(query.get("wait_ms"));
+    Watch watch =
+        new Watch(
+            query.get("prefix"), Long.parseLong(query.get("since")), answer, new boolean[1]);
+    watches.add(watch);
+    tryAnswer(watch, false);
+    world.after(wait, () -> tryAnswer(watch, true));
+  }
+
+  private void wake() {
+    List.copyOf(watches).forEach(w -> tryAnswer(w, false));
+  }
+
+  private void tryAnswer(Watch watch, boolean last) {
+    if (watch.over[0] || (outage && !last)) {
+      return;
+    }
+    ObjectNode out = Json.object().put("epoch", revision);
+    ArrayNode events = out.putArray("log");
+    for (ObjectNode event : log) {
+      JsonNode key = event.has("write") ? event.get("write") : event.get("remove");
+      if (event.get("stamp").asLong() > watch.since && key.asText().startsWith(watch.prefix)) {
+        events.add(event);
+      }
+    }
+    if (last || !events.isEmpty()) {
+      watch.over[0] = true;
+      watches.remove(watch);
+      watch.answer.accept(answer(200, out));
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/io/pineladder/sim/World.java
@@ -0,0 +1,167 @@
+package io.pineladder.sim;
+
+import io.pineladder.net.HttpAnswer;
+import io.pineladder.net.HttpCaller;
+import io.pineladder.net.HttpHandlerAsync;
+import io.pineladder.net.Timeline;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
+import java.util.random.RandomGeneratorFactory;
+
+/** Virtual time and a network that cuts, delays and delivers late; everything follows one seed. */
+final class World {
+  private record Timer(long at, long order, Runnable action) implements Comparable<Timer> {
+    @Override
+    public int compareTo(Timer other) {
+      int byTime = Long.compare(at, other.at);
+      return byTime != 0 ? byTime : Long.compare(order, other.order);
+    }
+  }
+
+  final RandomGenerator random;
+  private final PriorityQueue<Timer> timers = new PriorityQueue<>();
+  private final Map<String, HttpHandlerAsync> servers = new HashMap<>();
+  private final Set<String> cuts = new HashSet<>();
+  private long order;
+  private long nowMillis = 1_000_000;
+
+  /** The part of messages whose reply is lost, and which may then be executed late. */
+  double lossy;
+
+  World(long seed) {
+    random = RandomGeneratorFactory.of("L64X128MixRandom").create(seed);
+  }
+
+  Instant now() {
+    return Instant.ofEpochMilli(nowMillis);
+  }
+
+  void after(long millis, Runnable action) {
+    timers.add(new Timer(nowMillis + Math.max(0, millis), order++, action));
+  }
+
+  void runFor(Duration duration) {
+    long end = nowMillis + duration.toMillis();
+    while (!timers.isEmpty() && timers.peek().at <= end) {
+      Timer next = timers.poll();
+      nowMillis = next.at;
+      next.action.run();
+    }
+    nowMillis = end;
+  }
+
+  void serve(String address, HttpHandlerAsync handler) {
+    servers.put(address, handler);
+  }
+
+  void stop(String address) {
+    servers.remove(address);
+  }
+
+  /** Cuts two hosts from one another; packets on the way are lost or come late. */
+  void cut(String one, String other) {
+    cuts.add(one + " " + other);
+    cuts.add(other + " " + one);
+  }
+
+  void heal(String one, String other) {
+    cuts.remove(one + " " + other);
+    cuts.remove(other + " " + one);
+  }
+
+  static String host(String address) {
+    return address.substring(0, address.indexOf(':'));
+  }
+
+  /** A clock of a process that ends when {@code alive} says so. */
+  Timeline timeline(BooleanSupplier alive, double rate) {
+    Instant begun = now();
+    return new Timeline() {
+      @Override
+      public Instant now() {
+        long real = Duration.between(begun, World.this.now()).toNanos();
+        return begun.plusNanos((long) (real * rate));
+      }
+
+      @Override
+      public Instant timeOfDay() {
+        return World.this.now();
+      }
+
+      @Override
+      public void after(Duration delay, Runnable action) {
+        World.this.after(
+            (long) Math.ceil(delay.toNanos() / 1e6 / rate),
+            () -> {
+              if (alive.getAsBoolean()) {
+                action.run();
+              }
+            });
+      }
+    };
+  }
+
+  /** The network as one process on {@code from} uses it. */
+  HttpCaller caller(String from, BooleanSupplier alive) {
+    return (request, onReply) -> {
+      boolean[] over = new boolean[1];
+      Consumer<HttpCaller.Reply> once =
+          reply -> {
+            if (!over[0] && alive.getAsBoolean()) {
+              over[0] = true;
+              onReply.accept(reply);
+            }
+          };
+      long timeout = request.timeout().toMillis();
+      String way = from + " " + host(request.address());
+      if (cuts.contains(way)) {
+        // A connection that stood before the cut carries the request late; a new one never does.
+        boolean late = random.nextInt(3) == 0;
+        after(
+            timeout,
+            () -> once.accept(late ? HttpCaller.Reply.UNKNOWN : HttpCaller.Reply.NOT_SENT));
+        if (late) {
+          after(timeout + random.nextInt(60_000), () -> deliver(request, answer -> {}));
+        }
+        return;
+      }
+      if (!servers.containsKey(request.address())) {
+        after(1, () -> once.accept(HttpCaller.Reply.NOT_SENT));
+        return;
+      }
+      boolean lost = random.nextDouble() < lossy;
+      boolean late = lost && random.nextBoolean();
+      after(timeout, () -> once.accept(HttpCaller.Reply.UNKNOWN));
+      after(
+          late ? random.nextInt(40_000) : 1 + random.nextInt(8),
+          () ->
+              deliver(
+                  request,
+                  answer -> {
+                    if (!lost && !cuts.contains(way)) {
+                      after(
+                          1 + random.nextInt(5),
+                          () ->
+                              once.accept(
+                                  HttpCaller.Reply.answered(answer.status(), answer.body())));
+                    }
+                  }));
+    };
+  }
+
+  private void deliver(HttpCaller.Request request, Consumer<HttpAnswer> onAnswer) {
+    HttpHandlerAsync server = servers.get(request.address());
+    if (server != null) {
+      byte[] body = request.body() == null ? new byte[0] : request.body();
+      server.handle(request.method(), request.path(), body, onAnswer);
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/io/pineladder/wire/JobWireTest.java
@@ -0,0 +1,112 @@
+package io.pineladder.wire;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import io.pineladder.model.Job;
+import io.pineladder.model.JobSpec;
+import io.pineladder.store.Records;
+import java.nio.charset.StandardCharsets;
+import java.time.Instant;
+import java.util.BitSet;
+import java.util.random.RandomGenerator;
+import java.util.random.RandomGeneratorFactory;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class JobWireTest {
+  private static final String GOOD =
+      """
+      {"ref":"req-000412","jobclass":"train","owner":"vision","shape":"group","rank":"urgent",
+       "pieces":16,"vcpus":8.5,"cards":1.0,"memory_gb":64.0,"bundle":"img-07","image_gb":6.2,
+       "hulls":["g8"],"yard":null,"together":true,"spread":false,"loaners":true,"guess_s":240.0,
+       "mark_every_s":30.0,"stow_s":4.0,"due_s":900.0,"novelty":[1]}""";
+
+  private static byte[] utf8(String text) {
+    return text.getBytes(StandardCharsets.UTF_8);
+  }
+
+  @Test
+  void whatIsStoredReadsBackTheSame() throws MalformedException {
+    JobSpec spec = JobWire.parse(utf8(GOOD));
+    BitSet done = new BitSet();
+    done.set(3);
+    done.set(5, 9);
+    var stored =
+        RecordWire.parseJob(
+            RecordWire.job(spec, Instant.ofEpochMilli(77), Job.State.CANCELLED, done, 100));
+    assertEquals(spec, stored.spec());
+    assertEquals(done, stored.done());
+    assertEquals(Job.State.CANCELLED, stored.state());
+    assertEquals(Instant.ofEpochMilli(77), stored.acceptedAt());
+  }
+
+  @ParameterizedTest
+  @CsvSource(
+      delimiter = '|',
+      quoteCharacter = '`',
+      value = {
+        "\"pieces\":16|\"pieces\":0",
+        "\"pieces\":16|\"pieces\":100001",
+        "\"pieces\":16|\"pieces\":1.5",
+        "\"pieces\":16|\"pieces\":\"16\"",
+        "\"vcpus\":8.5|\"vcpus\":-1",
+        "\"vcpus\":8.5|\"vcpus\":null",
+        "\"shape\":\"group\"|\"shape\":\"heap\"",
+        "\"rank\":\"urgent\"|\"rank\":7",
+        "\"ref\":\"req-000412\"|\"ref\":\"job-1\"",
+        "\"ref\":\"req-000412\"|\"ref\":\"req-a/b\"",
+        "\"hulls\":[\"g8\"]|\"hulls\":[8]",
+        "\"together\":true|\"together\":1",
+        "\"due_s\":900.0|\"due_s\":\"soon\"",
+        "\"bundle\":\"img-07\"|\"bundle\":\"\"",
+        "{\"ref\"|[{\"ref\"",
+      })
+  void refusesWhatIsMalformed(String part, String instead) {
+    String bad = GOOD.replace(part, instead);
+    assertThrows(MalformedException.class, () -> JobWire.parse(utf8(bad)), bad);
+  }
+
+  @ParameterizedTest
+  @ValueSource(strings = {"", "7", "null", "[]", "{", "{} x"})
+  void refusesWhatIsNoObject(String body) {
+    assertThrows(MalformedException.class, () -> JobWire.parse(utf8(body)));
+  }
+
+  @Test
+  void refusesABodyOver64KiB() {
+    String padded = GOOD.replace("[1]", "\"" + "x".repeat(JobWire.MAX_BODY) + "\"");
+    assertThrows(MalformedException.class, () -> JobWire.parse(utf8(padded)));
+  }
+
+  /** The worst pattern of completions, and random ones, against a plain walk over the bits. */
+  @ParameterizedTest
+  @ValueSource(ints = {4 * 1024, 8 * 1024, 32 * 1024})
+  void everyPageOfAHugeJobFitsItsValue(int valueBytes) throws MalformedException {
+    int page = Records.pageTasks(valueBytes);
+    int tasks = 100_000;
+    RandomGenerator random = RandomGeneratorFactory.of("L64X128MixRandom").create(valueBytes);
+    BitSet done = new BitSet();
+    for (int task = 0; task < tasks; task++) {
+      if (task < tasks / 2 ? task % 2 == 1 : random.nextInt(3) == 0) {
+        done.set(task);
+      }
+    }
+    BitSet read = new BitSet();
+    for (int from = 0; from < tasks; from += page) {
+      var value =
+          from == 0
+              ? RecordWire.job(
+                  JobWire.parse(utf8(GOOD)), Instant.now(), Job.State.ACTIVE, done, page)
+              : RecordWire.page(done, from, page);
+      int size = Json.bytes(value).length;
+      assertEquals(true, size <= valueBytes, size + " bytes from task " + from);
+      RecordWire.addRanges(value.get("done"), read);
+    }
+    for (int task = 0; task < tasks; task++) {
+      assertEquals(done.get(task), read.get(task));
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/io/pineladder/wire/SettingsReaderTest.java
@@ -0,0 +1,116 @@
+package io.pineladder.wire;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.pineladder.model.Settings;
+import java.time.Duration;
+import org.junit.jupiter.api.Test;
+
+public class SettingsReaderTest {
+  /** A deployment of two zones; {@code member} and the addresses are to be filled in. */
+  public static final String GOOD =
+      """
+      member = "rung-0"
+      area = "a"
+      front = "10.0.0.1:8080"
+      cluster_listen = "10.0.0.1:8081"
+      novelty = 3
+      [[seeds]]
+      member = "rung-1"
+      area = "b"
+      address = "10.0.0.2:8081"
+      [[seeds]]
+      member = "rung-2"
+      area = "a"
+      address = "10.0.0.3:8081"
+      [external]
+      cloud = "10.2.0.2:8443"
+      state = "10.2.0.1:2379"
+      [deployment]
+      count = 3
+      zones = ["a", "b"]
+      time_bound_ms = 100.0
+      [[deployment.teams]]
+      name = "blue"
+      cpus = 0.0
+      cpus_max = 0.0
+      gpus = 4.0
+      gpus_max = 8.0
+      [[deployment.teams]]
+      name = "red"
+      cpus = 0.0
+      cpus_max = 0.0
+      gpus = 0.0
+      gpus_max = 0.0
+      [[deployment.objectives]]
+      kind = "wait"
+      class = "serve"
+      within_s = 6.0
+      share = 0.92
+      [[deployment.objectives]]
+      kind = "guarantee"
+      within_s = 10.0
+      share = 0.97
+      [deployment.workers]
+      report_s = 3.0
+      lease_s = 20.0
+      gang_wait_s = 30.0
+      gang_peer_s = 5.0
+      cancel_s = 40.0
+      [deployment.state]
+      rps = 100.0
+      write_rps = 60.0
+      value_kb = 8.0
+      txn_ops = 12
+      [deployment.cloud]
+      rps = 5.0
+      list_lag_s = 3.0
+      [deployment.resources]
+      core_share = 0.2
+      memory_mb = 250.0
+      max_sockets = 1000
+      """;
+
+  @Test
+  void readsWhatThePlatformHandsOver() throws SettingsReader.BadSettingsException {
+    Settings settings = SettingsReader.parse(GOOD);
+    assertEquals("rung-0", settings.member());
+    assertEquals(2, settings.peers().size());
+    assertEquals(Duration.ofSeconds(20), settings.workers().lease());
+    assertEquals(8192, settings.store().valueBytes());
+    assertEquals(Duration.ofSeconds(6), settings.objectives().get(0).within());
+  }
+
+  @Test
+  void namesEveryFaultInOneMessage() {
+    String bad =
+        GOOD.replace("area = \"a\"\nfront", "front")
+            .replace("txn_ops = 12", "txn_ops = \"many\"")
+            .replace("10.2.0.1:2379", "state.example:99")
+            .replace("lease_s = 20.0", "lease_s = -1.0")
+            .replace("gpus_max = 8.0", "gpus_max = true");
+    var thrown =
+        assertThrows(
+            SettingsReader.BadSettingsException.class, () -> SettingsReader.parse(bad));
+    for (String part :
+        new String[] {
+          "area is missing",
+          "deployment.state.txn_ops is not a number",
+          "external.state is not an IPv4 address",
+          "deployment.workers.lease_s is out of range",
+          "deployment.teams[0].gpus_max is not a number"
+        }) {
+      assertTrue(thrown.getMessage().contains(part), thrown.getMessage());
+    }
+  }
+
+  @Test
+  void saysWhenItIsNoToml() {
+    var thrown =
+        assertThrows(
+            SettingsReader.BadSettingsException.class, () -> SettingsReader.parse("member = "));
+    assertTrue(thrown.getMessage().contains("not TOML"), thrown.getMessage());
+  }
+}
