--- a/src/main/java/io/pineladder/Leader.java
+++ b/src/main/java/io/pineladder/Leader.java
@@ -35,13 +35,13 @@
 import org.slf4j.LoggerFactory;
 
 /** One term of leadership, from reading the store to its end. */
-final class Leader {
+public final class Leader {
   private static final Logger log = LoggerFactory.getLogger(Leader.class);
   private static final Duration WATCH = Duration.ofSeconds(20);
   private static final Duration RETRY = Duration.ofMillis(300);
 
   /** Where a term stands. */
-  enum State {
+  public enum State {
     /** Reading what earlier leaders stored; decides nothing yet. */
     LOADING,
     LEADING,
@@ -180,23 +180,23 @@
     }
   }
 
-  State state() {
+  public State state() {
     return state;
   }
 
-  long term() {
+  public long term() {
     return term;
   }
 
-  Cluster cluster() {
+  public Cluster cluster() {
     return cluster;
   }
 
-  Scheduler scheduler() {
+  public Scheduler scheduler() {
     return scheduler;
   }
 
-  int waitingWrites() {
+  public int waitingWrites() {
     return committer.waiting();
   }
 
@@ -249,7 +249,7 @@
   }
 
   /** Stores what operators have set. */
-  void storeOperator(OperatorSettings operator, Runnable onStored) {
+  public void storeOperator(OperatorSettings operator, Runnable onStored) {
     committer.submit(
         Mutation.of(
             Mutation.Priority.ACCEPT,
@@ -516,7 +516,7 @@
         });
   }
 
-  static JobWire.Status toStatus(Job.State state) {
+  public static JobWire.Status toStatus(Job.State state) {
     return switch (state) {
       case DONE -> JobWire.Status.DONE;
       case CANCELLED -> JobWire.Status.CANCELLED;
@@ -527,7 +527,7 @@
   // ---- users
 
   /** A job's state toward a user; a null status means that nothing certain can be said. */
-  record View(JobWire.Status status, int done, int running) {
+  public record View(JobWire.Status status, int done, int running) {
     static final View UNKNOWN = new View(null, 0, 0);
   }
 
@@ -544,12 +544,12 @@
   }
 
   /** Whether the job is known here, so that a repeated submission is no new one. */
-  boolean knows(String id) {
+  public boolean knows(String id) {
     return cluster.jobs.containsKey(id) || accepting.containsKey(id);
   }
 
   /** Stores a new job; the answer follows the commit. Null: nothing certain can be said. */
-  void submit(JobSpec spec, Consumer<JobWire.Status> onDone, Consumer<View> onKnown) {
+  public void submit(JobSpec spec, Consumer<JobWire.Status> onDone, Consumer<View> onKnown) {
     String id = spec.id();
     Job known = cluster.jobs.get(id);
     if (known != null) {
@@ -592,7 +592,7 @@
   }
 
   /** A job's state, from memory or a fresh read; {@code null} when no such job exists. */
-  void view(String id, Consumer<View> onDone) {
+  public void view(String id, Consumer<View> onDone) {
     Job job = cluster.jobs.get(id);
     if (job != null) {
       onDone.accept(viewOf(job));
@@ -614,7 +614,7 @@
   }
 
   /** Cancels a job; the answer follows the commit. */
-  void cancel(String id, Consumer<View> onDone) {
+  public void cancel(String id, Consumer<View> onDone) {
     Job job = cluster.jobs.get(id);
     if (job == null) {
       adopt(
@@ -645,7 +645,7 @@
   // ---- workers
 
   /** Answers a report, or returns null when the worker must go elsewhere. */
-  byte[] onReport(WorkerWire.Report report) {
+  public byte[] onReport(WorkerWire.Report report) {
     if (state != State.LEADING) {
       // The store is still being read: the lease is kept and our token learned, nothing more.
       return state == State.LOADING && host.mayAct()
--- a/src/main/java/io/pineladder/Node.java
+++ b/src/main/java/io/pineladder/Node.java
@@ -32,11 +32,11 @@
   private static final Duration CLOUD_TIMEOUT = Duration.ofSeconds(3);
   private static final int FINALS_KEPT = 20_000;
 
-  final Settings settings;
-  final Timeline time;
-  final HttpCaller http;
-  final StoreClient store;
-  final Election election;
+  private final Settings settings;
+  private final Timeline time;
+  private final HttpCaller http;
+  private final StoreClient store;
+  private final Election election;
 
   /** Final states never change, so any copy of them may be told. */
   private final Cache<String, JobWire.Status> finals =
@@ -132,30 +132,50 @@
     }
   }
 
+  public Settings settings() {
+    return settings;
+  }
+
+  public Timeline time() {
+    return time;
+  }
+
+  public HttpCaller http() {
+    return http;
+  }
+
+  public StoreClient store() {
+    return store;
+  }
+
+  public Election election() {
+    return election;
+  }
+
   /** The leader when this node may act as such now, or null. */
-  Leader actingLeader() {
+  public Leader actingLeader() {
     boolean leading = leader != null && leader.state() == Leader.State.LEADING;
     return leading && election.isValid() ? leader : null;
   }
 
   /** The leader's memory while this node holds the term, certain or in doubt, or null. */
-  Leader termHolder() {
+  public Leader termHolder() {
     return election.holdsTerm() ? leader : null;
   }
 
-  JobWire.Status finalState(String job) {
+  public JobWire.Status finalState(String job) {
     return finals.getIfPresent(job);
   }
 
-  void learnFinal(String job, JobWire.Status status) {
+  public void learnFinal(String job, JobWire.Status status) {
     finals.put(job, status);
   }
 
-  List<MachineType> types() {
+  public List<MachineType> types() {
     return types;
   }
 
-  OperatorSettings operator() {
+  public OperatorSettings operator() {
     return operator;
   }
 
--- /dev/null
+++ b/src/main/java/io/pineladder/admin/AdminApi.java
@@ -0,0 +1,169 @@
+package io.pineladder.admin;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.pineladder.Leader;
+import io.pineladder.Node;
+import io.pineladder.model.Machine;
+import io.pineladder.model.OperatorSettings;
+import io.pineladder.net.HttpAnswer;
+import io.pineladder.wire.Json;
+import io.pineladder.wire.MalformedException;
+import io.pineladder.wire.RecordWire;
+import java.time.Duration;
+import java.util.Locale;
+import java.util.function.Consumer;
+
+/**
+ * The administration API, on the cluster listener: what a controller knows, and the settings that
+ * operators may change. What only the leader knows is asked of the leader.
+ */
+public final class AdminApi {
+  public static final String PREFIX = "/admin/v1/";
+
+  private static final Duration STORE_TIMEOUT = Duration.ofSeconds(3);
+
+  private final Node node;
+  private final Metrics metrics;
+
+  public AdminApi(Node node, Metrics metrics) {
+    this.node = node;
+    this.metrics = metrics;
+  }
+
+  /** Whether a request is to be answered by the leader, whichever node gets it. */
+  public boolean isLeadersMatter(String method, String path) {
+    return switch (path) {
+      case PREFIX + "queue", PREFIX + "machines" -> method.equals("GET");
+      case PREFIX + "settings" -> method.equals("PUT");
+      default -> false;
+    };
+  }
+
+  private static HttpAnswer json(int status, ObjectNode body) {
+    return new HttpAnswer(status, Json.bytes(body));
+  }
+
+  private static HttpAnswer error(int status, String reason) {
+    return json(status, Json.object().put("error", reason));
+  }
+
+  /** What any node can answer itself. */
+  public void handle(String method, String path, Consumer<HttpAnswer> answer) {
+    boolean known =
+        switch (path) {
+          case PREFIX + "status",
+              PREFIX + "metrics",
+              PREFIX + "settings",
+              PREFIX + "queue",
+              PREFIX + "machines" -> true;
+          default -> false;
+        };
+    if (!known) {
+      answer.accept(error(404, "no such path"));
+    } else if (!method.equals("GET")) {
+      answer.accept(error(405, "use GET"));
+    } else {
+      answer.accept(
+          json(
+              200,
+              switch (path) {
+                case PREFIX + "status" -> status();
+                case PREFIX + "metrics" -> metrics.read();
+                default -> RecordWire.operator(node.operator());
+              }));
+    }
+  }
+
+  private ObjectNode status() {
+    var known = node.election().known();
+    Leader leader = node.termHolder();
+    return Json.object()
+        .put("member", node.settings().member())
+        .put("zone", node.settings().zone())
+        .put("leadership", node.election().state().name().toLowerCase(Locale.ROOT))
+        .put("leader", known == null ? null : known.member())
+        .put("term", leader == null ? node.election().knownVersion() : leader.term())
+        .put("store_healthy", node.store().isHealthy())
+        .put("machine_types", node.types().size());
+  }
+
+  /** What only the leader can answer. */
+  public void lead(
+      Leader leader, String method, String path, byte[] body, Consumer<HttpAnswer> answer) {
+    switch (path) {
+      case PREFIX + "queue" -> answer.accept(json(200, queue(leader)));
+      case PREFIX + "machines" -> answer.accept(json(200, machines(leader)));
+      case PREFIX + "settings" -> change(leader, body, answer);
+      default -> answer.accept(error(404, "no such path"));
+    }
+  }
+
+  private static ObjectNode queue(Leader leader) {
+    ObjectNode out =
+        Json.object()
+            .put("term", leader.term())
+            .put("jobs", leader.cluster().jobs.size())
+            .put("waiting_writes", leader.waitingWrites());
+    ObjectNode places = out.putObject("entries");
+    leader
+        .scheduler()
+        .queue()
+        .sizes()
+        .forEach((place, size) -> places.put(place.name().toLowerCase(Locale.ROOT), size));
+    ObjectNode parked = out.putObject("parked");
+    leader
+        .scheduler()
+        .queue()
+        .parked()
+        .forEach((check, size) -> parked.put(check.name().toLowerCase(Locale.ROOT), size));
+    return out;
+  }
+
+  private static ObjectNode machines(Leader leader) {
+    ObjectNode out = Json.object();
+    ArrayNode list = out.putArray("machines");
+    for (Machine machine : leader.cluster().machines.values()) {
+      list.addObject()
+          .put("name", machine.name)
+          .put("type", machine.type.name())
+          .put("zone", machine.zone)
+          .put("spot", machine.spot)
+          .put("state", machine.state().name().toLowerCase(Locale.ROOT))
+          .put("used_cpus", machine.used.cpus())
+          .put("used_gpus", machine.used.gpus())
+          .put("attempts", machine.attempts.size())
+          .put("images", machine.images.size());
+    }
+    return out;
+  }
+
+  /** Checks new settings, stores them, and answers when they are stored. */
+  private void change(Leader leader, byte[] body, Consumer<HttpAnswer> answer) {
+    OperatorSettings wanted;
+    try {
+      wanted = RecordWire.parseOperator(Json.parseObject(body), node.operator());
+    } catch (MalformedException e) {
+      answer.accept(error(400, e.getMessage()));
+      return;
+    }
+    boolean[] given = new boolean[1];
+    leader.storeOperator(
+        wanted,
+        () -> {
+          if (!given[0]) {
+            given[0] = true;
+            answer.accept(json(200, RecordWire.operator(wanted)));
+          }
+        });
+    node.time()
+        .after(
+            STORE_TIMEOUT,
+            () -> {
+              if (!given[0]) {
+                given[0] = true;
+                answer.accept(error(503, "not stored yet"));
+              }
+            });
+  }
+}
--- a/src/main/java/io/pineladder/cli/Main.java
+++ b/src/main/java/io/pineladder/cli/Main.java
@@ -1,9 +1,11 @@
 package io.pineladder.cli;
 
-import io.pineladder.Front;
 import io.pineladder.Node;
+import io.pineladder.admin.Metrics;
+import io.pineladder.front.Front;
 import io.pineladder.model.Settings;
 import io.pineladder.net.HttpCaller;
+import io.pineladder.net.HttpHandlerAsync;
 import io.pineladder.net.UndertowCaller;
 import io.pineladder.net.XnioRuntime;
 import io.pineladder.wire.SettingsReader;
@@ -21,7 +23,7 @@
 import picocli.CommandLine.Model.PositionalParamSpec;
 import picocli.CommandLine.ParseResult;
 
-/** The program: serves, or checks a settings file. */
+/** The program: serves, checks a settings file, or talks to a controller's administration API. */
 public final class Main {
   static final int EXIT_OK = 0;
   static final int EXIT_FAILURE = 1;
@@ -49,6 +51,7 @@
         ParseResult sub = parsed.subcommand();
         return switch (sub.commandSpec().name()) {
           case "check" -> check(sub.matchedPositionalValue(0, Path.of("")));
+          case "admin" -> AdminCommand.run(sub);
           case "train" -> Training.run();
           default -> EXIT_USAGE;
         };
@@ -80,6 +83,7 @@
                     .description("settings file to check")
                     .build());
     check.usageMessage().description("Checks a settings file and names all its faults.");
+    CommandSpec admin = AdminCommand.spec();
     CommandSpec train = CommandSpec.create().name("train");
     train.usageMessage().hidden(true);
     CommandSpec root =
@@ -94,6 +98,7 @@
                     .description("serve with this settings file")
                     .build())
             .addSubcommand("check", check)
+            .addSubcommand("admin", admin)
             .addSubcommand("train", train);
     root.usageMessage().description("A cluster scheduler. With --config it serves.");
     return root;
@@ -149,8 +154,8 @@
     byte[] nonce = new byte[12];
     RandomGenerator.of("SecureRandom").nextBytes(nonce);
     Node node = new Node(settings, runtime, http, HexFormat.of().formatHex(nonce));
-    Front front = new Front(node);
-    Map<String, io.pineladder.net.HttpHandlerAsync> listeners = new LinkedHashMap<>();
+    Front front = new Front(node, new Metrics());
+    Map<String, HttpHandlerAsync> listeners = new LinkedHashMap<>();
     listeners.put(settings.frontAddress(), front::handle);
     listeners.put(settings.clusterAddress(), front::handleCluster);
     runtime.serve(listeners);
--- a/src/main/java/io/pineladder/Front.java
+++ b/src/main/java/io/pineladder/front/Front.java
@@ -1,5 +1,9 @@
-package io.pineladder;
+package io.pineladder.front;
 
+import io.pineladder.Leader;
+import io.pineladder.Node;
+import io.pineladder.admin.AdminApi;
+import io.pineladder.admin.Metrics;
 import io.pineladder.model.Job;
 import io.pineladder.model.JobSpec;
 import io.pineladder.model.MachineType;
@@ -15,7 +19,6 @@
 import io.pineladder.wire.RecordWire;
 import io.pineladder.wire.StoreWire;
 import io.pineladder.wire.WorkerWire;
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
@@ -39,6 +42,8 @@
   private static final byte[] EMPTY = new byte[0];
 
   private final Node node;
+  private final Metrics metrics;
+  private final AdminApi admin;
   private Instant peerAt;
   private Instant leaderFailedAt;
 
@@ -48,8 +53,10 @@
   private int failedPings;
   private boolean ready;
 
-  public Front(Node node) {
+  public Front(Node node, Metrics metrics) {
     this.node = node;
+    this.metrics = metrics;
+    this.admin = new AdminApi(node, metrics);
   }
 
   public void start() {
@@ -59,7 +66,16 @@
   // ---- paths
 
   /** What users, workers and the load balancer ask. */
-  public void handle(String method, String path, byte[] body, Consumer<HttpAnswer> answer) {
+  public void handle(String method, String path, byte[] body, Consumer<HttpAnswer> onAnswer) {
+    Instant begun = node.time().now();
+    Consumer<HttpAnswer> answer =
+        http -> {
+          metrics.answered(
+              Metrics.Operation.of(method, path),
+              http.status(),
+              Duration.between(begun, node.time().now()));
+          onAnswer.accept(http);
+        };
     String plain = path.indexOf('?') < 0 ? path : path.substring(0, path.indexOf('?'));
     switch (plain) {
       case "/ready" -> {
@@ -142,18 +158,18 @@
   private void forward(
       String method, String path, byte[] body, Consumer<HttpAnswer> answer, Runnable alone) {
     List<String> ways = new ArrayList<>();
-    RecordWire.LeaderRecord known = node.election.known();
-    boolean other = known != null && !known.member().equals(node.settings.member());
-    Instant now = node.time.now();
+    RecordWire.LeaderRecord known = node.election().known();
+    boolean other = known != null && !known.member().equals(node.settings().member());
+    Instant now = node.time().now();
     boolean failed =
         (leaderFailedAt != null && leaderFailedAt.plusMillis(1000).isAfter(now))
             || (other && known.equals(unreachable));
     if (other && !failed) {
       ways.add(known.address());
     }
-    if (!node.store.isHealthy()) {
+    if (!node.store().isHealthy()) {
       // Cut off from the store this node may know an old leader only; its peers may know better.
-      for (Settings.Peer peer : node.settings.peers()) {
+      for (Settings.Peer peer : node.settings().peers()) {
         if (!ways.contains(peer.address())) {
           ways.add(peer.address());
         }
@@ -173,7 +189,7 @@
       return;
     }
     String way = ways.get(from);
-    node.http.call(
+    node.http().call(
         Request.post(
             way,
             PeerWire.PATH,
@@ -182,7 +198,7 @@
         reply -> {
           try {
             if (reply.is(200)) {
-              peerAt = node.time.now();
+              peerAt = node.time().now();
               PeerWire.Answer got = PeerWire.parseAnswer(reply.body());
               if (got.decided()) {
                 answer.accept(got.answer());
@@ -192,9 +208,9 @@
           } catch (MalformedException e) {
             log.warn("a peer's answer is malformed");
           }
-          RecordWire.LeaderRecord known = node.election.known();
+          RecordWire.LeaderRecord known = node.election().known();
           if (known != null && known.address().equals(way)) {
-            leaderFailedAt = node.time.now();
+            leaderFailedAt = node.time().now();
           }
           forwardTo(ways, from + 1, forward, answer, alone);
         });
@@ -209,8 +225,8 @@
       answer.accept(error(400, e.getMessage()));
       return;
     }
-    peerAt = node.time.now();
-    RecordWire.LeaderRecord known = node.election.known();
+    peerAt = node.time().now();
+    RecordWire.LeaderRecord known = node.election().known();
     String name = known == null ? null : known.member();
     Consumer<HttpAnswer> decided =
         http -> answer.accept(ok(PeerWire.write(new PeerWire.Answer(true, http, name))));
@@ -223,7 +239,7 @@
       lead(leader, forward.method(), forward.path(), forward.body(), decided);
       return;
     }
-    boolean other = known != null && !known.member().equals(node.settings.member());
+    boolean other = known != null && !known.member().equals(node.settings().member());
     if (forward.hops() <= 0 || !other) {
       undecided.run();
       return;
@@ -247,6 +263,10 @@
       answer.accept(ok(EMPTY));
       return;
     }
+    if (path.startsWith(AdminApi.PREFIX)) {
+      admin.lead(leader, method, path, body, answer);
+      return;
+    }
     if (path.equals("/v1/jobs")) {
       try {
         submitTo(leader, JobWire.parse(body), once(answer, COMMIT_TIMEOUT));
@@ -258,7 +278,7 @@
     String rest = path.substring("/v1/jobs/".length());
     if (method.equals("POST")) {
       String id = rest.substring(0, rest.length() - "/cancel".length());
-      if (!node.store.isHealthy()) {
+      if (!node.store().isHealthy()) {
         answer.accept(later("the state service is not available"));
         return;
       }
@@ -280,7 +300,7 @@
             answer.accept(http);
           }
         };
-    node.time.after(within, () -> first.accept(later("not certain yet")));
+    node.time().after(within, () -> first.accept(later("not certain yet")));
     return first;
   }
 
@@ -330,7 +350,7 @@
         return;
       }
     }
-    if (!node.store.isHealthy()) {
+    if (!node.store().isHealthy()) {
       answer.accept(later("the state service is not available"));
       return;
     }
@@ -349,7 +369,7 @@
   /** Why a job can never run, or null. */
   private String neverRuns(JobSpec spec) {
     Team team = null;
-    for (Team each : node.settings.teams()) {
+    for (Team each : node.settings().teams()) {
       if (each.name().equals(spec.team())) {
         team = each;
       }
@@ -375,7 +395,7 @@
    * conditions, and an entry in the inbox tells the next leader.
    */
   private void submitAlone(JobSpec spec, Consumer<HttpAnswer> answer) {
-    if (node.types().isEmpty() || !node.store.isHealthy()) {
+    if (node.types().isEmpty() || !node.store().isHealthy()) {
       answer.accept(later("no leader"));
       return;
     }
@@ -394,14 +414,14 @@
                 Keys.JOB + id,
                 RecordWire.job(
                     spec,
-                    node.time.timeOfDay(),
+                    node.time().timeOfDay(),
                     Job.State.ACTIVE,
                     new BitSet(),
                     0))
-            .put(Keys.INBOX + id, Json.object().put("by", node.settings.member()))
+            .put(Keys.INBOX + id, Json.object().put("by", node.settings().member()))
             .bytes();
-    node.store.urgent(
-        node.store.post("/multi", body),
+    node.store().urgent(
+        node.store().post("/multi", body),
         reply -> {
           if (reply.is(200)) {
             log.info("job {} accepted without a leader", id);
@@ -416,7 +436,7 @@
   }
 
   private void alone(String id, boolean cancel, Consumer<HttpAnswer> answer) {
-    if (!node.store.isHealthy()) {
+    if (!node.store().isHealthy()) {
       answer.accept(later("no leader"));
       return;
     }
@@ -426,7 +446,7 @@
   /** Answers from a fresh read of the store; a cancel gets an answer only when the job is over. */
   private void readAlone(String id, boolean cancel, Consumer<HttpAnswer> answer) {
     // A job moves from the first key to the second in one transaction, so this order misses none.
-    node.store.read(
+    node.store().read(
         Keys.JOB + id,
         read -> {
           if (!read.certain()) {
@@ -437,7 +457,7 @@
             tellStored(id, cancel, read.entry(), answer);
             return;
           }
-          node.store.read(
+          node.store().read(
               Keys.END + id,
               end -> {
                 if (!end.certain()) {
@@ -499,13 +519,13 @@
     } else if (holder != null) {
       holder.onReport(report);
     }
-    RecordWire.LeaderRecord known = node.election.known();
-    boolean other = known != null && !known.member().equals(node.settings.member());
-    if (other && keepsAlive(known) && report.token() <= node.election.knownVersion()) {
+    RecordWire.LeaderRecord known = node.election().known();
+    boolean other = known != null && !known.member().equals(node.settings().member());
+    if (other && keepsAlive(known) && report.token() <= node.election().knownVersion()) {
       answer.accept(
           ok(
               WorkerWire.reportResponse(
-                  node.election.knownVersion(), new WorkerWire.Orders())));
+                  node.election().knownVersion(), new WorkerWire.Orders())));
       return;
     }
     answer.accept(new HttpAnswer(421, WorkerWire.redirect(other ? known.member() : null)));
@@ -517,13 +537,13 @@
    * no orders. No leader ever takes the end of a worker's lease as proof, so prolonging it is safe.
    */
   private boolean keepsAlive(RecordWire.LeaderRecord known) {
-    return known.equals(unreachable) && node.store.isHealthy();
+    return known.equals(unreachable) && node.store().isHealthy();
   }
 
   // ---- readiness
 
   private boolean isRecent(Instant at) {
-    return at != null && at.plus(CONTACT).isAfter(node.time.now());
+    return at != null && at.plus(CONTACT).isAfter(node.time().now());
   }
 
   /**
@@ -532,7 +552,7 @@
    */
   private boolean isReady() {
     boolean now =
-        node.actingLeader() != null || isRecent(node.store.answeredAt()) || isRecent(peerAt);
+        node.actingLeader() != null || isRecent(node.store().answeredAt()) || isRecent(peerAt);
     if (now != ready) {
       log.info("ready: {}", now);
       ready = now;
@@ -542,19 +562,19 @@
 
   private void ping() {
     byte[] body = PeerWire.write(new PeerWire.Forward("GET", "/ready", EMPTY, 0));
-    RecordWire.LeaderRecord known = node.election.known();
-    boolean other = known != null && !known.member().equals(node.settings.member());
-    boolean cutOff = !isRecent(node.store.answeredAt());
-    for (Settings.Peer peer : node.settings.peers()) {
+    RecordWire.LeaderRecord known = node.election().known();
+    boolean other = known != null && !known.member().equals(node.settings().member());
+    boolean cutOff = !isRecent(node.store().answeredAt());
+    for (Settings.Peer peer : node.settings().peers()) {
       boolean leads = other && peer.address().equals(known.address());
       if (!leads && !cutOff) {
         continue;
       }
-      node.http.call(
+      node.http().call(
           Request.post(peer.address(), PeerWire.PATH, body, FORWARD_TIMEOUT),
           reply -> {
             if (reply.is(200)) {
-              peerAt = node.time.now();
+              peerAt = node.time().now();
             }
             if (leads) {
               failedPings = reply.is(200) ? 0 : failedPings + 1;
@@ -562,16 +582,17 @@
             }
           });
     }
-    node.time.after(PING, this::ping);
+    node.time().after(PING, this::ping);
   }
 
   /** What arrives on the cluster listener. */
   public void handleCluster(String method, String path, byte[] body, Consumer<HttpAnswer> answer) {
     if (path.equals(PeerWire.PATH)) {
       handlePeer(body, answer);
+    } else if (admin.isLeadersMatter(method, path)) {
+      serve(method, path, body, answer, () -> answer.accept(later("no leader")));
     } else {
-      answer.accept(
-          new HttpAnswer(404, "{}".getBytes(StandardCharsets.UTF_8)));
+      admin.handle(method, path, answer);
     }
   }
 }
--- a/src/test/java/io/pineladder/sim/ClusterSimulationTest.java
+++ b/src/test/java/io/pineladder/sim/ClusterSimulationTest.java
@@ -4,8 +4,9 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import io.pineladder.Front;
 import io.pineladder.Node;
+import io.pineladder.admin.Metrics;
+import io.pineladder.front.Front;
 import io.pineladder.model.Settings;
 import io.pineladder.net.HttpCaller;
 import io.pineladder.net.Timeline;
@@ -99,7 +100,7 @@
     Timeline time = world.timeline(() -> alive[0], rate);
     HttpCaller http = world.caller("10.0.0." + (controller.index + 1), () -> alive[0]);
     Node node = new Node(settings, time, http, "nonce-" + world.random.nextLong());
-    Front front = new Front(node);
+    Front front = new Front(node, new Metrics());
     world.serve(settings.frontAddress(), front::handle);
     world.serve(settings.clusterAddress(), front::handleCluster);
     node.start();
