--- a/src/main/java/io/pineladder/scheduling/Scheduler.java
+++ b/src/main/java/io/pineladder/scheduling/Scheduler.java
@@ -273,6 +273,11 @@
     }
     if (state == Attempt.State.RUNNING && attempt.runningSince == null) {
       attempt.runningSince = time.now();
+      log.debug(
+          "{} runs {} after its placement, {} after the job came",
+          attempt,
+          Duration.between(attempt.since, time.now()),
+          Duration.between(attempt.job.acceptedAt, time.timeOfDay()));
     }
     cluster.move(attempt, state);
   }
@@ -525,6 +530,12 @@
       machine.reserved = Resources.NONE;
     }
     job.pending.clear(task);
+    log.debug(
+        "{}/{} goes to {} ({} s of fetching)",
+        job,
+        task,
+        machine,
+        Placer.fetchSeconds(job, machine));
     cluster.addAttempt(job, task, number, machine, now, Attempt.State.STORING);
     records.machineDue(machine);
   }
