Displace lower work where the image is when fetching would make a task late

Cause: beaconmap starts that missed 6 s all fetched their image (8 to 10 s) on a fresh machine while arrays sat on warm ones; churnfit and badgegate likewise (50 to 80 s). Ruled out: queueing, store.

--- a/src/main/java/io/pineladder/scheduling/Placer.java
+++ b/src/main/java/io/pineladder/scheduling/Placer.java
@@ -77,6 +77,16 @@
         && !job.avoid.contains(machine.name);
   }
 
+  /** Whether one more task there keeps to the job's wishes about zones. */
+  static boolean mayTake(Job job, Machine machine) {
+    Map<String, Integer> zones = byZone(job);
+    if (job.spec.together() && !zones.isEmpty() && !zones.containsKey(machine.zone)) {
+      return false;
+    }
+    return !job.spec.spread()
+        || zones.getOrDefault(machine.zone, 0) < (job.spec.tasks() + 1) / 2;
+  }
+
   /** What a job may take of a machine: free room less what is kept there for another job. */
   static Resources room(Job job, Machine machine, Instant now) {
     Resources free = machine.free();
--- a/src/main/java/io/pineladder/scheduling/Preemptor.java
+++ b/src/main/java/io/pineladder/scheduling/Preemptor.java
@@ -24,8 +24,24 @@
   /** Attempts to stop on one machine. */
   record Plan(Machine machine, List<Attempt> victims) {}
 
-  /** Room for one task of the job, or null when nothing may be stopped for it. */
-  Plan plan(Job job, Instant now) {
+  /** Whether work stopped for this job is still leaving its machine. */
+  boolean isWaiting(Job job, Instant now) {
+    for (Machine machine : cluster.machines.values()) {
+      if (machine.reservedFor == job
+          && machine.reservedUntil.isAfter(now)
+          && machine.takesWork()
+          && !job.spec.each().fitsIn(machine.free())) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /**
+   * Room for one task of the job where its image takes at most so long to arrive, or null when
+   * nothing may be stopped for it.
+   */
+  Plan plan(Job job, double mostFetchSeconds, Instant now) {
     JobSpec spec = job.spec;
     if (spec.shape() == Shape.GANG && spec.tasks() > 1) {
       // Stopping work for a part of a gang frees room that the gang may not be able to use.
@@ -38,13 +54,12 @@
     Plan best = null;
     double bestLoss = Double.MAX_VALUE;
     for (Machine machine : cluster.machines.values()) {
-      if (!machine.takesWork() || !Placer.isAllowed(job, machine)) {
+      if (!machine.takesWork()
+          || !Placer.isAllowed(job, machine)
+          || !Placer.mayTake(job, machine)
+          || Placer.fetchSeconds(job, machine) > mostFetchSeconds) {
         continue;
       }
-      if (machine.reservedFor == job && machine.reservedUntil.isAfter(now)) {
-        // Its victims are still leaving.
-        return null;
-      }
       List<Attempt> victims = victims(job, machine, guaranteed, now);
       if (victims == null) {
         continue;
--- a/src/main/java/io/pineladder/scheduling/Scheduler.java
+++ b/src/main/java/io/pineladder/scheduling/Scheduler.java
@@ -465,6 +465,9 @@
         reject(entry, decision.rejectedBy(), now);
         return;
       }
+      if (job.spec.tasks() == 1 && waitsForWarmRoom(entry, decision.machines().get(0), now)) {
+        return;
+      }
       long number = nextNumber();
       for (int task = 0; task < job.spec.tasks(); task++) {
         start(job, task, number, decision.machines().get(task), now);
@@ -485,6 +488,9 @@
         reject(entry, decision.rejectedBy(), now);
         return;
       }
+      if (waitsForWarmRoom(entry, decision.machines().get(0), now)) {
+        return;
+      }
       start(job, task, nextNumber(), decision.machines().get(0), now);
       entry.progressed();
     }
@@ -492,20 +498,47 @@
   }
 
   private void reject(QueueEntry entry, Check by, Instant now) {
-    if (by == Check.FIT || by == Check.SPREAD || by == Check.TOGETHER) {
-      Preemptor.Plan plan = preemptor.plan(entry.job, now);
-      if (plan != null) {
-        Machine machine = plan.machine();
-        log.info("{} displaces {} on {}", entry.job, plan.victims(), machine);
-        machine.reservedFor = entry.job;
-        machine.reserved = entry.job.spec.each();
-        machine.reservedUntil = now.plus(RESERVATION);
-        plan.victims().forEach(victim -> displace(victim));
-      }
+    boolean room = by == Check.FIT || by == Check.SPREAD || by == Check.TOGETHER;
+    if (room && !preemptor.isWaiting(entry.job, now)) {
+      makeRoom(entry.job, Double.MAX_VALUE, now);
     }
     queue.park(entry, by, now);
   }
 
+  private boolean makeRoom(Job job, double mostFetchSeconds, Instant now) {
+    Preemptor.Plan plan = preemptor.plan(job, mostFetchSeconds, now);
+    if (plan == null) {
+      return false;
+    }
+    Machine machine = plan.machine();
+    log.info("{} displaces {} on {}", job, plan.victims(), machine);
+    machine.reservedFor = job;
+    machine.reserved = job.spec.each();
+    machine.reservedUntil = now.plus(RESERVATION);
+    plan.victims().forEach(this::displace);
+    return true;
+  }
+
+  /**
+   * There is room, but fetching the image there would make the task late, while work of lower
+   * priority sits where the image is: then that work makes way, and the entry waits for it.
+   */
+  private boolean waitsForWarmRoom(QueueEntry entry, Machine cold, Instant now) {
+    Job job = entry.job;
+    double fetch = Placer.fetchSeconds(job, cold);
+    Duration left =
+        Duration.between(time.timeOfDay(), job.acceptedAt.plus(allowance(job.spec)));
+    double seconds = left.toMillis() / 1000.0;
+    if (fetch < 1 || seconds < 0 || fetch < seconds) {
+      return false;
+    }
+    if (!preemptor.isWaiting(job, now) && !makeRoom(job, seconds, now)) {
+      return false;
+    }
+    queue.park(entry, Check.FIT, now);
+    return true;
+  }
+
   /** Stops an attempt to free its room; the rest of a gang goes with it. */
   public void displace(Attempt attempt) {
     JobSpec spec = attempt.job.spec;
