--- a/src/main/java/io/pineladder/Leader.java
+++ b/src/main/java/io/pineladder/Leader.java
@@ -571,6 +571,13 @@
             List.of(Keys.END + id),
             () -> {
               List<Consumer<JobWire.Status>> all = accepting.remove(id);
+              log.info(
+                  "job {} accepted: {} x {} of {} for {}",
+                  id,
+                  spec.tasks(),
+                  spec.shape(),
+                  spec.jobClass(),
+                  spec.team());
               scheduler.add(job);
               fleet.accepted(job);
               all.forEach(each -> each.accept(JobWire.Status.PENDING));
--- a/src/main/java/io/pineladder/model/Attempt.java
+++ b/src/main/java/io/pineladder/model/Attempt.java
@@ -64,6 +64,9 @@
   public boolean killSent;
   public Instant runningSince;
 
+  /** When its image should be there. */
+  public Instant readyAt;
+
   /** The session the last start was addressed to; 0 before any. */
   public long sentSession;
 
@@ -88,6 +91,7 @@
     this.number = number;
     this.machine = machine;
     this.since = since;
+    this.readyAt = since;
     this.state = first;
   }
 
--- a/src/main/java/io/pineladder/scheduling/Scheduler.java
+++ b/src/main/java/io/pineladder/scheduling/Scheduler.java
@@ -21,6 +21,7 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -37,6 +38,9 @@
   /** Turns taken before waiting messages are read. */
   private static final int TURNS_A_PASS = 40;
 
+  /** A fetch that takes longer yet is worth a new start where the image is. */
+  private static final Duration WORTH_MOVING = Duration.ofSeconds(6);
+
   private static final Duration RESERVATION = Duration.ofSeconds(20);
 
   /** Different jobs that must fail on a machine before it is taken for faulty. */
@@ -64,6 +68,9 @@
   private final SchedulingQueue queue;
   private final Map<String, QueueEntry> entries = new HashMap<>();
   private final long term;
+  /** Machines on which room has come free since the queue was last empty. */
+  private final Set<Machine> roomy = new LinkedHashSet<>();
+
   private Records records;
   private long numbers;
   private boolean passSet;
@@ -376,6 +383,7 @@
   }
 
   private void freed(Attempt attempt) {
+    roomy.add(attempt.machine);
     Instant now = time.now();
     queue.onEvent(Event.teamFreed(attempt.job.spec.team()), now);
     queue.onEvent(Event.roomFreed(attempt.machine), now);
@@ -400,6 +408,7 @@
 
   /** A machine can take work now, or more than before. */
   public void machineReady(Machine machine) {
+    roomy.add(machine);
     queue.onEvent(Event.machineReady(machine), time.now());
     kick();
   }
@@ -424,6 +433,7 @@
     for (int turn = 0; turn < TURNS_A_PASS; turn++) {
       QueueEntry entry = queue.pop(now);
       if (entry == null) {
+        shortenFetches(now);
         wakeForBackoff();
         return;
       }
@@ -539,6 +549,57 @@
     return true;
   }
 
+  /**
+   * Nothing waits, and there is room where an image is that some task is still fetching elsewhere
+   * for a good while: that task moves there. It has done no work yet, so nothing is lost.
+   */
+  private void shortenFetches(Instant now) {
+    for (Machine machine : roomy) {
+      if (!machine.takesWork()) {
+        continue;
+      }
+      Resources room = machine.free();
+      while (true) {
+        Attempt best = worthMoving(machine, room, now);
+        if (best == null) {
+          break;
+        }
+        log.info("{} moves to {}, which has its image", best, machine);
+        room = room.minus(best.job.spec.each());
+        machine.reservedFor = best.job;
+        machine.reserved = best.job.spec.each();
+        machine.reservedUntil = now.plus(RESERVATION);
+        kill(best, Duration.ZERO);
+      }
+    }
+    roomy.clear();
+  }
+
+  /** The fetching attempt that would gain most by starting on this machine instead, or null. */
+  private Attempt worthMoving(Machine machine, Resources room, Instant now) {
+    Attempt best = null;
+    Instant latest = now.plus(WORTH_MOVING);
+    for (Machine other : cluster.machines.values()) {
+      for (Attempt attempt : other.attempts.values()) {
+        Job job = attempt.job;
+        if (other != machine
+            && attempt.state() == Attempt.State.FETCHING
+            && attempt.isWanted()
+            && attempt.readyAt.isAfter(latest)
+            && (job.spec.shape() != Shape.GANG || job.spec.tasks() == 1)
+            && machine.images.containsKey(job.spec.image())
+            && job.spec.each().fitsIn(room)
+            && job.spec.each().fitsIn(Placer.room(job, machine, now))
+            && Placer.isAllowed(job, machine)
+            && (Placer.mayTake(job, machine) || job.spec.tasks() == 1)) {
+          best = attempt;
+          latest = attempt.readyAt;
+        }
+      }
+    }
+    return best;
+  }
+
   /** Stops an attempt to free its room; the rest of a gang goes with it. */
   public void displace(Attempt attempt) {
     JobSpec spec = attempt.job.spec;
@@ -563,13 +624,11 @@
       machine.reserved = Resources.NONE;
     }
     job.pending.clear(task);
-    log.debug(
-        "{}/{} goes to {} ({} s of fetching)",
-        job,
-        task,
-        machine,
-        Placer.fetchSeconds(job, machine));
-    cluster.addAttempt(job, task, number, machine, now, Attempt.State.STORING);
+    double fetch = Placer.fetchSeconds(job, machine);
+    log.debug("{}/{} goes to {} ({} s of fetching)", job, task, machine, fetch);
+    Attempt attempt =
+        cluster.addAttempt(job, task, number, machine, now, Attempt.State.STORING);
+    attempt.readyAt = now.plusMillis((long) (fetch * 1000));
     records.machineDue(machine);
   }
 
