--- a/src/main/java/io/pineladder/model/Team.java
+++ b/src/main/java/io/pineladder/model/Team.java
@@ -3,9 +3,13 @@
 /** A team's guarantee and limit; a limit of zero means none. */
 public record Team(String name, Resources guarantee, double maxCpus, double maxGpus) {
 
+  public Resources limit() {
+    return Resources.of(maxCpus, maxGpus, 0);
+  }
+
   /** Whether a team with {@code usage} stays within its limit. */
   public boolean allows(Resources usage) {
-    Resources limit = Resources.of(maxCpus, maxGpus, 0);
+    Resources limit = limit();
     return (limit.microCpus() == 0 || usage.microCpus() <= limit.microCpus())
         && (limit.microGpus() == 0 || usage.microGpus() <= limit.microGpus());
   }
--- a/src/main/java/io/pineladder/scheduling/Scheduler.java
+++ b/src/main/java/io/pineladder/scheduling/Scheduler.java
@@ -9,6 +9,7 @@
 import io.pineladder.model.Resources;
 import io.pineladder.model.Settings;
 import io.pineladder.model.Shape;
+import io.pineladder.model.Team;
 import io.pineladder.net.Timeline;
 import io.pineladder.queue.Check;
 import io.pineladder.queue.Event;
@@ -104,12 +105,17 @@
 
     @Override
     public Instant due(QueueEntry entry) {
-      return entry.job.acceptedAt.plus(allowance(entry.job.spec));
+      return entry.job.acceptedAt.plus(allowance(entry.job));
     }
   }
 
-  /** How long after its submission a job should have started for its tightest objective. */
-  private Duration allowance(JobSpec spec) {
+  /**
+   * How long after its submission a job should have started for the tightest objective that it can
+   * still keep. An objective already missed no longer presses, or the late would make others late.
+   */
+  private Duration allowance(Job job) {
+    JobSpec spec = job.spec;
+    Duration age = Duration.between(job.acceptedAt, time.timeOfDay());
     Duration allowance = Duration.ofMinutes(10);
     for (Settings.Objective objective : cluster.settings.objectives()) {
       if (!spec.jobClass().equals(objective.jobClass())) {
@@ -120,11 +126,25 @@
         continue;
       }
       Duration start = objective.kind().equals("wait") ? until : until.minus(spec.estimate());
-      if (start.compareTo(allowance) < 0) {
+      if (start.compareTo(allowance) < 0 && start.compareTo(age) > 0) {
         allowance = start;
       }
     }
-    return allowance;
+    return allowance.plus(turn(job));
+  }
+
+  /**
+   * How long the job's tasks would keep its team's limit busy: of jobs that compete for one limit
+   * the small ones go first, since then fewer of them are late.
+   */
+  private Duration turn(Job job) {
+    JobSpec spec = job.spec;
+    Team team = cluster.team(spec.team());
+    if (spec.shape() != Shape.ARRAY || team == null) {
+      return Duration.ZERO;
+    }
+    double share = spec.each().times(spec.tasks() - job.done.cardinality()).shareOf(team.limit());
+    return Duration.ofMillis((long) (spec.estimate().toMillis() * share));
   }
 
   /** Which events may help which rejections. */
@@ -537,7 +557,7 @@
     Job job = entry.job;
     double fetch = Placer.fetchSeconds(job, cold);
     Duration left =
-        Duration.between(time.timeOfDay(), job.acceptedAt.plus(allowance(job.spec)));
+        Duration.between(time.timeOfDay(), job.acceptedAt.plus(allowance(job)));
     double seconds = left.toMillis() / 1000.0;
     if (fetch < 1 || seconds < 0 || fetch < seconds) {
       return false;
