--- a/src/main/java/io/pineladder/leadership/Election.java
+++ b/src/main/java/io/pineladder/leadership/Election.java
@@ -85,9 +85,9 @@
    * before its own lease ends; too short a life makes a busy node lose it by a pause.
    */
   static Duration lifeFor(Duration workerLease) {
-    Duration part = workerLease.dividedBy(6);
-    Duration least = Duration.ofMillis(3000);
-    Duration most = Duration.ofMillis(5000);
+    Duration part = workerLease.dividedBy(10);
+    Duration least = Duration.ofMillis(2500);
+    Duration most = Duration.ofMillis(4000);
     return part.compareTo(least) < 0 ? least : part.compareTo(most) > 0 ? most : part;
   }
 
