--- a/src/main/java/io/pineladder/Leader.java
+++ b/src/main/java/io/pineladder/Leader.java
@@ -142,6 +142,11 @@
                 host.superseded();
               }
 
+              @Override
+              public boolean isGone(String machine) {
+                return fleet.wasReleased(machine);
+              }
+
               @Override
               public void onMachine(Machine machine) {
                 log.info("machine {} reports", machine);
--- a/src/main/java/io/pineladder/fleet/Fleet.java
+++ b/src/main/java/io/pineladder/fleet/Fleet.java
@@ -307,17 +307,15 @@
       }
     }
     if (up >= 2 && silent.size() == up) {
-      if (silent.stream().allMatch(m -> silentSince(m).plus(allowed.plusSeconds(4)).isBefore(now))) {
-        // No worker reaches this node, while others may reach another.
-        effects.resign("no worker is heard");
-      }
+      // No worker reaches this node, while others may reach another.
+      effects.resign("no worker is heard");
       return;
     }
     // A node inside a zone that is cut off keeps its workers' leases.
     Duration lease = cluster.settings.workers().lease().multipliedBy(2);
     for (Machine machine : silent) {
       int[] counts = zones.get(machine.zone);
-      boolean cut = counts[0] >= 3 && counts[1] * 2 > counts[0];
+      boolean cut = counts[1] >= 3 && counts[1] * 3 > counts[0];
       boolean urgent = isUrgent(machine, now);
       if (!cut || urgent || silentSince(machine).plus(lease).isBefore(now)) {
         release(machine);
@@ -354,6 +352,11 @@
     };
   }
 
+  /** Whether a machine has been returned: what still comes from it is late. */
+  public boolean wasReleased(String machine) {
+    return released.containsKey(machine);
+  }
+
   // ---- returning
 
   /** Asks the cloud to take the machine away; only its answer proves that the tasks are gone. */
--- a/src/main/java/io/pineladder/front/Front.java
+++ b/src/main/java/io/pineladder/front/Front.java
@@ -23,7 +23,9 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.BitSet;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -41,7 +43,16 @@
   private static final Duration PING = Duration.ofSeconds(2);
   private static final byte[] EMPTY = new byte[0];
 
+  /** A worker back so soon after it was sent to the leader has not reached it. */
+  private static final Duration BOUNCE = Duration.ofSeconds(12);
+
+  private static final int REDIRECTS_KEPT = 2000;
+
   private final Node node;
+
+  /** When each worker was last sent to the leader, or its report handed on. */
+  private final Map<String, Instant> redirects = new LinkedHashMap<>();
+
   private final Metrics metrics;
   private final AdminApi admin;
   private Instant peerAt;
@@ -267,6 +278,10 @@
       admin.lead(leader, method, path, body, answer);
       return;
     }
+    if (path.equals("/v1/report")) {
+      report(body, answer);
+      return;
+    }
     if (path.equals("/v1/jobs")) {
       try {
         submitTo(leader, JobWire.parse(body), once(answer, COMMIT_TIMEOUT));
@@ -528,9 +543,44 @@
                   node.election().knownVersion(), new WorkerWire.Orders())));
       return;
     }
+    Instant now = node.time().now();
+    Instant redirected = redirects.get(report.machine());
+    if (other
+        && redirected != null
+        && redirected.plus(BOUNCE).isAfter(now)
+        && !known.equals(unreachable)) {
+      relay(known, report, body, answer);
+      return;
+    }
+    if (other) {
+      redirects.put(report.machine(), now);
+      if (redirects.size() > REDIRECTS_KEPT) {
+        redirects.remove(redirects.keySet().iterator().next());
+      }
+    }
     answer.accept(new HttpAnswer(421, WorkerWire.redirect(other ? known.member() : null)));
   }
 
+  /**
+   * A worker that was sent to the leader and is back soon after has not reached it. This node can,
+   * so it hands the report on and the response back; a response is as good from any node.
+   */
+  private void relay(
+      RecordWire.LeaderRecord leader,
+      WorkerWire.Report report,
+      byte[] body,
+      Consumer<HttpAnswer> answer) {
+    forwardTo(
+        List.of(leader.address()),
+        0,
+        new PeerWire.Forward("POST", "/v1/report", body, 0),
+        http -> {
+          redirects.put(report.machine(), node.time().now());
+          answer.accept(http);
+        },
+        () -> answer.accept(new HttpAnswer(421, WorkerWire.redirect(null))));
+  }
+
   /**
    * Whether this node answers reports in place of a leader that it cannot reach, and whose term the
    * store confirms: without that a zone cut off from its leader would lose all its tasks. It gives
--- a/src/main/java/io/pineladder/workers/Workers.java
+++ b/src/main/java/io/pineladder/workers/Workers.java
@@ -48,6 +48,9 @@
     /** A worker has seen a higher token than ours. */
     void onSuperseded(long token);
 
+    /** Whether a machine is proven gone, so that its late reports count for nothing. */
+    boolean isGone(String machine);
+
     /** A machine nobody expected reports. */
     void onMachine(Machine machine);
   }
@@ -98,6 +101,10 @@
     }
     Machine machine = cluster.machines.get(report.machine());
     if (machine == null) {
+      if (listener.isGone(report.machine())) {
+        // A report held up in the network would bring its tasks back to life and block them.
+        return null;
+      }
       MachineType type = cluster.type(report.type());
       if (type == null) {
         log.warn("machine {} is of the unknown type {}", report.machine(), report.type());
