--- a/src/main/java/io/pineladder/Leader.java
+++ b/src/main/java/io/pineladder/Leader.java
@@ -548,6 +548,19 @@
         running);
   }
 
+  /**
+   * Tells a job's state. While its final state is on its way to the store, another node may read it
+   * there before this one hears of the commit; an answer that is not final would then be older than
+   * what a user has been told already. So the answer waits for the commit.
+   */
+  private void tell(Job job, Consumer<View> onDone) {
+    if (job.ending && !job.endStored) {
+      job.endWaiters.add(() -> onDone.accept(viewOf(job)));
+    } else {
+      onDone.accept(viewOf(job));
+    }
+  }
+
   /** Whether the job is known here, so that a repeated submission is no new one. */
   public boolean knows(String id) {
     return cluster.jobs.containsKey(id) || accepting.containsKey(id);
@@ -558,7 +571,7 @@
     String id = spec.id();
     Job known = cluster.jobs.get(id);
     if (known != null) {
-      onKnown.accept(viewOf(known));
+      tell(known, onKnown);
       return;
     }
     List<Consumer<JobWire.Status>> waiting = accepting.get(id);
@@ -607,7 +620,7 @@
   public void view(String id, Consumer<View> onDone) {
     Job job = cluster.jobs.get(id);
     if (job != null) {
-      onDone.accept(viewOf(job));
+      tell(job, onDone);
       return;
     }
     adopt(
@@ -616,7 +629,7 @@
           if (lookup == null) {
             onDone.accept(View.UNKNOWN);
           } else if (lookup.job() != null) {
-            onDone.accept(viewOf(lookup.job()));
+            tell(lookup.job(), onDone);
           } else if (lookup.ended() != null) {
             onDone.accept(new View(lookup.ended(), 0, 0));
           } else {
--- a/src/main/java/io/pineladder/model/Job.java
+++ b/src/main/java/io/pineladder/model/Job.java
@@ -5,6 +5,7 @@
 import java.util.BitSet;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -73,7 +74,7 @@
   }
 
   public void add(Attempt attempt) {
-    attempts.computeIfAbsent(attempt.task, t -> new HashSet<>(2)).add(attempt);
+    attempts.computeIfAbsent(attempt.task, t -> new LinkedHashSet<>(2)).add(attempt);
   }
 
   public void remove(Attempt attempt) {
--- a/src/main/java/io/pineladder/store/Committer.java
+++ b/src/main/java/io/pineladder/store/Committer.java
@@ -185,7 +185,10 @@
         }
         for (Mutation.Write write : mutation.writes()) {
           keys.add(write.key());
-          transaction.require(write.key(), versions.getOrDefault(write.key(), 0L));
+          // A creation asks for no such key even if one has been read meanwhile: another node may
+          // have accepted the same job, and overwriting it would make it two.
+          long known = mutation.isCreation() ? 0 : versions.getOrDefault(write.key(), 0L);
+          transaction.require(write.key(), known);
           JsonNode value = values.get(write.key());
           if (value == null) {
             transaction.delete(write.key());
--- a/src/main/java/io/pineladder/workers/Workers.java
+++ b/src/main/java/io/pineladder/workers/Workers.java
@@ -22,6 +22,7 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
@@ -40,7 +41,7 @@
   private final long term;
   private final BooleanSupplier mayAct;
   private final Listener listener;
-  private final Set<Machine> due = new HashSet<>();
+  private final Set<Machine> due = new LinkedHashSet<>();
   private boolean flushSet;
 
   /** What the rest of the leader learns from here. */
--- a/src/test/java/io/pineladder/sim/ClusterSimulationTest.java
+++ b/src/test/java/io/pineladder/sim/ClusterSimulationTest.java
@@ -17,9 +17,10 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.stream.LongStream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
-import org.junit.jupiter.params.provider.ValueSource;
+import org.junit.jupiter.params.provider.MethodSource;
 
 /** Several controllers in virtual time among stand-ins that crash, cut, delay and deliver late. */
 class ClusterSimulationTest {
@@ -236,8 +237,14 @@
     assertEquals(0, unanswered);
   }
 
+  /** Twelve days; more by hand with {@code -Dpineladder.days=1000 -Dpineladder.first=1}. */
+  static LongStream seeds() {
+    long first = Long.getLong("pineladder.first", 1);
+    return LongStream.range(first, first + Long.getLong("pineladder.days", 12));
+  }
+
   @ParameterizedTest
-  @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12})
+  @MethodSource("seeds")
   void theRulesHoldUnderFaultsTogether(long seed) {
     begin(seed);
     world.runFor(Duration.ofSeconds(4));
--- /dev/null
+++ b/src/test/java/io/pineladder/workers/LeaderHarness.java
@@ -0,0 +1,219 @@
+package io.pineladder.workers;
+
+import io.pineladder.fleet.Fleet;
+import io.pineladder.model.Attempt;
+import io.pineladder.model.Job;
+import io.pineladder.model.JobSpec;
+import io.pineladder.model.Machine;
+import io.pineladder.model.MachineType;
+import io.pineladder.model.OperatorSettings;
+import io.pineladder.model.Rank;
+import io.pineladder.model.Resources;
+import io.pineladder.model.Settings;
+import io.pineladder.model.Shape;
+import io.pineladder.net.HttpCaller;
+import io.pineladder.net.Timeline;
+import io.pineladder.scheduling.Cluster;
+import io.pineladder.scheduling.Scheduler;
+import io.pineladder.store.Records;
+import io.pineladder.wire.SettingsReader;
+import io.pineladder.wire.SettingsReaderTest;
+import io.pineladder.wire.WorkerWire;
+import io.pineladder.wire.WorkerWire.Report;
+import io.pineladder.wire.WorkerWire.TaskId;
+import io.pineladder.wire.WorkerWire.TaskReport;
+import io.pineladder.wire.WorkerWire.TaskState;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.PriorityQueue;
+import java.util.function.Consumer;
+
+/** Scheduler, workers and fleet of one leader, with a store that commits at once. */
+final class LeaderHarness implements Timeline {
+  static final long TERM = 7;
+  static final MachineType TYPE =
+      new MachineType(
+          "g4", Resources.of(16, 4, 64), 50, 0.1, 4, 1, Duration.ofSeconds(10), List.of("a", "b"));
+
+  /** A request that went out and waits for its reply. */
+  record Sent(HttpCaller.Request request, Consumer<HttpCaller.Reply> onReply) {}
+
+  private record Timer(Instant at, long order, Runnable action) {}
+
+  private final PriorityQueue<Timer> timers =
+      new PriorityQueue<>(
+          (a, b) -> a.at.equals(b.at) ? Long.compare(a.order, b.order) : a.at.compareTo(b.at));
+  private Instant now = Instant.EPOCH.plusSeconds(100);
+  private long order;
+  final ArrayDeque<Sent> sent = new ArrayDeque<>();
+  final List<String> resigned = new ArrayList<>();
+  final Cluster cluster;
+  final Scheduler scheduler;
+  final Workers workers;
+  final Fleet fleet;
+
+  LeaderHarness() {
+    Settings settings;
+    try {
+      settings = SettingsReader.parse(SettingsReaderTest.GOOD);
+    } catch (SettingsReader.BadSettingsException e) {
+      throw new AssertionError(e);
+    }
+    cluster = new Cluster(settings);
+    cluster.setTypes(List.of(TYPE));
+    HttpCaller http = (request, onReply) -> sent.add(new Sent(request, onReply));
+    Workers[] later = new Workers[1];
+    Fleet[] fleetLater = new Fleet[1];
+    scheduler =
+        new Scheduler(
+            cluster,
+            this,
+            TERM,
+            OperatorSettings.DEFAULTS,
+            new Scheduler.Effects() {
+              @Override
+              public boolean mayAct() {
+                return true;
+              }
+
+              @Override
+              public void ordersDue(Machine machine) {
+                later[0].ordersDue(machine);
+              }
+
+              @Override
+              public void resign(String reason) {
+                resigned.add(reason);
+              }
+            });
+    Records records =
+        new Records(
+            8192,
+            mutation -> {
+              mutation.writes().forEach(w -> w.value().get());
+              after(Duration.ZERO, mutation.onCommitted());
+            },
+            scheduler::onPlacementStored,
+            scheduler::onEndStored);
+    scheduler.useRecords(records);
+    fleet =
+        new Fleet(
+            cluster,
+            scheduler,
+            records,
+            http,
+            this,
+            TERM,
+            OperatorSettings.DEFAULTS,
+            new Fleet.Effects() {
+              @Override
+              public boolean mayAct() {
+                return true;
+              }
+
+              @Override
+              public void resign(String reason) {
+                resigned.add(reason);
+              }
+
+              @Override
+              public void probe(Machine machine) {}
+            });
+    fleetLater[0] = fleet;
+    workers =
+        new Workers(
+            cluster,
+            scheduler,
+            http,
+            this,
+            TERM,
+            () -> true,
+            new Workers.Listener() {
+              @Override
+              public void onSuperseded(long token) {
+                resigned.add("token " + token);
+              }
+
+              @Override
+              public boolean isGone(String machine) {
+                return fleetLater[0].wasReleased(machine);
+              }
+
+              @Override
+              public void onMachine(Machine machine) {}
+            });
+    later[0] = workers;
+  }
+
+  @Override
+  public Instant now() {
+    return now;
+  }
+
+  @Override
+  public Instant timeOfDay() {
+    return now;
+  }
+
+  @Override
+  public void after(Duration delay, Runnable action) {
+    timers.add(new Timer(now.plus(delay), order++, action));
+  }
+
+  void runFor(Duration duration) {
+    Instant end = now.plus(duration);
+    while (!timers.isEmpty() && !timers.peek().at.isAfter(end)) {
+      Timer next = timers.poll();
+      now = next.at;
+      next.action.run();
+    }
+    now = end;
+  }
+
+  static JobSpec spec(String id, Shape shape, Rank rank, int tasks, String image) {
+    return new JobSpec(
+        id, "class", "red", shape, rank, tasks, Resources.of(2, 1, 4), null, null, false, false,
+        true, image, 5, Duration.ofSeconds(30), Duration.ZERO, Duration.ZERO, null);
+  }
+
+  Job accept(JobSpec spec) {
+    Job job = new Job(spec, now, Job.State.ACTIVE);
+    scheduler.add(job);
+    runFor(Duration.ofMillis(10));
+    return job;
+  }
+
+  static TaskReport task(Attempt attempt, TaskState state) {
+    return new TaskReport(
+        new TaskId(attempt.job.spec.id(), attempt.task), attempt.number, state, null, false);
+  }
+
+  /** A report of one machine in zone a, in its first session, with our token. */
+  byte[] report(String machine, long sequence, TaskReport... tasks) {
+    WorkerWire.Orders orders =
+        workers.onReport(
+            new Report(
+                machine, "10.1.0.1:9000", "g4", "a", false, 1, sequence, TERM, null,
+                List.of(tasks)));
+    runFor(Duration.ofMillis(10));
+    return WorkerWire.reportResponse(TERM, orders);
+  }
+
+  /** The next direct command that went out; list, rental and other requests are passed over. */
+  Sent nextDirect() {
+    while (!sent.isEmpty()) {
+      Sent next = sent.poll();
+      if (next.request.path().equals("/do")) {
+        return next;
+      }
+    }
+    throw new AssertionError("no direct command went out");
+  }
+
+  static Attempt only(Job job) {
+    return job.attempts.values().iterator().next().iterator().next();
+  }
+}
--- /dev/null
+++ b/src/test/java/io/pineladder/workers/WorkersTest.java
@@ -0,0 +1,220 @@
+package io.pineladder.workers;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.pineladder.model.Attempt;
+import io.pineladder.model.Cause;
+import io.pineladder.model.Job;
+import io.pineladder.model.Machine;
+import io.pineladder.model.Rank;
+import io.pineladder.model.Shape;
+import io.pineladder.net.HttpCaller;
+import io.pineladder.wire.WorkerWire.Report;
+import io.pineladder.wire.WorkerWire.TaskId;
+import io.pineladder.wire.WorkerWire.TaskReport;
+import io.pineladder.wire.WorkerWire.TaskState;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class WorkersTest {
+  private final LeaderHarness leader = new LeaderHarness();
+
+  private static String text(byte[] body) {
+    return new String(body, StandardCharsets.UTF_8);
+  }
+
+  private static TaskReport exited(Attempt attempt, Cause cause) {
+    return new TaskReport(
+        new TaskId(attempt.job.spec.id(), attempt.task),
+        attempt.number,
+        TaskState.EXITED,
+        cause,
+        false);
+  }
+
+  /** A late copy of an unanswered start must find its attempt known, or it would run again. */
+  @Test
+  void anUnansweredStartIsHeldForTheWholeSession() {
+    leader.report("m-1", 1);
+    Job job = leader.accept(LeaderHarness.spec("req-1", Shape.ARRAY, Rank.LOW, 1, "i"));
+    leader.nextDirect().onReply().accept(HttpCaller.Reply.UNKNOWN);
+    Attempt attempt = LeaderHarness.only(job);
+    String first = text(leader.report("m-1", 2));
+    assertTrue(first.contains("start"), first);
+    assertEquals(Attempt.State.STORED, attempt.state(), "absence proves nothing yet");
+    leader.report("m-1", 3, LeaderHarness.task(attempt, TaskState.RUNNING));
+    leader.scheduler.kill(attempt, Duration.ZERO);
+    String after = text(leader.report("m-1", 4, exited(attempt, Cause.STOPPED)));
+    assertFalse(after.contains("\"forget\",\"piece\":\"req-1/0\",\"try\":" + attempt.number), after);
+    leader.workers.onReport(
+        new Report(
+            "m-1", "10.1.0.1:9000", "g4", "a", false, 2, 1, LeaderHarness.TERM, null, List.of()));
+    assertEquals(Attempt.State.GONE, attempt.state(), "the session's end settles it");
+  }
+
+  /** A response that was dropped is never executed late, so the next report proves absence. */
+  @Test
+  void aStartByAResponseThatWasDroppedGoesOutAgain() {
+    leader.report("m-1", 1);
+    Job job = leader.accept(LeaderHarness.spec("req-1", Shape.ARRAY, Rank.LOW, 1, "i"));
+    leader.nextDirect().onReply().accept(HttpCaller.Reply.NOT_SENT);
+    assertTrue(text(leader.report("m-1", 2)).contains("start"));
+    assertTrue(text(leader.report("m-1", 3)).contains("start"));
+    leader.scheduler.cancel(job);
+    leader.runFor(Duration.ofMillis(10));
+    assertFalse(text(leader.report("m-1", 4)).contains("start"));
+    assertTrue(job.attempts.isEmpty());
+  }
+
+  /** Until a worker has our token an older leader's orders may still reach it. */
+  @Test
+  void aReportWithAnOlderTokenProvesNothingAndBringsNoWork() {
+    Job job = leader.accept(LeaderHarness.spec("req-1", Shape.ARRAY, Rank.LOW, 1, "i"));
+    leader.workers.onReport(
+        new Report("m-1", "10.1.0.1:9000", "g4", "a", false, 1, 1, 3, null, List.of()));
+    leader.runFor(Duration.ofMillis(10));
+    assertEquals(Machine.State.HEARD, leader.cluster.machines.get("m-1").state());
+    assertTrue(job.attempts.isEmpty());
+    Machine machine = leader.cluster.machines.get("m-1");
+    Attempt older =
+        leader.cluster.addAttempt(
+            job, 0, 5, machine, leader.now(), Attempt.State.RECORDED);
+    leader.workers.onReport(
+        new Report("m-1", "10.1.0.1:9000", "g4", "a", false, 1, 2, 3, null, List.of()));
+    assertEquals(Attempt.State.RECORDED, older.state());
+    leader.report("m-1", 3);
+    assertEquals(Attempt.State.GONE, older.state());
+  }
+
+  @Test
+  void aReportOlderThanOneKnownChangesNothing() {
+    leader.report("m-1", 1);
+    Job job = leader.accept(LeaderHarness.spec("req-1", Shape.ARRAY, Rank.LOW, 1, "i"));
+    Attempt attempt = LeaderHarness.only(job);
+    leader.report("m-1", 5, LeaderHarness.task(attempt, TaskState.RUNNING));
+    leader.report("m-1", 4);
+    assertEquals(Attempt.State.RUNNING, attempt.state());
+  }
+
+  @Test
+  void aHigherTokenMeansThatThisTermIsOver() {
+    assertNull(
+        leader.workers.onReport(
+            new Report("m-1", "10.1.0.1:9000", "g4", "a", false, 1, 1, 99, null, List.of())));
+    assertEquals(List.of("token 99"), leader.resigned);
+  }
+
+  /** Incident: reports held up in the network revived machines that had been returned. */
+  @Test
+  void aLateReportOfAReturnedMachineDoesNotBlockItsTasks() {
+    leader.report("m-1", 1);
+    Job job = leader.accept(LeaderHarness.spec("req-1", Shape.ARRAY, Rank.LOW, 1, "i"));
+    Attempt attempt = LeaderHarness.only(job);
+    leader.report("m-1", 2, LeaderHarness.task(attempt, TaskState.RUNNING));
+    leader.sent.clear();
+    leader.fleet.release(leader.cluster.machines.get("m-1"));
+    assertEquals("/rentals/release", leader.sent.peek().request().path());
+    leader.sent.poll().onReply().accept(HttpCaller.Reply.answered(200, new byte[] {'{', '}'}));
+    assertTrue(job.attempts.isEmpty());
+    leader.report("m-1", 3, LeaderHarness.task(attempt, TaskState.RUNNING));
+    assertTrue(job.attempts.isEmpty());
+    assertFalse(leader.cluster.machines.containsKey("m-1"));
+  }
+
+  /** Found on laval: a cut zone's machines were given up one by one, each as if it were alone. */
+  @Test
+  void aZoneThatFallsSilentIsNotGivenUpWhileItsLeasesMayHold() {
+    leader.fleet.start();
+    for (int i = 0; i < 10; i++) {
+      leader.report("m-" + i, 1);
+      leader.runFor(Duration.ofMillis(300));
+    }
+    for (int second = 0; second < 30; second++) {
+      leader.runFor(Duration.ofSeconds(1));
+      for (int i = 6; i < 10; i++) {
+        leader.report("m-" + i, 2 + second);
+      }
+    }
+    for (int i = 0; i < 6; i++) {
+      assertEquals(Machine.State.SILENT, leader.cluster.machines.get("m-" + i).state());
+    }
+    leader.runFor(Duration.ofSeconds(1));
+    assertTrue(leader.resigned.isEmpty());
+  }
+
+  @Test
+  void oneSilentMachineIsReturned() {
+    leader.fleet.start();
+    for (int second = 0; second < 14; second++) {
+      leader.runFor(Duration.ofSeconds(1));
+      for (int i = 0; i < 5; i++) {
+        if (i > 0 || second == 0) {
+          leader.report("m-" + i, 1 + second);
+        }
+      }
+    }
+    assertEquals(Machine.State.RELEASING, leader.cluster.machines.get("m-0").state());
+    assertEquals(Machine.State.CONFIRMED, leader.cluster.machines.get("m-1").state());
+  }
+
+  /** Found on colombo: services started on machines without their image came too late. */
+  @Test
+  void lowerWorkMakesWayWhereTheImageIsWhenFetchingWouldBeTooLate() {
+    leader.report("warm", 1);
+    Machine warm = leader.cluster.machines.get("warm");
+    warm.touchImage("img-s", 5);
+    Job array = leader.accept(LeaderHarness.spec("req-1", Shape.ARRAY, Rank.LOW, 4, "img-a"));
+    TaskReport[] running =
+        array.attempts.values().stream()
+            .map(set -> LeaderHarness.task(set.iterator().next(), TaskState.RUNNING))
+            .toArray(TaskReport[]::new);
+    leader.report("warm", 2, running);
+    leader.report("cold", 1);
+    var service = LeaderHarness.spec("req-2", Shape.SERVICE, Rank.PRODUCTION, 1, "img-s");
+    Job job =
+        leader.accept(
+            new io.pineladder.model.JobSpec(
+                service.id(), "serve", "red", service.shape(), service.rank(), 1, service.each(),
+                null, null, false, false, false, "img-s", 5, Duration.ZERO, Duration.ZERO,
+                Duration.ZERO, null));
+    assertTrue(job.attempts.isEmpty(), "it waits for the warm room");
+    Attempt displaced =
+        array.attempts.values().stream()
+            .map(set -> set.iterator().next())
+            .filter(a -> !a.isWanted())
+            .findFirst()
+            .orElseThrow();
+    TaskReport[] after =
+        array.attempts.values().stream()
+            .map(set -> set.iterator().next())
+            .map(
+                a ->
+                    a == displaced
+                        ? exited(a, Cause.STOPPED)
+                        : LeaderHarness.task(a, TaskState.RUNNING))
+            .toArray(TaskReport[]::new);
+    leader.report("warm", 3, after);
+    assertEquals(warm, LeaderHarness.only(job).machine);
+  }
+
+  /** Found on laval: tasks sat out fetches of minutes while machines with the image came free. */
+  @Test
+  void aFetchingTaskMovesToRoomWhereItsImageIs() {
+    leader.report("cold", 1);
+    Job job = leader.accept(LeaderHarness.spec("req-1", Shape.ARRAY, Rank.LOW, 1, "img"));
+    Attempt first = LeaderHarness.only(job);
+    leader.report("cold", 2, LeaderHarness.task(first, TaskState.FETCHING));
+    Machine warm = new Machine("warm", LeaderHarness.TYPE, "a", false, leader.now());
+    warm.touchImage("img", 5);
+    leader.cluster.machines.put("warm", warm);
+    leader.report("warm", 1);
+    assertFalse(first.isWanted());
+    leader.report("cold", 3, exited(first, Cause.STOPPED));
+    assertEquals("warm", LeaderHarness.only(job).machine.name);
+  }
+}
