Take a changed record for our commit only while the leader's key is still ours; bound keep-alive

Found by the simulation: a leader that read back a lost commit took its successor's write for its own and told users of jobs never stored (404 later); leases kept without orders outlived cancel_s.

--- a/src/main/java/io/pineladder/Leader.java
+++ b/src/main/java/io/pineladder/Leader.java
@@ -38,6 +38,10 @@
 public final class Leader {
   private static final Logger log = LoggerFactory.getLogger(Leader.class);
   private static final Duration WATCH = Duration.ofSeconds(20);
+
+  /** How long a leader that still reads the store keeps workers' leases without orders. */
+  private static final Duration LOADING_KEEPS = Duration.ofSeconds(2);
+
   private static final Duration RETRY = Duration.ofMillis(300);
 
   /** Where a term stands. */
@@ -76,6 +80,7 @@
   private final Scheduler scheduler;
   private final Workers workers;
   private final Fleet fleet;
+  private final Instant begunAt;
   private State state = State.LOADING;
 
   /** Submissions being stored, with those who wait for the answer. */
@@ -93,6 +98,7 @@
     this.store = store;
     this.time = time;
     this.term = term;
+    this.begunAt = time.now();
     this.host = host;
     this.cluster = new Cluster(settings);
     cluster.setTypes(host.types());
@@ -673,10 +679,16 @@
   public byte[] onReport(WorkerWire.Report report) {
     if (state != State.LEADING) {
       // The store is still being read: the lease is kept and our token learned, nothing more.
-      return state == State.LOADING && host.mayAct()
+      return state == State.LOADING
+              && host.mayAct()
+              && time.now().isBefore(begunAt.plus(LOADING_KEEPS))
           ? WorkerWire.reportResponse(term, new WorkerWire.Orders())
           : null;
     }
+    if (!host.mayAct() && workers.holdsEnded(report.machine())) {
+      // Without orders nothing ends a cancelled job's tasks but the end of the worker's lease.
+      return null;
+    }
     WorkerWire.Orders orders = workers.onReport(report);
     return orders == null ? null : WorkerWire.reportResponse(term, orders);
   }
--- a/src/main/java/io/pineladder/Node.java
+++ b/src/main/java/io/pineladder/Node.java
@@ -158,9 +158,9 @@
     return leading && election.isValid() ? leader : null;
   }
 
-  /** The leader's memory while this node holds the term, certain or in doubt, or null. */
+  /** The leader's memory while this node may answer reports, certain of its lease or not; or null. */
   public Leader termHolder() {
-    return election.holdsTerm() ? leader : null;
+    return election.mayKeepAlive() ? leader : null;
   }
 
   public JobWire.Status finalState(String job) {
--- a/src/main/java/io/pineladder/front/Front.java
+++ b/src/main/java/io/pineladder/front/Front.java
@@ -4,6 +4,7 @@
 import io.pineladder.Node;
 import io.pineladder.admin.AdminApi;
 import io.pineladder.admin.Metrics;
+import io.pineladder.leadership.Election;
 import io.pineladder.model.Job;
 import io.pineladder.model.JobSpec;
 import io.pineladder.model.MachineType;
@@ -61,6 +62,9 @@
   /** The leader that the last pings did not reach, though the store says that it leads; or null. */
   private RecordWire.LeaderRecord unreachable;
 
+  /** When a ping that the leader answered was sent. */
+  private Instant leaderAt;
+
   private int failedPings;
   private boolean ready;
 
@@ -587,7 +591,11 @@
    * no orders. No leader ever takes the end of a worker's lease as proof, so prolonging it is safe.
    */
   private boolean keepsAlive(RecordWire.LeaderRecord known) {
-    return known.equals(unreachable) && node.store().isHealthy();
+    Duration longest = Election.longestKeepAlive(node.settings().workers());
+    return known.equals(unreachable)
+        && node.store().isHealthy()
+        && leaderAt != null
+        && node.time().now().isBefore(leaderAt.plus(longest));
   }
 
   // ---- readiness
@@ -612,6 +620,7 @@
 
   private void ping() {
     byte[] body = PeerWire.write(new PeerWire.Forward("GET", "/ready", EMPTY, 0));
+    Instant asked = node.time().now();
     RecordWire.LeaderRecord known = node.election().known();
     boolean other = known != null && !known.member().equals(node.settings().member());
     boolean cutOff = !isRecent(node.store().answeredAt());
@@ -628,6 +637,7 @@
             }
             if (leads) {
               failedPings = reply.is(200) ? 0 : failedPings + 1;
+              leaderAt = reply.is(200) ? asked : leaderAt;
               unreachable = failedPings >= 2 ? known : null;
             }
           });
--- a/src/main/java/io/pineladder/leadership/Election.java
+++ b/src/main/java/io/pineladder/leadership/Election.java
@@ -62,6 +62,7 @@
   private final Duration life;
   private final LeaderRecord self;
   private final Listener listener;
+  private final Duration keepAlive;
   private State state = State.FOLLOWING;
   private long lease;
   private long term;
@@ -78,6 +79,7 @@
     this.self = new LeaderRecord(settings.member(), settings.clusterAddress(), nonce);
     this.listener = listener;
     this.life = lifeFor(settings.workers().lease());
+    this.keepAlive = longestKeepAlive(settings.workers());
   }
 
   /**
@@ -123,6 +125,20 @@
     return false;
   }
 
+  /**
+   * How long workers' leases may be prolonged by a node that cannot give orders: what a user
+   * cancels meanwhile must still end in time by the end of the lease.
+   */
+  public static Duration longestKeepAlive(Settings.WorkerTimes workers) {
+    Duration longest = workers.cancel().minus(workers.lease()).minusSeconds(4);
+    return longest.isNegative() ? Duration.ZERO : longest;
+  }
+
+  /** Whether this node leads, or its doubt is young enough to go on answering reports. */
+  public boolean mayKeepAlive() {
+    return isValid() || (holdsTerm() && time.now().isBefore(leaseUntil.plus(keepAlive)));
+  }
+
   /** Whether this node holds the term, certain or in doubt. */
   public boolean holdsTerm() {
     return state == State.LEADING || state == State.IN_DOUBT;
--- a/src/main/java/io/pineladder/store/Committer.java
+++ b/src/main/java/io/pineladder/store/Committer.java
@@ -340,7 +340,7 @@
     }
     long version = read.found() ? read.entry().version() : 0;
     if (version != versions.getOrDefault(key, 0L)) {
-      committed(read.revision());
+      confirmOwn(read.revision());
     } else {
       List<String> creations = new ArrayList<>();
       for (Mutation mutation : batch.mutations) {
@@ -352,6 +352,27 @@
     }
   }
 
+  /**
+   * A record of ours has changed. That was our copy only if no later leader can have written it: if
+   * the leader's key, read after it, is still ours.
+   */
+  private void confirmOwn(long revision) {
+    store.read(
+        Keys.LEADER,
+        read -> {
+          if (state == State.CLOSED) {
+            return;
+          }
+          if (!read.certain()) {
+            time.after(retry, this::settle);
+          } else if (read.found() && read.entry().version() == term) {
+            committed(revision);
+          } else {
+            fenced("another leader holds the store");
+          }
+        });
+  }
+
   private void settleCreations(List<String> keys, int from, List<String> found) {
     if (state == State.CLOSED) {
       return;
--- a/src/main/java/io/pineladder/workers/Workers.java
+++ b/src/main/java/io/pineladder/workers/Workers.java
@@ -95,6 +95,13 @@
     return orders;
   }
 
+  /** Whether tasks of jobs that are over may still be on a machine. */
+  public boolean holdsEnded(String name) {
+    Machine machine = cluster.machines.get(name);
+    return machine != null
+        && machine.attempts.values().stream().anyMatch(a -> a.holdsRoom() && a.job.ending);
+  }
+
   /** Takes in what a report, or the body of a command's response, says. */
   private Machine take(Report report) {
     if (report.token() > term) {
