--- a/src/main/java/io/pineladder/fleet/Fleet.java
+++ b/src/main/java/io/pineladder/fleet/Fleet.java
@@ -306,8 +306,10 @@
         }
       }
     }
-    if (up >= 2 && silent.size() == up) {
-      // No worker reaches this node, while others may reach another.
+    boolean heardBefore = silent.stream().anyMatch(m -> m.heardAt != null);
+    if (up >= 2 && silent.size() == up && heardBefore) {
+      // No worker reaches this node any more, while others may reach another. A successor that
+      // hears none either keeps its term, or machines that all died would never be given up.
       effects.resign("no worker is heard");
       return;
     }
--- a/src/main/java/io/pineladder/workers/Workers.java
+++ b/src/main/java/io/pineladder/workers/Workers.java
@@ -362,6 +362,10 @@
       attempt.direct = false;
       if (refused) {
         attempt.sentSession = 0;
+        if (!attempt.isWanted()) {
+          // Decided while the start was on its way; nobody else would ever settle it.
+          scheduler.gone(attempt, "its start was refused");
+        }
       } else if (!executed) {
         attempt.doubtful = true;
       }
