--- a/src/test/java/io/pineladder/workers/WorkersTest.java
+++ b/src/test/java/io/pineladder/workers/WorkersTest.java
@@ -167,6 +167,7 @@
     for (int i = 0; i < 3; i++) {
       Machine machine = new Machine("m-" + i, LeaderHarness.TYPE, "a", false, leader.now());
       machine.recorded = true;
+      machine.listedRunning = true;
       leader.cluster.machines.put(machine.name, machine);
     }
     leader.runFor(Duration.ofSeconds(30));
