--- a/src/main/java/io/pineladder/fleet/Fleet.java
+++ b/src/main/java/io/pineladder/fleet/Fleet.java
@@ -408,6 +408,8 @@
 
   /** Returns machines that are to go: faulty or never up, or idle for long enough. */
   private void retire(Instant now) {
+    // Without any job there is nothing to be ready for.
+    boolean quiet = cluster.jobs.isEmpty();
     Map<Boolean, Double> spare = new HashMap<>();
     List<Machine> idle = new ArrayList<>();
     for (Machine machine : cluster.machines.values()) {
@@ -432,7 +434,7 @@
           } else if (machine.takesWork()) {
             double free = 1 - machine.used.shareOf(machine.type.size());
             spare.merge(machine.spot, free, Double::sum);
-            Duration keep = keepIdle(machine.type);
+            Duration keep = quiet ? operator.idleRelease() : keepIdle(machine.type);
             if (machine.idleSince != null && machine.idleSince.plus(keep).isBefore(now)) {
               idle.add(machine);
             }
@@ -444,7 +446,7 @@
     idle.sort(Comparator.comparing(m -> m.idleSince));
     for (Machine machine : idle) {
       double left = spare.get(machine.spot) - 1;
-      if (left >= headroom(machine.spot, machine.type, now)) {
+      if (quiet || left >= headroom(machine.spot, machine.type, now)) {
         spare.put(machine.spot, left);
         release(machine);
       }
@@ -524,6 +526,9 @@
     if (rentals.stream().anyMatch(r -> r.sent)) {
       return;
     }
+    if (cluster.jobs.isEmpty()) {
+      return;
+    }
     Map<MachineType, Want> wants = wants();
     for (MachineType type : cluster.types()) {
       Want want = wants.getOrDefault(type, new Want());
--- a/src/main/java/io/pineladder/queue/Event.java
+++ b/src/main/java/io/pineladder/queue/Event.java
@@ -10,8 +10,7 @@
     ROOM_FREED,
     MACHINE_READY,
     TEAM_FREED,
-    ATTEMPT_GONE,
-    JOB_ACCEPTED
+    ATTEMPT_GONE
   }
 
   public static Event roomFreed(Machine machine) {
--- a/src/main/java/io/pineladder/scheduling/Cluster.java
+++ b/src/main/java/io/pineladder/scheduling/Cluster.java
@@ -118,9 +118,4 @@
           Machine.key(attempt.job.spec.id(), attempt.task, attempt.number));
     }
   }
-
-  /** Machines that may still be there, whatever their state. */
-  public boolean isHeld(Machine machine) {
-    return machine.attempts.values().stream().anyMatch(Attempt::holdsRoom);
-  }
 }
--- /dev/null
+++ b/src/test/java/io/pineladder/front/FrontHttpTest.java
@@ -0,0 +1,140 @@
+package io.pineladder.front;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.pineladder.Node;
+import io.pineladder.admin.Metrics;
+import io.pineladder.model.Settings;
+import io.pineladder.net.HttpHandlerAsync;
+import io.pineladder.net.UndertowCaller;
+import io.pineladder.net.XnioRuntime;
+import io.pineladder.wire.SettingsReader;
+import io.pineladder.wire.SettingsReaderTest;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** One controller over real HTTP on loopback, with nothing else to talk to. */
+class FrontHttpTest {
+  private static final HttpClient CLIENT = HttpClient.newHttpClient();
+  private static XnioRuntime runtime;
+  private static String front;
+  private static String cluster;
+
+  private static String freeAddress() throws IOException {
+    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      return "127.0.0.1:" + socket.getLocalPort();
+    }
+  }
+
+  @BeforeAll
+  static void start() throws IOException, SettingsReader.BadSettingsException {
+    front = freeAddress();
+    cluster = freeAddress();
+    String nowhere = freeAddress();
+    Settings settings =
+        SettingsReader.parse(
+            SettingsReaderTest.GOOD
+                .replace("10.0.0.1:8080", front)
+                .replace("10.0.0.1:8081", cluster)
+                .replaceAll("10\\.[02]\\.0\\.\\d:\\d+", nowhere));
+    runtime = new XnioRuntime();
+    Node node = new Node(settings, runtime, new UndertowCaller(runtime), "nonce");
+    Front made = new Front(node, new Metrics());
+    Map<String, HttpHandlerAsync> listeners = new LinkedHashMap<>();
+    listeners.put(front, made::handle);
+    listeners.put(cluster, made::handleCluster);
+    runtime.serve(listeners);
+  }
+
+  @AfterAll
+  static void stop() {
+    runtime.stop();
+  }
+
+  private static HttpResponse<String> send(String address, String method, String path, String body)
+      throws IOException, InterruptedException {
+    HttpRequest request =
+        HttpRequest.newBuilder(URI.create("http://" + address + path))
+            .method(method, HttpRequest.BodyPublishers.ofString(body == null ? "" : body))
+            .build();
+    return CLIENT.send(request, HttpResponse.BodyHandlers.ofString());
+  }
+
+  @ParameterizedTest
+  @CsvSource(
+      delimiter = '|',
+      quoteCharacter = '`',
+      value = {
+        "POST|/v1/jobs|nonsense|400",
+        "POST|/v1/jobs|[]|400",
+        "POST|/v1/jobs|{\"ref\":\"req-1\"}|400",
+        "POST|/v1/report|{\"host\":7}|400",
+        "GET|/v1/jobs||405",
+        "DELETE|/v1/jobs/req-1||405",
+        "GET|/v1/jobs/req-1/cancel||405",
+        "POST|/ready||405",
+        "GET|/v1/unknown||404",
+        "GET|/v1/jobs/req-1/tasks||404",
+        "GET|/v1/jobs/never-valid||404",
+        "GET|/v1/jobs/req-1||503",
+        "POST|/v1/jobs/req-1/cancel||503",
+        "GET|/ready||503",
+      })
+  void answersByTheProtocol(String method, String path, String body, int status)
+      throws IOException, InterruptedException {
+    assertEquals(status, send(front, method, path, body).statusCode());
+  }
+
+  @Test
+  void aBodyOver64KiBIsMalformed() throws IOException, InterruptedException {
+    String body = "{\"ref\":\"" + "x".repeat(70_000) + "\"}";
+    assertEquals(400, send(front, "POST", "/v1/jobs", body).statusCode());
+  }
+
+  @Test
+  void aGoodJobIsPutOffAtOnceWhenNothingCanBeStored() throws IOException, InterruptedException {
+    String job =
+        """
+        {"ref":"req-1","jobclass":"c","owner":"red","shape":"array","rank":"low","pieces":2,
+         "vcpus":1.0,"cards":0.0,"memory_gb":1.0,"bundle":"i","image_gb":1.0,
+         "guess_s":1.0,"mark_every_s":0.0,"stow_s":0.0}""";
+    HttpResponse<String> response = send(front, "POST", "/v1/jobs", job);
+    assertEquals(503, response.statusCode());
+    assertEquals("1", response.headers().firstValue("Retry-After").orElse(""));
+  }
+
+  /** Without a term a worker must be sent on, or its lease would run out here. */
+  @Test
+  void aReportToANodeWithoutATermIsNeverAccepted() throws IOException, InterruptedException {
+    String report =
+        """
+        {"host":"m-1","addr":"10.1.0.1:9000","hull":"g4","yard":"a","loaners":false,"shift":1,
+         "tally":1,"baton":0,"recall_s":null,"pieces":[]}""";
+    assertEquals(421, send(front, "POST", "/v1/report", report).statusCode());
+  }
+
+  @Test
+  void theAdministrationApiTellsAndRefuses() throws IOException, InterruptedException {
+    String status = send(cluster, "GET", "/admin/v1/status", null).body();
+    assertTrue(status.contains("\"member\":\"rung-0\""), status);
+    String settings = send(cluster, "GET", "/admin/v1/settings", null).body();
+    assertTrue(settings.contains("\"max_backoff_s\":10.0"), settings);
+    assertTrue(send(cluster, "GET", "/admin/v1/metrics", null).body().contains("latency_s"));
+    assertEquals(503, send(cluster, "PUT", "/admin/v1/settings", "{}").statusCode());
+    assertEquals(404, send(cluster, "GET", "/admin/v1/nothing", null).statusCode());
+    assertEquals(400, send(cluster, "POST", "/peer/v1", "junk").statusCode());
+  }
+}
--- a/src/test/java/io/pineladder/workers/WorkersTest.java
+++ b/src/test/java/io/pineladder/workers/WorkersTest.java
@@ -182,6 +182,19 @@
     assertTrue(other.resigned.contains("no worker is heard"));
   }
 
+  /** Found by the bench's run of real processes: idle machines stayed rented after the last job. */
+  @Test
+  void withoutAnyJobIdleMachinesGoSoon() {
+    leader.fleet.start();
+    for (int second = 0; second < 40; second++) {
+      leader.report("m-1", 1 + second);
+      leader.report("m-2", 1 + second);
+      leader.runFor(Duration.ofSeconds(1));
+    }
+    assertEquals(Machine.State.RELEASING, leader.cluster.machines.get("m-1").state());
+    assertEquals(Machine.State.RELEASING, leader.cluster.machines.get("m-2").state());
+  }
+
   @Test
   void oneSilentMachineIsReturned() {
     leader.fleet.start();
