--- /dev/null
+++ b/src/test/java/io/pineladder/scheduling/PlacerTest.java
@@ -0,0 +1,182 @@
+package io.pineladder.scheduling;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.pineladder.model.Attempt;
+import io.pineladder.model.Job;
+import io.pineladder.model.JobSpec;
+import io.pineladder.model.Machine;
+import io.pineladder.model.MachineType;
+import io.pineladder.model.Rank;
+import io.pineladder.model.Resources;
+import io.pineladder.model.Shape;
+import io.pineladder.queue.Check;
+import io.pineladder.wire.SettingsReader;
+import io.pineladder.wire.SettingsReaderTest;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.random.RandomGenerator;
+import java.util.random.RandomGeneratorFactory;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** The placement checks against a plain model that counts how many tasks each zone could take. */
+class PlacerTest {
+  private static final Instant NOW = Instant.EPOCH.plusSeconds(100);
+  private static final double BLUE_GPUS = 8;
+
+  private static MachineType type(String name, int cpus, int gpus) {
+    return new MachineType(
+        name, Resources.of(cpus, gpus, 64), 50, 1, 4, 1, Duration.ofSeconds(10), List.of("a"));
+  }
+
+  private static JobSpec randomSpec(RandomGenerator random, int id) {
+    boolean gang = random.nextInt(3) == 0;
+    return new JobSpec(
+        "req-" + id,
+        "class",
+        random.nextBoolean() ? "blue" : "red",
+        gang ? Shape.GANG : Shape.ARRAY,
+        Rank.NORMAL,
+        1 + random.nextInt(6),
+        Resources.of(1 + random.nextInt(6), random.nextInt(3), 1 + random.nextInt(20)),
+        random.nextInt(3) == 0 ? List.of("small") : null,
+        random.nextInt(4) == 0 ? "b" : null,
+        random.nextInt(4) == 0,
+        random.nextInt(4) == 0,
+        random.nextBoolean(),
+        "img-" + random.nextInt(3),
+        1 + random.nextInt(5),
+        Duration.ofSeconds(10),
+        Duration.ZERO,
+        Duration.ZERO,
+        null);
+  }
+
+  /** How many of the job's tasks could go into each zone, machine by machine and one at a time. */
+  private static Map<String, Integer> takes(Cluster cluster, Job job) {
+    Map<String, Integer> zones = new HashMap<>();
+    for (Machine machine : cluster.machines.values()) {
+      boolean allowed =
+          (job.spec.types() == null || job.spec.types().contains(machine.type.name()))
+              && (job.spec.zone() == null || job.spec.zone().equals(machine.zone))
+              && (job.spec.spotAllowed() || !machine.spot)
+              && machine.state() == Machine.State.CONFIRMED
+              && !machine.draining;
+      double cpus = machine.type.size().cpus();
+      double gpus = machine.type.size().gpus();
+      double gb = machine.type.size().memoryGb();
+      for (Attempt attempt : machine.attempts.values()) {
+        cpus -= attempt.job.spec.each().cpus();
+        gpus -= attempt.job.spec.each().gpus();
+        gb -= attempt.job.spec.each().memoryGb();
+      }
+      Resources each = job.spec.each();
+      while (allowed && each.cpus() <= cpus && each.gpus() <= gpus && each.memoryGb() <= gb) {
+        zones.merge(machine.zone, 1, Integer::sum);
+        cpus -= each.cpus();
+        gpus -= each.gpus();
+        gb -= each.memoryGb();
+      }
+    }
+    return zones;
+  }
+
+  private static boolean canPlace(Cluster cluster, Job job, int wanted) {
+    double gpus = 0;
+    Map<String, Integer> own = new HashMap<>();
+    for (Machine machine : cluster.machines.values()) {
+      for (Attempt attempt : machine.attempts.values()) {
+        if (attempt.job.spec.team().equals(job.spec.team())) {
+          gpus += attempt.job.spec.each().gpus();
+        }
+        if (attempt.job == job) {
+          own.merge(machine.zone, 1, Integer::sum);
+        }
+      }
+    }
+    if (job.spec.team().equals("blue") && gpus + wanted * job.spec.each().gpus() > BLUE_GPUS) {
+      return false;
+    }
+    Map<String, Integer> takes = takes(cluster, job);
+    int most = job.spec.spread() ? (job.spec.tasks() + 1) / 2 : Integer.MAX_VALUE;
+    int sum = 0;
+    boolean inOne = false;
+    for (var zone : takes.entrySet()) {
+      int room = Math.min(zone.getValue(), most - own.getOrDefault(zone.getKey(), 0));
+      boolean only = own.isEmpty() || (own.size() == 1 && own.containsKey(zone.getKey()));
+      inOne |= only && zone.getValue() >= wanted;
+      sum += Math.max(0, room);
+    }
+    return job.spec.together() ? inOne : sum >= wanted;
+  }
+
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3, 4, 5})
+  void placesJustWhenThePlainModelCan(long seed) throws SettingsReader.BadSettingsException {
+    RandomGenerator random = RandomGeneratorFactory.of("L64X128MixRandom").create(seed);
+    Cluster cluster = new Cluster(SettingsReader.parse(SettingsReaderTest.GOOD));
+    List<MachineType> types = List.of(type("small", 8, 2), type("large", 24, 4));
+    for (int i = 0; i < 9; i++) {
+      Machine machine =
+          new Machine(
+              "m-" + i, types.get(i % 2), i % 3 == 0 ? "a" : "b", random.nextInt(4) == 0, NOW);
+      machine.moveTo(i == 8 ? Machine.State.HEARD : Machine.State.CONFIRMED);
+      machine.draining = i == 7;
+      cluster.machines.put(machine.name, machine);
+    }
+    Placer placer = new Placer(cluster);
+    List<Attempt> there = new ArrayList<>();
+    int placed = 0;
+    int refused = 0;
+    for (int step = 0; step < 400; step++) {
+      JobSpec spec = randomSpec(random, step);
+      if (spec.together() && spec.spread()) {
+        continue;
+      }
+      Job job = new Job(spec, NOW, Job.State.ACTIVE);
+      int turns = spec.shape() == Shape.GANG ? 1 : spec.tasks();
+      int wanted = spec.shape() == Shape.GANG ? spec.tasks() : 1;
+      for (int turn = 0; turn < turns; turn++) {
+        boolean possible = canPlace(cluster, job, wanted);
+        Placer.Decision decision = placer.place(job, NOW);
+        assertEquals(possible, decision.isPlaced(), spec + " " + decision.rejectedBy());
+        if (!possible) {
+          refused++;
+          break;
+        }
+        placed++;
+        assertEquals(wanted, decision.machines().size());
+        for (int i = 0; i < wanted; i++) {
+          there.add(
+              cluster.addAttempt(
+                  job, turn + i, step, decision.machines().get(i), NOW, Attempt.State.STORING));
+        }
+      }
+      while (there.size() > 12 + random.nextInt(12)) {
+        cluster.move(there.remove(random.nextInt(there.size())), Attempt.State.GONE);
+      }
+    }
+    assertTrue(placed > 50 && refused > 50, placed + " placed, " + refused + " refused");
+    there.forEach(attempt -> cluster.move(attempt, Attempt.State.GONE));
+    assertEquals(Resources.NONE, cluster.usage("blue"));
+  }
+
+  @Test
+  void namesTheTeamLimitAsTheReason() throws SettingsReader.BadSettingsException {
+    Cluster cluster = new Cluster(SettingsReader.parse(SettingsReaderTest.GOOD));
+    JobSpec spec =
+        new JobSpec(
+            "req-1", "class", "blue", Shape.GANG, Rank.NORMAL, 9, Resources.of(1, 1, 1), null, null,
+            false, false, true, "i", 1, Duration.ZERO, Duration.ZERO, Duration.ZERO, null);
+    Placer.Decision decision =
+        new Placer(cluster).place(new Job(spec, NOW, Job.State.ACTIVE), NOW);
+    assertEquals(Check.TEAM_LIMIT, decision.rejectedBy());
+  }
+}
