--- a/src/main/java/io/pineladder/scheduling/Placer.java
+++ b/src/main/java/io/pineladder/scheduling/Placer.java
@@ -42,8 +42,12 @@
 
   /** Decides for one task of an array or service, or for a gang as a whole. */
   public Decision place(Job job, Instant now) {
+    return place(job, job.spec.shape() == Shape.GANG ? job.spec.tasks() : 1, now);
+  }
+
+  /** Decides for so many tasks, which all get a place or none does. */
+  Decision place(Job job, int wanted, Instant now) {
     JobSpec spec = job.spec;
-    int wanted = spec.shape() == Shape.GANG ? spec.tasks() : 1;
     Team team = cluster.team(spec.team());
     Resources after = cluster.usage(spec.team()).plus(spec.each().times(wanted));
     if (team == null || !team.allows(after)) {
--- a/src/main/java/io/pineladder/scheduling/Scheduler.java
+++ b/src/main/java/io/pineladder/scheduling/Scheduler.java
@@ -379,6 +379,9 @@
     }
     if (job.spec.shape() == Shape.GANG) {
       if (!job.attempts.isEmpty()) {
+        if (replaced(attempt)) {
+          return;
+        }
         // A gang that lost a task is stopped as a whole and started again as a whole.
         killAll(job, job.spec.saveTime());
         return;
@@ -402,6 +405,44 @@
     }
   }
 
+  /**
+   * Starts a task of a gang that has not begun yet anew, under the same attempt number, so that the
+   * others, which wait for it, need not fetch again. Not on a machine that still lists the attempt:
+   * a start of what it knows already has no effect there.
+   */
+  private boolean replaced(Attempt lost) {
+    Job job = lost.job;
+    boolean gangFailed = lost.cause == Cause.PEERS || lost.cause == Cause.INCOMPLETE;
+    if (!lost.isWanted() || gangFailed || lost.runningSince != null) {
+      return false;
+    }
+    for (Set<Attempt> attempts : job.attempts.values()) {
+      for (Attempt other : attempts) {
+        boolean waits =
+            switch (other.state()) {
+              case STORING, STORED, FETCHING, GATHERING -> true;
+              default -> false;
+            };
+        if (!waits || !other.isWanted() || other.number != lost.number) {
+          return false;
+        }
+      }
+    }
+    Instant now = time.now();
+    Placer.Decision decision = placer.place(job, 1, now);
+    if (!decision.isPlaced()) {
+      return false;
+    }
+    Machine machine = decision.machines().get(0);
+    String key = Machine.key(job.spec.id(), lost.task, lost.number);
+    if (machine.attempts.containsKey(key) || !effects.mayAct()) {
+      return false;
+    }
+    log.info("{} is replaced on {}", lost, machine);
+    start(job, lost.task, lost.number, machine, now);
+    return true;
+  }
+
   private void freed(Attempt attempt) {
     roomy.add(attempt.machine);
     Instant now = time.now();
--- a/src/test/java/io/pineladder/workers/WorkersTest.java
+++ b/src/test/java/io/pineladder/workers/WorkersTest.java
@@ -104,6 +104,33 @@
     assertEquals(Attempt.State.GONE, older.state());
   }
 
+  /** While a gang gathers, the others keep waiting and a replacement completes it. */
+  @Test
+  void aLostTaskOfAGatheringGangIsReplacedUnderItsNumber() {
+    leader.report("m-1", 1);
+    leader.report("m-2", 1);
+    leader.cluster.machines.get("m-1").draining = true;
+    Job gang = leader.accept(LeaderHarness.spec("req-1", Shape.GANG, Rank.LOW, 2, "i"));
+    Attempt first = gang.attempts.get(0).iterator().next();
+    Attempt second = gang.attempts.get(1).iterator().next();
+    leader.report(
+        "m-2", 2, LeaderHarness.task(first, TaskState.GATHERING), exited(second, Cause.NO_ROOM));
+    assertFalse(first.isWanted(), "the only machine lists it already, so the gang starts again");
+    LeaderHarness other = new LeaderHarness();
+    other.report("m-2", 1);
+    gang = other.accept(LeaderHarness.spec("req-1", Shape.GANG, Rank.LOW, 2, "i"));
+    first = gang.attempts.get(0).iterator().next();
+    second = gang.attempts.get(1).iterator().next();
+    other.cluster.machines.get("m-2").draining = true;
+    other.report("m-1", 1);
+    other.report(
+        "m-2", 2, LeaderHarness.task(first, TaskState.GATHERING), exited(second, Cause.NO_ROOM));
+    assertTrue(first.isWanted());
+    Attempt replacement = gang.attempts.get(1).iterator().next();
+    assertEquals(second.number, replacement.number);
+    assertEquals("m-1", replacement.machine.name);
+  }
+
   @Test
   void aReportOlderThanOneKnownChangesNothing() {
     leader.report("m-1", 1);
