--- a/src/main/java/io/pineladder/Leader.java
+++ b/src/main/java/io/pineladder/Leader.java
@@ -365,7 +365,7 @@
         "term {} begins with {} jobs and {} machines",
         term,
         cluster.jobs.size(),
-        cluster.machines.size());
+        cluster.machines().size());
     inbox.entries().forEach(this::takeIn);
     watchInbox(inbox.revision());
     fleet.start();
@@ -388,7 +388,7 @@
     machine.address = stored.address();
     machine.recorded = true;
     stored.images().forEach(machine::touchImage);
-    cluster.machines.put(name, machine);
+    cluster.addMachine(machine);
     for (RecordWire.Placement placement : stored.placements()) {
       Job job = jobs.get(placement.job());
       // A job's record goes only when none of its tasks can be anywhere; a record of a placement
--- a/src/main/java/io/pineladder/admin/AdminApi.java
+++ b/src/main/java/io/pineladder/admin/AdminApi.java
@@ -123,7 +123,7 @@
   private static ObjectNode machines(Leader leader) {
     ObjectNode out = Json.object();
     ArrayNode list = out.putArray("machines");
-    for (Machine machine : leader.cluster().machines.values()) {
+    for (Machine machine : leader.cluster().machines()) {
       list.addObject()
           .put("name", machine.name)
           .put("type", machine.type.name())
--- a/src/main/java/io/pineladder/fleet/Fleet.java
+++ b/src/main/java/io/pineladder/fleet/Fleet.java
@@ -243,7 +243,7 @@
     if (released.containsKey(listed.name())) {
       return;
     }
-    Machine machine = cluster.machines.get(listed.name());
+    Machine machine = cluster.machine(listed.name());
     if (machine == null) {
       MachineType type = cluster.type(listed.type());
       if (type == null) {
@@ -252,7 +252,7 @@
       Instant since = time.now().minus(listed.age());
       machine = new Machine(listed.name(), type, listed.zone(), listed.spot(), since);
       machine.address = listed.address();
-      cluster.machines.put(machine.name, machine);
+      cluster.addMachine(machine);
     }
     if (machine.address == null) {
       machine.address = listed.address();
@@ -284,7 +284,7 @@
     Map<String, int[]> zones = new HashMap<>();
     List<Machine> silent = new ArrayList<>();
     int up = 0;
-    for (Machine machine : cluster.machines.values()) {
+    for (Machine machine : cluster.machines()) {
       Instant since = silentSince(machine);
       if (since == null) {
         continue;
@@ -302,6 +302,7 @@
         silent.add(machine);
         if (machine.state() == Machine.State.CONFIRMED) {
           machine.moveTo(Machine.State.SILENT);
+          cluster.refresh(machine);
           log.info("machine {} is silent", machine);
         }
       }
@@ -368,6 +369,7 @@
     }
     log.info("returning machine {} ({}, {})", machine, machine.state(), machine.attempts.size());
     machine.moveTo(Machine.State.RELEASING);
+    cluster.refresh(machine);
     toRelease.add(machine.name);
     sendReleases();
   }
@@ -395,7 +397,7 @@
     if (released.size() > 2000) {
       released.remove(released.keySet().iterator().next());
     }
-    Machine machine = cluster.machines.remove(name);
+    Machine machine = cluster.removeMachine(name);
     if (machine == null) {
       return;
     }
@@ -412,7 +414,7 @@
     boolean quiet = cluster.jobs.isEmpty();
     Map<Boolean, Double> spare = new HashMap<>();
     List<Machine> idle = new ArrayList<>();
-    for (Machine machine : cluster.machines.values()) {
+    for (Machine machine : cluster.machines()) {
       Duration age = Duration.between(machine.since, now);
       switch (machine.state()) {
         case EXPECTED -> {
@@ -536,7 +538,7 @@
       double bootingOrdinary = 0;
       double spareSpot = 0;
       double spareOrdinary = 0;
-      for (Machine machine : cluster.machines.values()) {
+      for (Machine machine : cluster.machines()) {
         if (machine.type != type) {
           continue;
         }
@@ -622,7 +624,7 @@
   private boolean ask(MachineType type, String zone, boolean spot, int count, Instant now) {
     List<String> zones = zone == null ? new ArrayList<>(type.zones()) : List.of(zone);
     Map<String, Integer> there = new HashMap<>();
-    for (Machine machine : cluster.machines.values()) {
+    for (Machine machine : cluster.machines()) {
       if (machine.type == type && machine.spot == spot) {
         there.merge(machine.zone, 1, Integer::sum);
       }
@@ -693,9 +695,9 @@
         refused.put(pool, time.now().plus(REFUSED_FOR));
       }
       for (String name : names) {
-        if (!cluster.machines.containsKey(name) && !released.containsKey(name)) {
+        if (cluster.machine(name) == null && !released.containsKey(name)) {
           MachineType type = cluster.type(pool.type);
-          cluster.machines.put(name, new Machine(name, type, pool.zone, pool.spot, time.now()));
+          cluster.addMachine(new Machine(name, type, pool.zone, pool.spot, time.now()));
         }
       }
     } catch (MalformedException e) {
--- a/src/main/java/io/pineladder/model/Team.java
+++ b/src/main/java/io/pineladder/model/Team.java
@@ -14,6 +14,23 @@
         && (limit.microGpus() == 0 || usage.microGpus() <= limit.microGpus());
   }
 
+  /** How many more times {@code each} keeps a team with {@code usage} within its limit. */
+  public long countWithin(Resources usage, Resources each) {
+    Resources limit = limit();
+    long cpus = room(limit.microCpus(), usage.microCpus(), each.microCpus());
+    return Math.min(cpus, room(limit.microGpus(), usage.microGpus(), each.microGpus()));
+  }
+
+  private static long room(long limit, long used, long each) {
+    if (limit == 0) {
+      return Long.MAX_VALUE;
+    }
+    if (used > limit) {
+      return 0;
+    }
+    return each == 0 ? Long.MAX_VALUE : (limit - used) / each;
+  }
+
   public boolean hasGuarantee() {
     return guarantee.microCpus() > 0 || guarantee.microGpus() > 0;
   }
--- a/src/main/java/io/pineladder/net/UndertowCaller.java
+++ b/src/main/java/io/pineladder/net/UndertowCaller.java
@@ -19,7 +19,9 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.xnio.ChannelListener;
@@ -32,13 +34,20 @@
 /** The HTTP client: a few idle connections kept for each address, one request on each at a time. */
 public final class UndertowCaller implements HttpCaller {
   private static final int IDLE_PER_ADDRESS = 3;
+
+  /** With a large fleet a connection kept for each machine would use up the process's sockets. */
+  private static final int IDLE_IN_ALL = 200;
+
   private static final Duration IDLE_FOR = Duration.ofSeconds(20);
 
   private final XnioRuntime runtime;
   private final ByteBufferPool buffers = new DefaultByteBufferPool(false, 8 * 1024);
   private final Map<String, Deque<Idle>> idle = new HashMap<>();
 
-  private record Idle(ClientConnection connection, Instant since) {}
+  /** All idle connections, the longest idle first. */
+  private final Set<Idle> byAge = new LinkedHashSet<>();
+
+  private record Idle(String address, ClientConnection connection, Instant since) {}
 
   public UndertowCaller(XnioRuntime runtime) {
     this.runtime = runtime;
@@ -53,6 +62,7 @@
     Deque<Idle> free = idle.get(address);
     while (free != null && !free.isEmpty()) {
       Idle kept = free.pollLast();
+      byAge.remove(kept);
       if (kept.connection.isOpen() && kept.since.plus(IDLE_FOR).isAfter(runtime.now())) {
         return kept.connection;
       }
@@ -70,7 +80,21 @@
       IoUtils.safeClose(connection);
       return;
     }
-    free.addLast(new Idle(connection, runtime.now()));
+    Idle kept = new Idle(address, connection, runtime.now());
+    free.addLast(kept);
+    byAge.add(kept);
+    if (byAge.size() > IDLE_IN_ALL) {
+      drop(byAge.iterator().next());
+    }
+  }
+
+  private void drop(Idle kept) {
+    byAge.remove(kept);
+    Deque<Idle> free = idle.get(kept.address);
+    if (free.remove(kept) && free.isEmpty()) {
+      idle.remove(kept.address);
+    }
+    IoUtils.safeClose(kept.connection);
   }
 
   /** One request under way. */
@@ -146,7 +170,7 @@
       if (connection != null && reply.outcome() != Outcome.ANSWERED) {
         IoUtils.safeClose(connection);
       }
-      onReply.accept(reply);
+      XnioRuntime.guarded(() -> onReply.accept(reply));
     }
 
     private void send(ClientConnection made) {
@@ -167,35 +191,43 @@
         out.getRequestHeaders().put(Headers.CONTENT_TYPE, "application/json");
         out.getRequestHeaders().put(Headers.CONTENT_LENGTH, body.length);
       }
-      made.sendRequest(
-          out,
-          new ClientCallback<>() {
-            @Override
-            public void completed(ClientExchange exchange) {
-              exchange.setResponseListener(
-                  new ClientCallback<>() {
-                    @Override
-                    public void completed(ClientExchange answered) {
-                      XnioRuntime.guarded(() -> receive(answered));
-                    }
+      try {
+        made.sendRequest(out, onExchange(body));
+      } catch (RuntimeException e) {
+        // The client throws when its peer has closed the connection just now. Whether any of the
+        // request left is not known; ending the process for it would cost far more than a retry.
+        finish(Reply.UNKNOWN);
+      }
+    }
 
-                    @Override
-                    public void failed(IOException e) {
-                      XnioRuntime.guarded(() -> finish(Reply.UNKNOWN));
-                    }
-                  });
-              try {
-                write(exchange.getRequestChannel(), body);
-              } catch (IOException e) {
-                finish(Reply.UNKNOWN);
-              }
-            }
+    private ClientCallback<ClientExchange> onExchange(byte[] body) {
+      return new ClientCallback<>() {
+        @Override
+        public void completed(ClientExchange exchange) {
+          exchange.setResponseListener(
+              new ClientCallback<>() {
+                @Override
+                public void completed(ClientExchange answered) {
+                  XnioRuntime.guarded(() -> receive(answered));
+                }
 
-            @Override
-            public void failed(IOException e) {
-              XnioRuntime.guarded(() -> finish(Reply.UNKNOWN));
-            }
-          });
+                @Override
+                public void failed(IOException e) {
+                  XnioRuntime.guarded(() -> finish(Reply.UNKNOWN));
+                }
+              });
+          try {
+            write(exchange.getRequestChannel(), body);
+          } catch (IOException e) {
+            finish(Reply.UNKNOWN);
+          }
+        }
+
+        @Override
+        public void failed(IOException e) {
+          XnioRuntime.guarded(() -> finish(Reply.UNKNOWN));
+        }
+      };
     }
 
     private void write(StreamSinkChannel sink, byte[] body) throws IOException {
--- a/src/main/java/io/pineladder/queue/Event.java
+++ b/src/main/java/io/pineladder/queue/Event.java
@@ -2,9 +2,14 @@
 
 import io.pineladder.model.Job;
 import io.pineladder.model.Machine;
+import io.pineladder.model.Resources;
 
-/** Something that may let a parked entry be placed; the fields that do not apply are null. */
-public record Event(Kind kind, Machine machine, Job job, String team) {
+/**
+ * Something that may let a parked entry be placed; the fields that do not apply are null. {@code
+ * room} is what a machine has free: no more entries are woken than could take it. Entries tried
+ * after {@code since} have had their try at it.
+ */
+public record Event(Kind kind, Machine machine, Resources room, long since, Job job, String team) {
   /** What happened. */
   public enum Kind {
     ROOM_FREED,
@@ -13,19 +18,19 @@
     ATTEMPT_GONE
   }
 
-  public static Event roomFreed(Machine machine) {
-    return new Event(Kind.ROOM_FREED, machine, null, null);
+  public static Event roomFreed(Machine machine, Resources room, long since) {
+    return new Event(Kind.ROOM_FREED, machine, room, since, null, null);
   }
 
-  public static Event machineReady(Machine machine) {
-    return new Event(Kind.MACHINE_READY, machine, null, null);
+  public static Event machineReady(Machine machine, Resources room, long since) {
+    return new Event(Kind.MACHINE_READY, machine, room, since, null, null);
   }
 
   public static Event teamFreed(String team) {
-    return new Event(Kind.TEAM_FREED, null, null, team);
+    return new Event(Kind.TEAM_FREED, null, null, Long.MAX_VALUE, null, team);
   }
 
   public static Event attemptGone(Job job) {
-    return new Event(Kind.ATTEMPT_GONE, null, job, null);
+    return new Event(Kind.ATTEMPT_GONE, null, null, Long.MAX_VALUE, job, null);
   }
 }
--- a/src/main/java/io/pineladder/queue/QueueEntry.java
+++ b/src/main/java/io/pineladder/queue/QueueEntry.java
@@ -21,6 +21,8 @@
   Check rejectedBy;
   int attempts;
   Instant triedAt = Instant.MIN;
+  /** Which try of the whole queue was this entry's last. */
+  long triedAs;
   Instant expiry = Instant.MIN;
   /** Sort keys, fixed while the entry is in the heap. */
   boolean guaranteed;
--- a/src/main/java/io/pineladder/queue/SchedulingQueue.java
+++ b/src/main/java/io/pineladder/queue/SchedulingQueue.java
@@ -1,6 +1,7 @@
 package io.pineladder.queue;
 
 import io.pineladder.model.OperatorSettings;
+import io.pineladder.model.Resources;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
@@ -45,6 +46,7 @@
   private final Ordering ordering;
   private OperatorSettings settings;
   private long arrivals;
+  private long tries;
 
   public SchedulingQueue(HintTable hints, Ordering ordering, OperatorSettings settings) {
     this.hints = hints;
@@ -107,10 +109,16 @@
     }
     moveTo(entry, QueueEntry.Place.IN_FLIGHT);
     entry.triedAt = now;
+    entry.triedAs = ++tries;
     entry.attempts++;
     return entry;
   }
 
+  /** How many tries there have been; what an entry was tried after, it has seen. */
+  public long tries() {
+    return tries;
+  }
+
   /** Puts an entry back after a try that left more to do, without any delay. */
   public void again(QueueEntry entry) {
     moveTo(entry, QueueEntry.Place.ACTIVE);
@@ -175,32 +183,57 @@
     return over == 0 ? end : end.plusNanos(window - over);
   }
 
-  /** Wakes what the event may help. */
-  public void onEvent(Event event, Instant now) {
+  /**
+   * Wakes what the event may help, and of those that want the same room only so many as it holds,
+   * the first by priority: a place freed on a full fleet must not cost a try of every parked entry.
+   *
+   * @return whether anything was woken
+   */
+  public boolean onEvent(Event event, Instant now) {
     Map<Check, HintTable.HintFunction> interested = hints.interested(event.kind());
     if (interested.isEmpty()) {
-      return;
+      return false;
     }
     inFlight.values().forEach(events -> events.add(event));
+    List<QueueEntry> helped = new ArrayList<>();
     interested.forEach(
         (check, function) -> {
-          Set<QueueEntry> parked = unschedulable.get(check);
-          if (parked.isEmpty()) {
-            return;
-          }
-          for (QueueEntry entry : List.copyOf(parked)) {
-            requeue(entry, function.hint(entry, event), now);
+          for (QueueEntry entry : unschedulable.get(check)) {
+            if (entry.triedAs <= event.since() && function.hint(entry, event) != Hint.SKIP) {
+              helped.add(entry);
+            }
           }
         });
     // An entry in back-off for a rejection was parked too: a sure event need not wait either.
-    if (!rejected.isEmpty()) {
-      for (QueueEntry entry : List.copyOf(rejected)) {
-        HintTable.HintFunction function = interested.get(entry.rejectedBy);
-        if (function != null && function.hint(entry, event) == Hint.QUEUE_AT_ONCE) {
-          moveTo(entry, QueueEntry.Place.ACTIVE);
-        }
+    for (QueueEntry entry : rejected) {
+      HintTable.HintFunction function = interested.get(entry.rejectedBy);
+      if (function != null
+          && entry.triedAs <= event.since()
+          && function.hint(entry, event) == Hint.QUEUE_AT_ONCE) {
+        helped.add(entry);
       }
     }
+    if (event.room() == null) {
+      helped.forEach(entry -> wake(entry, event, now));
+      return !helped.isEmpty();
+    }
+    helped.sort(BY_PRIORITY);
+    Resources left = event.room();
+    boolean woken = false;
+    for (QueueEntry entry : helped) {
+      Resources each = entry.job.spec.each();
+      long count = Math.min(entry.job.pending.cardinality(), each.countIn(left));
+      if (count > 0) {
+        left = left.minus(each.times(count));
+        wake(entry, event, now);
+        woken = true;
+      }
+    }
+    return woken;
+  }
+
+  private void wake(QueueEntry entry, Event event, Instant now) {
+    requeue(entry, hints.hint(entry.rejectedBy, entry, event), now);
   }
 
   /** Moves what has served its back-off to the active heap. */
--- a/src/main/java/io/pineladder/scheduling/Cluster.java
+++ b/src/main/java/io/pineladder/scheduling/Cluster.java
@@ -4,27 +4,63 @@
 import io.pineladder.model.Job;
 import io.pineladder.model.Machine;
 import io.pineladder.model.MachineType;
+import io.pineladder.model.Rank;
 import io.pineladder.model.Resources;
 import io.pineladder.model.Settings;
 import io.pineladder.model.Team;
 import java.time.Instant;
 import java.util.Collection;
+import java.util.Collections;
+import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 
-/** What the leader knows: teams, types, jobs, machines, and what each of them uses. */
+/**
+ * What the leader knows: teams, types, jobs, machines, and what each of them uses. Beside them it
+ * keeps the indexes that let one event be dealt with without a look at the whole fleet.
+ */
 public final class Cluster {
   public final Settings settings;
   public final Map<String, Job> jobs = new LinkedHashMap<>();
-  public final Map<String, Machine> machines = new TreeMap<>();
+  private final Map<String, Machine> machines = new TreeMap<>();
   private final Map<String, Team> teams = new HashMap<>();
   private final Map<String, Resources> usage = new HashMap<>();
-  private final Map<String, Map<String, Job>> jobsByTeam = new HashMap<>();
+  private final Map<String, TeamJobs> jobsByTeam = new HashMap<>();
   private final Map<String, MachineType> types = new LinkedHashMap<>();
 
+  /** Machines that take work and have room for tasks that need an accelerator. */
+  private final Set<Machine> openWithGpu = new LinkedHashSet<>();
+
+  /** Machines that take work and have any processor and memory left. */
+  private final Set<Machine> open = new LinkedHashSet<>();
+
+  /** How many machines there are of each kind. */
+  private final Map<Kind, Integer> kinds = new HashMap<>();
+
+  /** Attempts that wait for their image, by image. */
+  private final Map<String, Set<Attempt>> fetching = new HashMap<>();
+
+  /** How many attempts hold room, by rank. */
+  private final EnumMap<Rank, Integer> holding = new EnumMap<>(Rank.class);
+
+  /** Machines that keep room for a job, by job. */
+  private final Map<Job, Set<Machine>> reservations = new HashMap<>();
+
+  /** What distinguishes machines for a job's wishes. */
+  record Kind(String type, String zone, boolean spot) {}
+
+  /** A team's jobs in the order of their acceptance, and which of them the guarantee covers. */
+  private static final class TeamJobs {
+    final Map<String, Job> jobs = new LinkedHashMap<>();
+    final Set<Job> guaranteed = new LinkedHashSet<>();
+    boolean stale = true;
+  }
+
   public Cluster(Settings settings) {
     this.settings = settings;
     for (Team team : settings.teams()) {
@@ -57,15 +93,26 @@
   public void addJob(Job job) {
     jobs.put(job.spec.id(), job);
     jobsByTeam
-        .computeIfAbsent(job.spec.team(), t -> new LinkedHashMap<>())
+        .computeIfAbsent(job.spec.team(), t -> new TeamJobs())
+        .jobs
         .put(job.spec.id(), job);
+    demandChanged(job);
   }
 
   public void removeJob(Job job) {
     jobs.remove(job.spec.id());
-    Map<String, Job> of = jobsByTeam.get(job.spec.team());
+    TeamJobs of = jobsByTeam.get(job.spec.team());
     if (of != null) {
-      of.remove(job.spec.id());
+      of.jobs.remove(job.spec.id());
+      of.stale = true;
+    }
+  }
+
+  /** A job needs less, or no longer anything, of what its team may use. */
+  public void demandChanged(Job job) {
+    TeamJobs of = jobsByTeam.get(job.spec.team());
+    if (of != null) {
+      of.stale = true;
     }
   }
 
@@ -75,22 +122,121 @@
     if (team == null || !team.hasGuarantee()) {
       return false;
     }
-    Resources sum = Resources.NONE;
-    for (Job each : jobsByTeam.getOrDefault(job.spec.team(), Map.of()).values()) {
-      if (!each.isActive()) {
-        continue;
-      }
-      sum = sum.plus(each.spec.each().times(each.spec.tasks() - each.done.cardinality()));
-      if (!team.guarantees(sum)) {
-        return false;
-      }
-      if (each == job) {
-        return true;
+    TeamJobs of = jobsByTeam.get(job.spec.team());
+    if (of == null) {
+      return false;
+    }
+    if (of.stale) {
+      of.stale = false;
+      of.guaranteed.clear();
+      Resources sum = Resources.NONE;
+      for (Job each : of.jobs.values()) {
+        if (!each.isActive()) {
+          continue;
+        }
+        sum = sum.plus(each.spec.each().times(each.spec.tasks() - each.done.cardinality()));
+        if (!team.guarantees(sum)) {
+          break;
+        }
+        of.guaranteed.add(each);
       }
     }
-    return false;
+    return of.guaranteed.contains(job);
+  }
+
+  // ---- machines
+
+  public Collection<Machine> machines() {
+    return Collections.unmodifiableCollection(machines.values());
+  }
+
+  public Machine machine(String name) {
+    return machines.get(name);
+  }
+
+  public void addMachine(Machine machine) {
+    machines.put(machine.name, machine);
+    kinds.merge(kind(machine), 1, Integer::sum);
+    refresh(machine);
+  }
+
+  /** Forgets a machine that is gone; null when there was none. */
+  public Machine removeMachine(String name) {
+    Machine machine = machines.remove(name);
+    if (machine != null) {
+      kinds.computeIfPresent(kind(machine), (k, count) -> count == 1 ? null : count - 1);
+      unreserve(machine);
+      open.remove(machine);
+      openWithGpu.remove(machine);
+    }
+    return machine;
+  }
+
+  private static Kind kind(Machine machine) {
+    return new Kind(machine.type.name(), machine.zone, machine.spot);
+  }
+
+  Set<Kind> kinds() {
+    return kinds.keySet();
+  }
+
+  /** Brings the indexes in step with a machine whose state, notice or use has changed. */
+  public void refresh(Machine machine) {
+    Resources free = machine.free();
+    boolean takes = machine.takesWork() && free.microCpus() > 0 && free.microGb() > 0;
+    put(open, machine, takes);
+    put(openWithGpu, machine, takes && free.microGpus() > 0);
+  }
+
+  private static <T> void put(Set<T> set, T item, boolean in) {
+    if (in) {
+      set.add(item);
+    } else {
+      set.remove(item);
+    }
   }
 
+  /** The machines on which a job's tasks may find room; all others have none for it. */
+  Collection<Machine> openFor(Job job) {
+    return job.spec.each().microGpus() > 0 ? openWithGpu : open;
+  }
+
+  // ---- room kept
+
+  /** Keeps room on the machine for one task of the job. */
+  void reserve(Machine machine, Job job, Instant until) {
+    unreserve(machine);
+    machine.reservedFor = job;
+    machine.reserved = job.spec.each();
+    machine.reservedUntil = until;
+    reservations.computeIfAbsent(job, j -> new LinkedHashSet<>(2)).add(machine);
+  }
+
+  void unreserve(Machine machine) {
+    Job job = machine.reservedFor;
+    if (job == null) {
+      return;
+    }
+    machine.reservedFor = null;
+    machine.reserved = Resources.NONE;
+    Set<Machine> of = reservations.get(job);
+    if (of != null && of.remove(machine) && of.isEmpty()) {
+      reservations.remove(job);
+    }
+  }
+
+  /** The machines that keep room for the job. */
+  Set<Machine> reservedFor(Job job) {
+    return reservations.getOrDefault(job, Set.of());
+  }
+
+  /** Attempts that wait for this image, on whatever machine. */
+  Set<Attempt> fetching(String image) {
+    return fetching.getOrDefault(image, Set.of());
+  }
+
+  // ---- attempts
+
   /** Counts a new attempt everywhere it counts. */
   public Attempt addAttempt(
       Job job, int task, long number, Machine machine, Instant now, Attempt.State first) {
@@ -100,22 +246,51 @@
     machine.used = machine.used.plus(job.spec.each());
     machine.idleSince = null;
     usage.merge(job.spec.team(), job.spec.each(), Resources::plus);
+    holding.merge(job.spec.rank(), 1, Integer::sum);
+    refresh(machine);
     return attempt;
   }
 
   /** Changes an attempt's state and, when it ends, gives back what it held. */
   public void move(Attempt attempt, Attempt.State next) {
     boolean held = attempt.holdsRoom();
+    Attempt.State before = attempt.state();
     attempt.moveTo(next);
+    if (before != next) {
+      followFetch(attempt, before, next);
+    }
     if (held && !attempt.holdsRoom()) {
       Resources each = attempt.job.spec.each();
       attempt.machine.used = attempt.machine.used.minus(each);
       usage.merge(attempt.job.spec.team(), each, Resources::minus);
+      holding.merge(attempt.job.spec.rank(), -1, Integer::sum);
       attempt.job.remove(attempt);
+      refresh(attempt.machine);
     }
     if (next == Attempt.State.GONE) {
       attempt.machine.attempts.remove(
           Machine.key(attempt.job.spec.id(), attempt.task, attempt.number));
     }
   }
+
+  /** Whether there is any work that could make way for the job; where, a look at the fleet tells. */
+  boolean mayDisplaceAny(Job job) {
+    if (isGuaranteed(job)) {
+      return true;
+    }
+    return holding.entrySet().stream()
+        .anyMatch(e -> e.getValue() > 0 && job.spec.rank().isAbove(e.getKey()));
+  }
+
+  private void followFetch(Attempt attempt, Attempt.State before, Attempt.State next) {
+    String image = attempt.job.spec.image();
+    if (next == Attempt.State.FETCHING) {
+      fetching.computeIfAbsent(image, i -> new LinkedHashSet<>()).add(attempt);
+    } else if (before == Attempt.State.FETCHING) {
+      Set<Attempt> of = fetching.get(image);
+      if (of != null && of.remove(attempt) && of.isEmpty()) {
+        fetching.remove(image);
+      }
+    }
+  }
 }
--- a/src/main/java/io/pineladder/scheduling/Placer.java
+++ b/src/main/java/io/pineladder/scheduling/Placer.java
@@ -11,6 +11,7 @@
 import io.pineladder.store.Records;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -26,13 +27,17 @@
 
   public Placer(Cluster cluster) {
     this.cluster = cluster;
-    this.mostAttempts = Math.max(1, (cluster.settings.store().valueBytes() - 600 - Records.IMAGES_KEPT * 230) / 180);
+    int bytes = cluster.settings.store().valueBytes() - 600 - Records.IMAGES_KEPT * 230;
+    this.mostAttempts = Math.max(1, bytes / 180);
   }
 
-  /** Machines for all of a gang's tasks or for one other task, or the check that said no. */
+  /**
+   * Machines for as many of the tasks asked for as could be placed, and the check that rejected the
+   * rest; null when none was rejected.
+   */
   public record Decision(List<Machine> machines, Check rejectedBy) {
     static Decision no(Check by) {
-      return new Decision(null, by);
+      return new Decision(List.of(), by);
     }
 
     public boolean isPlaced() {
@@ -45,31 +50,55 @@
     return place(job, job.spec.shape() == Shape.GANG ? job.spec.tasks() : 1, now);
   }
 
-  /** Decides for so many tasks, which all get a place or none does. */
+  /**
+   * Decides for so many tasks in one look at the machines with room. A gang gets a place as a whole
+   * or not at all; of other jobs the first tasks may be placed and the rest rejected.
+   */
   Decision place(Job job, int wanted, Instant now) {
     JobSpec spec = job.spec;
+    boolean whole = spec.shape() == Shape.GANG;
     Team team = cluster.team(spec.team());
-    Resources after = cluster.usage(spec.team()).plus(spec.each().times(wanted));
-    if (team == null || !team.allows(after)) {
+    long within = team == null ? 0 : team.countWithin(cluster.usage(spec.team()), spec.each());
+    if (within == 0 || (whole && within < wanted)) {
       return Decision.no(Check.TEAM_LIMIT);
     }
-    List<Machine> allowed = new ArrayList<>();
-    boolean anyAllowed = false;
-    for (Machine machine : cluster.machines.values()) {
+    int most = (int) Math.min(wanted, within);
+    List<Candidate> candidates = new ArrayList<>();
+    for (Machine machine : cluster.openFor(job)) {
       if (!isAllowed(job, machine)) {
         continue;
       }
-      anyAllowed = true;
-      if (machine.takesWork()
-          && machine.attempts.size() < mostAttempts
-          && spec.each().fitsIn(room(job, machine, now))) {
-        allowed.add(machine);
+      long room = spec.each().countIn(room(job, machine, now));
+      int count = (int) Math.min(room, mostAttempts - machine.attempts.size());
+      if (count > 0) {
+        candidates.add(new Candidate(machine, cost(job, machine), count));
       }
     }
-    if (allowed.isEmpty()) {
-      return Decision.no(anyAllowed ? Check.FIT : Check.PLACE);
+    if (candidates.isEmpty()) {
+      return Decision.no(anyAllowed(spec) ? Check.FIT : Check.PLACE);
     }
-    return spec.together() ? together(job, wanted, allowed, now) : free(job, wanted, allowed, now);
+    candidates.sort(BY_COST);
+    Decision decision =
+        spec.together() ? together(job, most, candidates, whole) : free(job, most, candidates, whole);
+    boolean limited = decision.isPlaced() && most < wanted;
+    return limited ? new Decision(decision.machines(), Check.TEAM_LIMIT) : decision;
+  }
+
+  /** A machine with room for so many tasks of the job. */
+  private record Candidate(Machine machine, double cost, int count) {}
+
+  private static final Comparator<Candidate> BY_COST =
+      Comparator.<Candidate>comparingDouble(c -> c.cost).thenComparing(c -> c.machine.name);
+
+  private boolean anyAllowed(JobSpec spec) {
+    for (Cluster.Kind kind : cluster.kinds()) {
+      if (spec.allowsType(kind.type())
+          && spec.allowsZone(kind.zone())
+          && (spec.spotAllowed() || !kind.spot())) {
+        return true;
+      }
+    }
+    return false;
   }
 
   /** Type, zone, kind, and no earlier failure of this job there. */
@@ -113,78 +142,67 @@
     return zones;
   }
 
-  private Decision together(Job job, int wanted, List<Machine> allowed, Instant now) {
+  private Decision together(Job job, int wanted, List<Candidate> candidates, boolean whole) {
     Set<String> taken = byZone(job).keySet();
     Set<String> zones = new LinkedHashSet<>();
-    for (Machine machine : allowed) {
-      if (taken.isEmpty() || (taken.size() == 1 && taken.contains(machine.zone))) {
-        zones.add(machine.zone);
+    for (Candidate candidate : candidates) {
+      String zone = candidate.machine.zone;
+      if (taken.isEmpty() || (taken.size() == 1 && taken.contains(zone))) {
+        zones.add(zone);
       }
     }
-    List<Machine> best = null;
+    List<Machine> best = List.of();
     double bestCost = Double.MAX_VALUE;
     for (String zone : zones) {
-      List<Machine> there = allowed.stream().filter(m -> m.zone.equals(zone)).toList();
-      List<Machine> chosen = fill(job, wanted, there, Map.of(), Integer.MAX_VALUE, now);
-      if (chosen != null) {
-        double worst = 0;
-        for (Machine machine : chosen) {
-          worst = Math.max(worst, cost(job, machine));
-        }
-        if (worst < bestCost) {
-          best = chosen;
-          bestCost = worst;
-        }
+      List<Candidate> there =
+          candidates.stream().filter(c -> c.machine.zone.equals(zone)).toList();
+      List<Machine> chosen = take(wanted, there, Map.of(), Integer.MAX_VALUE);
+      if (chosen.isEmpty() || (whole && chosen.size() < wanted)) {
+        continue;
+      }
+      double worst = 0;
+      for (Machine machine : chosen) {
+        worst = Math.max(worst, cost(job, machine));
       }
+      if (chosen.size() > best.size() || (chosen.size() == best.size() && worst < bestCost)) {
+        best = chosen;
+        bestCost = worst;
+      }
+    }
+    if (best.size() == wanted) {
+      return new Decision(best, null);
     }
-    return best == null ? Decision.no(wanted > 1 && taken.isEmpty() ? Check.FIT : Check.TOGETHER)
-        : new Decision(best, null);
+    return new Decision(best, whole && taken.isEmpty() ? Check.FIT : Check.TOGETHER);
   }
 
-  private Decision free(Job job, int wanted, List<Machine> allowed, Instant now) {
-    Map<String, Integer> zones = job.spec.spread() ? byZone(job) : Map.of();
-    int most = job.spec.spread() ? (job.spec.tasks() + 1) / 2 : Integer.MAX_VALUE;
-    List<Machine> chosen = fill(job, wanted, allowed, zones, most, now);
-    if (chosen != null) {
+  private Decision free(Job job, int wanted, List<Candidate> candidates, boolean whole) {
+    boolean spread = job.spec.spread();
+    Map<String, Integer> zones = spread ? byZone(job) : Map.of();
+    int most = spread ? (job.spec.tasks() + 1) / 2 : Integer.MAX_VALUE;
+    List<Machine> chosen = take(wanted, candidates, zones, most);
+    if (chosen.size() == wanted) {
       return new Decision(chosen, null);
     }
-    return Decision.no(job.spec.spread() ? Check.SPREAD : Check.FIT);
+    return new Decision(whole ? List.of() : chosen, spread ? Check.SPREAD : Check.FIT);
   }
 
-  /** Takes the cheapest machine again and again, or gives up; nothing is changed. */
-  private List<Machine> fill(
-      Job job,
-      int wanted,
-      List<Machine> allowed,
-      Map<String, Integer> zones,
-      int mostInZone,
-      Instant now) {
-    Resources each = job.spec.each();
-    Map<Machine, Integer> planned = new HashMap<>();
+  /** Fills the cheapest machine, then the next, until enough tasks have a place. */
+  private static List<Machine> take(
+      int wanted, List<Candidate> candidates, Map<String, Integer> zones, int mostInZone) {
     Map<String, Integer> inZone = new HashMap<>(zones);
-    List<Machine> chosen = new ArrayList<>(wanted);
-    for (int i = 0; i < wanted; i++) {
-      Machine best = null;
-      double bestCost = Double.MAX_VALUE;
-      for (Machine machine : allowed) {
-        int here = planned.getOrDefault(machine, 0);
-        if (inZone.getOrDefault(machine.zone, 0) >= mostInZone
-            || machine.attempts.size() + here >= mostAttempts
-            || (here > 0 && !each.times(here + 1L).fitsIn(room(job, machine, now)))) {
-          continue;
-        }
-        double cost = cost(job, machine) + here * 1e-6;
-        if (cost < bestCost) {
-          best = machine;
-          bestCost = cost;
-        }
+    List<Machine> chosen = new ArrayList<>();
+    for (Candidate candidate : candidates) {
+      int there = inZone.getOrDefault(candidate.machine.zone, 0);
+      int count = Math.min(wanted - chosen.size(), Math.min(candidate.count, mostInZone - there));
+      for (int i = 0; i < count; i++) {
+        chosen.add(candidate.machine);
+      }
+      if (count > 0) {
+        inZone.put(candidate.machine.zone, there + count);
       }
-      if (best == null) {
-        return null;
+      if (chosen.size() == wanted) {
+        break;
       }
-      chosen.add(best);
-      planned.merge(best, 1, Integer::sum);
-      inZone.merge(best.zone, 1, Integer::sum);
     }
     return chosen;
   }
--- a/src/main/java/io/pineladder/scheduling/Preemptor.java
+++ b/src/main/java/io/pineladder/scheduling/Preemptor.java
@@ -24,17 +24,17 @@
   /** Attempts to stop on one machine. */
   record Plan(Machine machine, List<Attempt> victims) {}
 
-  /** Whether work stopped for this job is still leaving its machine. */
-  boolean isWaiting(Job job, Instant now) {
-    for (Machine machine : cluster.machines.values()) {
-      if (machine.reservedFor == job
-          && machine.reservedUntil.isAfter(now)
+  /** On how many machines work stopped for this job is still leaving. */
+  int waiting(Job job, Instant now) {
+    int count = 0;
+    for (Machine machine : cluster.reservedFor(job)) {
+      if (machine.reservedUntil.isAfter(now)
           && machine.takesWork()
           && !job.spec.each().fitsIn(machine.free())) {
-        return true;
+        count++;
       }
     }
-    return false;
+    return count;
   }
 
   /**
@@ -53,9 +53,10 @@
             && team.guarantees(cluster.usage(spec.team()).plus(spec.each()));
     Plan best = null;
     double bestLoss = Double.MAX_VALUE;
-    for (Machine machine : cluster.machines.values()) {
+    for (Machine machine : cluster.machines()) {
       if (!machine.takesWork()
           || !Placer.isAllowed(job, machine)
+          || (machine.reservedFor == job && machine.reservedUntil.isAfter(now))
           || !Placer.mayTake(job, machine)
           || Placer.fetchSeconds(job, machine) > mostFetchSeconds) {
         continue;
--- a/src/main/java/io/pineladder/scheduling/Scheduler.java
+++ b/src/main/java/io/pineladder/scheduling/Scheduler.java
@@ -17,12 +17,13 @@
 import io.pineladder.queue.HintTable;
 import io.pineladder.queue.QueueEntry;
 import io.pineladder.queue.SchedulingQueue;
+import io.pineladder.store.RateBudget;
 import io.pineladder.store.Records;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.LinkedHashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -44,6 +45,9 @@
 
   private static final Duration RESERVATION = Duration.ofSeconds(20);
 
+  /** Looks at the whole fleet for work to displace, each second; the first by priority get them. */
+  private static final double DISPLACEMENTS_A_SECOND = 20;
+
   /** Different jobs that must fail on a machine before it is taken for faulty. */
   private static final int FAILED_JOBS = 2;
 
@@ -69,8 +73,10 @@
   private final SchedulingQueue queue;
   private final Map<String, QueueEntry> entries = new HashMap<>();
   private final long term;
-  /** Machines on which room has come free since the queue was last empty. */
-  private final Set<Machine> roomy = new LinkedHashSet<>();
+  private final RateBudget displacements;
+
+  /** Machines on which room came free, with how many tries there had been by then. */
+  private final Map<Machine, Long> roomy = new LinkedHashMap<>();
 
   private Records records;
   private long numbers;
@@ -85,6 +91,8 @@
     this.effects = effects;
     this.placer = new Placer(cluster);
     this.preemptor = new Preemptor(cluster);
+    this.displacements =
+        new RateBudget(DISPLACEMENTS_A_SECOND, DISPLACEMENTS_A_SECOND, time.now());
     this.queue = new SchedulingQueue(hints(), new ByObjective(), operator);
   }
 
@@ -225,6 +233,7 @@
       return;
     }
     job.moveTo(Job.State.CANCELLED);
+    cluster.demandChanged(job);
     leaveQueue(job);
     records.end(job);
   }
@@ -351,6 +360,7 @@
       job.done.set(attempt.task);
     }
     job.pending.clear(attempt.task);
+    cluster.demandChanged(job);
     records.taskDone(job, attempt);
     if (job.done.cardinality() == job.spec.tasks()) {
       job.moveTo(Job.State.DONE);
@@ -444,10 +454,13 @@
   }
 
   private void freed(Attempt attempt) {
-    roomy.add(attempt.machine);
+    Machine machine = attempt.machine;
     Instant now = time.now();
     queue.onEvent(Event.teamFreed(attempt.job.spec.team()), now);
-    queue.onEvent(Event.roomFreed(attempt.machine), now);
+    if (machine.takesWork()) {
+      roomy.put(machine, queue.tries());
+      queue.onEvent(Event.roomFreed(machine, machine.free(), queue.tries()), now);
+    }
     queue.onEvent(Event.attemptGone(attempt.job), now);
     kick();
   }
@@ -458,19 +471,20 @@
     machine.failures.merge(job.spec.id(), 1, Integer::sum);
     job.avoid.add(machine.name);
     // A job that fails everywhere must not run out of machines.
-    if (job.avoid.size() > cluster.machines.size() / 2) {
+    if (job.avoid.size() > cluster.machines().size() / 2) {
       job.avoid.clear();
     }
     if (machine.failures.size() >= FAILED_JOBS && !machine.draining) {
       log.info("machine {} fails different jobs and is retired", machine);
       machine.draining = true;
+      cluster.refresh(machine);
     }
   }
 
   /** A machine can take work now, or more than before. */
   public void machineReady(Machine machine) {
-    roomy.add(machine);
-    queue.onEvent(Event.machineReady(machine), time.now());
+    roomy.put(machine, queue.tries());
+    queue.onEvent(Event.machineReady(machine, machine.free(), queue.tries()), time.now());
     kick();
   }
 
@@ -494,6 +508,9 @@
     for (int turn = 0; turn < TURNS_A_PASS; turn++) {
       QueueEntry entry = queue.pop(now);
       if (entry == null) {
+        if (offerAgain(now)) {
+          continue;
+        }
         shortenFetches(now);
         wakeForBackoff();
         return;
@@ -503,6 +520,23 @@
     kick();
   }
 
+  /**
+   * What was woken for a place could not use all of it, for its team's limit perhaps: then the next
+   * by priority that have not been tried since get theirs. Without this the place would stay empty,
+   * since an event wakes no more entries than its room holds.
+   */
+  private boolean offerAgain(Instant now) {
+    boolean woken = false;
+    for (Map.Entry<Machine, Long> entry : roomy.entrySet()) {
+      Machine machine = entry.getKey();
+      if (machine.takesWork()) {
+        Event event = Event.roomFreed(machine, machine.free(), entry.getValue());
+        woken |= queue.onEvent(event, now);
+      }
+    }
+    return woken && queue.hasActive();
+  }
+
   private void wakeForBackoff() {
     Instant next = queue.nextExpiry();
     Instant now = time.now();
@@ -547,45 +581,48 @@
       entries.remove(job.spec.id());
       return;
     }
-    for (int count = 0; count < TASKS_A_TURN; count++) {
-      int task = job.pending.nextSetBit(0);
-      if (task < 0) {
-        queue.remove(entry);
-        entries.remove(job.spec.id());
-        return;
-      }
-      Placer.Decision decision = placer.place(job, now);
-      if (!decision.isPlaced()) {
-        reject(entry, decision.rejectedBy(), now);
+    int wanted = Math.min(job.pending.cardinality(), TASKS_A_TURN);
+    Placer.Decision decision = placer.place(job, wanted, now);
+    for (Machine machine : decision.machines()) {
+      if (waitsForWarmRoom(entry, machine, now)) {
         return;
       }
-      if (waitsForWarmRoom(entry, decision.machines().get(0), now)) {
-        return;
-      }
-      start(job, task, nextNumber(), decision.machines().get(0), now);
+      start(job, job.pending.nextSetBit(0), nextNumber(), machine, now);
       entry.progressed();
     }
-    queue.again(entry);
+    if (!decision.isPlaced()) {
+      reject(entry, decision.rejectedBy(), now);
+    } else if (job.pending.isEmpty()) {
+      queue.remove(entry);
+      entries.remove(job.spec.id());
+    } else {
+      queue.again(entry);
+    }
   }
 
   private void reject(QueueEntry entry, Check by, Instant now) {
     boolean room = by == Check.FIT || by == Check.SPREAD || by == Check.TOGETHER;
-    if (room && !preemptor.isWaiting(entry.job, now)) {
-      makeRoom(entry.job, Double.MAX_VALUE, now);
+    if (room) {
+      int lacking = entry.job.pending.cardinality() - preemptor.waiting(entry.job, now);
+      while (lacking-- > 0 && makeRoom(entry.job, Double.MAX_VALUE, now)) {
+        // Each turn frees a place for one more task.
+      }
     }
     queue.park(entry, by, now);
   }
 
   private boolean makeRoom(Job job, double mostFetchSeconds, Instant now) {
+    if (!cluster.mayDisplaceAny(job) || displacements.available(now) < 1) {
+      return false;
+    }
+    displacements.take(1, now);
     Preemptor.Plan plan = preemptor.plan(job, mostFetchSeconds, now);
     if (plan == null) {
       return false;
     }
     Machine machine = plan.machine();
     log.info("{} displaces {} on {}", job, plan.victims(), machine);
-    machine.reservedFor = job;
-    machine.reserved = job.spec.each();
-    machine.reservedUntil = now.plus(RESERVATION);
+    cluster.reserve(machine, job, now.plus(RESERVATION));
     plan.victims().forEach(this::displace);
     return true;
   }
@@ -603,7 +640,7 @@
     if (fetch < 1 || seconds < 0 || fetch < seconds) {
       return false;
     }
-    if (!preemptor.isWaiting(job, now) && !makeRoom(job, seconds, now)) {
+    if (preemptor.waiting(job, now) == 0 && !makeRoom(job, seconds, now)) {
       return false;
     }
     queue.park(entry, Check.FIT, now);
@@ -615,7 +652,7 @@
    * for a good while: that task moves there. It has done no work yet, so nothing is lost.
    */
   private void shortenFetches(Instant now) {
-    for (Machine machine : roomy) {
+    for (Machine machine : roomy.keySet()) {
       if (!machine.takesWork()) {
         continue;
       }
@@ -627,9 +664,7 @@
         }
         log.info("{} moves to {}, which has its image", best, machine);
         room = room.minus(best.job.spec.each());
-        machine.reservedFor = best.job;
-        machine.reserved = best.job.spec.each();
-        machine.reservedUntil = now.plus(RESERVATION);
+        cluster.reserve(machine, best.job, now.plus(RESERVATION));
         kill(best, Duration.ZERO);
       }
     }
@@ -640,15 +675,13 @@
   private Attempt worthMoving(Machine machine, Resources room, Instant now) {
     Attempt best = null;
     Instant latest = now.plus(WORTH_MOVING);
-    for (Machine other : cluster.machines.values()) {
-      for (Attempt attempt : other.attempts.values()) {
+    for (String image : machine.images.keySet()) {
+      for (Attempt attempt : cluster.fetching(image)) {
         Job job = attempt.job;
-        if (other != machine
-            && attempt.state() == Attempt.State.FETCHING
+        if (attempt.machine != machine
             && attempt.isWanted()
             && attempt.readyAt.isAfter(latest)
             && (job.spec.shape() != Shape.GANG || job.spec.tasks() == 1)
-            && machine.images.containsKey(job.spec.image())
             && job.spec.each().fitsIn(room)
             && job.spec.each().fitsIn(Placer.room(job, machine, now))
             && Placer.isAllowed(job, machine)
@@ -681,8 +714,7 @@
 
   private void start(Job job, int task, long number, Machine machine, Instant now) {
     if (machine.reservedFor == job) {
-      machine.reservedFor = null;
-      machine.reserved = Resources.NONE;
+      cluster.unreserve(machine);
     }
     job.pending.clear(task);
     double fetch = Placer.fetchSeconds(job, machine);
--- a/src/main/java/io/pineladder/workers/Workers.java
+++ b/src/main/java/io/pineladder/workers/Workers.java
@@ -97,7 +97,7 @@
 
   /** Whether tasks of jobs that are over may still be on a machine. */
   public boolean holdsEnded(String name) {
-    Machine machine = cluster.machines.get(name);
+    Machine machine = cluster.machine(name);
     return machine != null
         && machine.attempts.values().stream().anyMatch(a -> a.holdsRoom() && a.job.ending);
   }
@@ -107,7 +107,7 @@
     if (report.token() > term) {
       return null;
     }
-    Machine machine = cluster.machines.get(report.machine());
+    Machine machine = cluster.machine(report.machine());
     if (machine == null) {
       if (listener.isGone(report.machine())) {
         // A report held up in the network would bring its tasks back to life and block them.
@@ -119,7 +119,7 @@
         return null;
       }
       machine = new Machine(report.machine(), type, report.zone(), report.spot(), time.now());
-      cluster.machines.put(machine.name, machine);
+      cluster.addMachine(machine);
       listener.onMachine(machine);
     }
     boolean older =
@@ -151,11 +151,13 @@
       if (machine.state() == Machine.State.EXPECTED) {
         machine.moveTo(Machine.State.HEARD);
       }
+      cluster.refresh(machine);
       return machine;
     }
     boolean wasReady = machine.takesWork();
     machine.moveTo(Machine.State.CONFIRMED);
     follow(machine, report);
+    cluster.refresh(machine);
     if (!wasReady && machine.takesWork()) {
       scheduler.machineReady(machine);
     }
--- a/src/test/java/io/pineladder/queue/SchedulingQueueTest.java
+++ b/src/test/java/io/pineladder/queue/SchedulingQueueTest.java
@@ -145,7 +145,7 @@
           }
         }
         case 4 -> {
-          queue.onEvent(Event.roomFreed(null), now);
+          queue.onEvent(Event.roomFreed(null, null, Long.MAX_VALUE), now);
           for (Plain p : model) {
             if (p.place == QueueEntry.Place.UNSCHEDULABLE && p.by == Check.FIT) {
               p.place =
@@ -191,7 +191,7 @@
     queue.add(entry);
     queue.pop(ORIGIN);
     queue.park(entry, Check.PREDECESSOR, ORIGIN);
-    queue.onEvent(Event.roomFreed(null), ORIGIN.plusSeconds(60));
+    queue.onEvent(Event.roomFreed(null, null, Long.MAX_VALUE), ORIGIN.plusSeconds(60));
     queue.onEvent(Event.teamFreed("t"), ORIGIN.plusSeconds(60));
     assertEquals(QueueEntry.Place.UNSCHEDULABLE, entry.place());
     assertEquals(1, queue.parked().get(Check.PREDECESSOR));
--- a/src/test/java/io/pineladder/scheduling/PlacerTest.java
+++ b/src/test/java/io/pineladder/scheduling/PlacerTest.java
@@ -62,7 +62,7 @@
   /** How many of the job's tasks could go into each zone, machine by machine and one at a time. */
   private static Map<String, Integer> takes(Cluster cluster, Job job) {
     Map<String, Integer> zones = new HashMap<>();
-    for (Machine machine : cluster.machines.values()) {
+    for (Machine machine : cluster.machines()) {
       boolean allowed =
           (job.spec.types() == null || job.spec.types().contains(machine.type.name()))
               && (job.spec.zone() == null || job.spec.zone().equals(machine.zone))
@@ -91,7 +91,7 @@
   private static boolean canPlace(Cluster cluster, Job job, int wanted) {
     double gpus = 0;
     Map<String, Integer> own = new HashMap<>();
-    for (Machine machine : cluster.machines.values()) {
+    for (Machine machine : cluster.machines()) {
       for (Attempt attempt : machine.attempts.values()) {
         if (attempt.job.spec.team().equals(job.spec.team())) {
           gpus += attempt.job.spec.each().gpus();
@@ -129,7 +129,7 @@
               "m-" + i, types.get(i % 2), i % 3 == 0 ? "a" : "b", random.nextInt(4) == 0, NOW);
       machine.moveTo(i == 8 ? Machine.State.HEARD : Machine.State.CONFIRMED);
       machine.draining = i == 7;
-      cluster.machines.put(machine.name, machine);
+      cluster.addMachine(machine);
     }
     Placer placer = new Placer(cluster);
     List<Attempt> there = new ArrayList<>();
--- a/src/test/java/io/pineladder/workers/WorkersTest.java
+++ b/src/test/java/io/pineladder/workers/WorkersTest.java
@@ -91,9 +91,9 @@
     leader.workers.onReport(
         new Report("m-1", "10.1.0.1:9000", "g4", "a", false, 1, 1, 3, null, List.of()));
     leader.runFor(Duration.ofMillis(10));
-    assertEquals(Machine.State.HEARD, leader.cluster.machines.get("m-1").state());
+    assertEquals(Machine.State.HEARD, leader.cluster.machine("m-1").state());
     assertTrue(job.attempts.isEmpty());
-    Machine machine = leader.cluster.machines.get("m-1");
+    Machine machine = leader.cluster.machine("m-1");
     Attempt older =
         leader.cluster.addAttempt(
             job, 0, 5, machine, leader.now(), Attempt.State.RECORDED);
@@ -109,7 +109,7 @@
   void aLostTaskOfAGatheringGangIsReplacedUnderItsNumber() {
     leader.report("m-1", 1);
     leader.report("m-2", 1);
-    leader.cluster.machines.get("m-1").draining = true;
+    leader.cluster.machine("m-1").draining = true;
     Job gang = leader.accept(LeaderHarness.spec("req-1", Shape.GANG, Rank.LOW, 2, "i"));
     Attempt first = gang.attempts.get(0).iterator().next();
     Attempt second = gang.attempts.get(1).iterator().next();
@@ -121,7 +121,7 @@
     gang = other.accept(LeaderHarness.spec("req-1", Shape.GANG, Rank.LOW, 2, "i"));
     first = gang.attempts.get(0).iterator().next();
     second = gang.attempts.get(1).iterator().next();
-    other.cluster.machines.get("m-2").draining = true;
+    other.cluster.machine("m-2").draining = true;
     other.report("m-1", 1);
     other.report(
         "m-2", 2, LeaderHarness.task(first, TaskState.GATHERING), exited(second, Cause.NO_ROOM));
@@ -157,13 +157,13 @@
     Attempt attempt = LeaderHarness.only(job);
     leader.report("m-1", 2, LeaderHarness.task(attempt, TaskState.RUNNING));
     leader.sent.clear();
-    leader.fleet.release(leader.cluster.machines.get("m-1"));
+    leader.fleet.release(leader.cluster.machine("m-1"));
     assertEquals("/rentals/release", leader.sent.peek().request().path());
     leader.sent.poll().onReply().accept(HttpCaller.Reply.answered(200, new byte[] {'{', '}'}));
     assertTrue(job.attempts.isEmpty());
     leader.report("m-1", 3, LeaderHarness.task(attempt, TaskState.RUNNING));
     assertTrue(job.attempts.isEmpty());
-    assertFalse(leader.cluster.machines.containsKey("m-1"));
+    assertNull(leader.cluster.machine("m-1"));
   }
 
   /** Found on laval: a cut zone's machines were given up one by one, each as if it were alone. */
@@ -181,7 +181,7 @@
       }
     }
     for (int i = 0; i < 6; i++) {
-      assertEquals(Machine.State.SILENT, leader.cluster.machines.get("m-" + i).state());
+      assertEquals(Machine.State.SILENT, leader.cluster.machine("m-" + i).state());
     }
     leader.runFor(Duration.ofSeconds(1));
     assertTrue(leader.resigned.isEmpty());
@@ -195,12 +195,12 @@
       Machine machine = new Machine("m-" + i, LeaderHarness.TYPE, "a", false, leader.now());
       machine.recorded = true;
       machine.listedRunning = true;
-      leader.cluster.machines.put(machine.name, machine);
+      leader.cluster.addMachine(machine);
     }
     leader.runFor(Duration.ofSeconds(30));
     assertTrue(leader.resigned.isEmpty());
     leader.runFor(Duration.ofSeconds(20));
-    assertEquals(Machine.State.RELEASING, leader.cluster.machines.get("m-0").state());
+    assertEquals(Machine.State.RELEASING, leader.cluster.machine("m-0").state());
     LeaderHarness other = new LeaderHarness();
     other.fleet.start();
     other.report("m-1", 1);
@@ -218,8 +218,8 @@
       leader.report("m-2", 1 + second);
       leader.runFor(Duration.ofSeconds(1));
     }
-    assertEquals(Machine.State.RELEASING, leader.cluster.machines.get("m-1").state());
-    assertEquals(Machine.State.RELEASING, leader.cluster.machines.get("m-2").state());
+    assertEquals(Machine.State.RELEASING, leader.cluster.machine("m-1").state());
+    assertEquals(Machine.State.RELEASING, leader.cluster.machine("m-2").state());
   }
 
   @Test
@@ -233,15 +233,15 @@
         }
       }
     }
-    assertEquals(Machine.State.RELEASING, leader.cluster.machines.get("m-0").state());
-    assertEquals(Machine.State.CONFIRMED, leader.cluster.machines.get("m-1").state());
+    assertEquals(Machine.State.RELEASING, leader.cluster.machine("m-0").state());
+    assertEquals(Machine.State.CONFIRMED, leader.cluster.machine("m-1").state());
   }
 
   /** Found on colombo: services started on machines without their image came too late. */
   @Test
   void lowerWorkMakesWayWhereTheImageIsWhenFetchingWouldBeTooLate() {
     leader.report("warm", 1);
-    Machine warm = leader.cluster.machines.get("warm");
+    Machine warm = leader.cluster.machine("warm");
     warm.touchImage("img-s", 5);
     Job array = leader.accept(LeaderHarness.spec("req-1", Shape.ARRAY, Rank.LOW, 4, "img-a"));
     TaskReport[] running =
@@ -286,7 +286,7 @@
     leader.report("cold", 2, LeaderHarness.task(first, TaskState.FETCHING));
     Machine warm = new Machine("warm", LeaderHarness.TYPE, "a", false, leader.now());
     warm.touchImage("img", 5);
-    leader.cluster.machines.put("warm", warm);
+    leader.cluster.addMachine(warm);
     leader.report("warm", 1);
     assertFalse(first.isWanted());
     leader.report("cold", 3, exited(first, Cause.STOPPED));
