Pack placements, completions and cached images into pages of the store

Cause: a put for every machine, completion and job used up the 40 puts a second; submissions and starts waited behind them. Now: many entries in one value, moved to whichever page is written next (store/Pages, with a plain model); a job keeps its own record, which any node can find. Old copies are harmless: immutable or only growing, and of a task's placements only the highest number counts.

--- a/src/main/java/io/pineladder/Leader.java
+++ b/src/main/java/io/pineladder/Leader.java
@@ -1,5 +1,6 @@
 package io.pineladder;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import io.pineladder.fleet.Fleet;
 import io.pineladder.model.Attempt;
 import io.pineladder.model.Job;
@@ -83,6 +84,9 @@
   private final Instant begunAt;
   private State state = State.LOADING;
 
+  /** How many jobs have left the memory for good; a read that saw one before is too old then. */
+  private long removals;
+
   /** Submissions being stored, with those who wait for the answer. */
   private final Map<String, List<Consumer<JobWire.Status>>> accepting = new HashMap<>();
 
@@ -128,9 +132,25 @@
     this.records =
         new Records(
             settings.store().valueBytes(),
+            time,
             committer::submit,
-            scheduler::onPlacementStored,
-            this::onEndStored);
+            new Records.Listener() {
+              @Override
+              public void onPlacementStored(Attempt attempt) {
+                scheduler.onPlacementStored(attempt);
+              }
+
+              @Override
+              public void onEndStored(Job job) {
+                Leader.this.onEndStored(job);
+              }
+
+              @Override
+              public void onRemoved(Job job) {
+                removals++;
+                cluster.removeJob(job);
+              }
+            });
     scheduler.useRecords(records);
     BooleanSupplier mayAct = this::mayAct;
     this.workers =
@@ -282,66 +302,98 @@
         conf -> {
           conf.entries().forEach(e -> committer.known(e.key(), e.version()));
           host.onConf(conf.entries());
-          loadInbox(wanted);
+          loadRecords(wanted);
         });
   }
 
-  private void loadInbox(BooleanSupplier wanted) {
+  private void loadRecords(BooleanSupplier wanted) {
     // The inbox is read before the jobs, so that a job is in the one or the other.
+    Stored stored = new Stored();
+    List<Step> steps =
+        List.of(
+            new Step(Keys.INBOX, listing -> stored.inbox = listing),
+            new Step(Keys.JOB, listing -> stored.jobs = listing),
+            new Step(Keys.DONE, listing -> stored.done = listing),
+            new Step(Keys.PLACED, listing -> stored.placed = listing),
+            new Step(Keys.IMAGES, listing -> stored.images = listing));
+    loadStep(steps, 0, wanted, () -> build(stored));
+  }
+
+  private record Step(String prefix, Consumer<StoreClient.Listing> onRead) {}
+
+  /** What earlier leaders stored. */
+  private static final class Stored {
+    StoreClient.Listing inbox;
+    StoreClient.Listing jobs;
+    StoreClient.Listing done;
+    StoreClient.Listing placed;
+    StoreClient.Listing images;
+  }
+
+  private void loadStep(List<Step> steps, int from, BooleanSupplier wanted, Runnable onDone) {
+    if (from == steps.size()) {
+      onDone.run();
+      return;
+    }
+    Step step = steps.get(from);
     store.list(
-        Keys.INBOX,
+        step.prefix,
         wanted,
-        inbox ->
-            store.list(
-                Keys.JOB,
-                wanted,
-                jobs ->
-                    store.list(
-                        Keys.PAGE,
-                        wanted,
-                        pages ->
-                            store.list(
-                                Keys.MACHINE,
-                                wanted,
-                                machines -> build(inbox, jobs, pages, machines)))));
-  }
-
-  private void build(
-      StoreClient.Listing inbox,
-      StoreClient.Listing jobs,
-      StoreClient.Listing pages,
-      StoreClient.Listing machines) {
+        listing -> {
+          step.onRead.accept(listing);
+          loadStep(steps, from + 1, wanted, onDone);
+        });
+  }
+
+  /** A page's entry with the page it stands in. */
+  private record Paged<T>(String page, T entry) {}
+
+  /** Reads one kind of page entry. */
+  private interface EntryReader<T> {
+    T read(JsonNode entry) throws MalformedException;
+  }
+
+  private <T> List<Paged<T>> readPages(StoreClient.Listing listing, EntryReader<T> reader)
+      throws MalformedException {
+    List<Paged<T>> found = new ArrayList<>();
+    for (StoreWire.Entry page : listing.entries()) {
+      committer.known(page.key(), page.version());
+      for (JsonNode entry : RecordWire.entries(page.value())) {
+        found.add(new Paged<>(page.key(), reader.read(entry)));
+      }
+    }
+    return found;
+  }
+
+  private void build(Stored stored) {
     Map<String, Job> found = new HashMap<>();
     List<Job> ordered = new ArrayList<>();
     cluster.setTypes(host.types());
     try {
-      for (StoreWire.Entry entry : machines.entries()) {
-        if (cluster.type(RecordWire.parseMachine(entry.value()).type()) == null) {
-          log.warn("machine {} is of a type that is not known yet", entry.key());
+      List<Paged<RecordWire.Placement>> placements =
+          readPages(stored.placed, RecordWire::parsePlacement);
+      for (Paged<RecordWire.Placement> placement : placements) {
+        if (cluster.type(placement.entry.type()) == null) {
+          log.warn("machine {} is of a type not known yet", placement.entry.machine());
           time.after(Duration.ofSeconds(1), this::load);
           return;
         }
       }
-      for (StoreWire.Entry entry : jobs.entries()) {
+      for (StoreWire.Entry entry : stored.jobs.entries()) {
         committer.known(entry.key(), entry.version());
         Job job = toJob(entry);
         found.put(job.spec.id(), job);
         ordered.add(job);
       }
-      for (StoreWire.Entry entry : pages.entries()) {
-        committer.known(entry.key(), entry.version());
-        records.knownPage(entry.key());
-        String rest = entry.key().substring(Keys.PAGE.length());
-        Job job = found.get(rest.substring(0, rest.lastIndexOf('/')));
-        if (job != null) {
-          RecordWire.parsePage(entry.value(), job.done);
-        }
-      }
-      Instant now = time.now();
-      for (StoreWire.Entry entry : machines.entries()) {
-        committer.known(entry.key(), entry.version());
-        restoreMachine(entry, found, now);
+      restoreDone(stored.done, found);
+      // The pages are in the order of their keys; what was cached of a machine is a guess anyway.
+      for (Paged<RecordWire.StoredImages> images :
+          readPages(stored.images, RecordWire::parseImages)) {
+        records.knownImages(images.page);
+        cluster.expectImages(images.entry.machine(), images.entry.images());
       }
+      restorePlacements(placements, found);
+      stored.placed.entries().forEach(page -> records.knownPlacements(page.key()));
     } catch (MalformedException e) {
       // Leading on half a memory could break every rule.
       log.error("a stored record cannot be read: {}", e.getMessage());
@@ -366,47 +418,78 @@
         term,
         cluster.jobs.size(),
         cluster.machines().size());
-    inbox.entries().forEach(this::takeIn);
-    watchInbox(inbox.revision());
+    stored.inbox.entries().forEach(this::takeIn);
+    watchInbox(stored.inbox.revision());
     fleet.start();
     scheduler.kick();
   }
 
-  private static Job toJob(StoreWire.Entry entry) throws MalformedException {
-    RecordWire.StoredJob stored = RecordWire.parseJob(entry.value());
-    Job job = new Job(stored.spec(), stored.acceptedAt(), stored.state());
-    job.done.or(stored.done());
-    return job;
+  private void restoreDone(StoreClient.Listing listing, Map<String, Job> jobs)
+      throws MalformedException {
+    listing.entries().forEach(page -> records.knownCompletions(page.key()));
+    List<Paged<RecordWire.StoredDone>> all = readPages(listing, RecordWire::parseDone);
+    all.removeIf(done -> !jobs.containsKey(done.entry.job()));
+    for (Paged<RecordWire.StoredDone> done : all) {
+      Job job = jobs.get(done.entry.job());
+      job.done.or(done.entry.done());
+    }
+    for (Paged<RecordWire.StoredDone> done : all) {
+      records.knownDone(done.page, jobs.get(done.entry.job()), done.entry);
+    }
   }
 
-  private void restoreMachine(StoreWire.Entry entry, Map<String, Job> jobs, Instant now)
-      throws MalformedException {
-    RecordWire.StoredMachine stored = RecordWire.parseMachine(entry.value());
-    MachineType type = cluster.type(stored.type());
-    String name = entry.key().substring(Keys.MACHINE.length());
-    Machine machine = new Machine(name, type, stored.zone(), stored.spot(), now);
-    machine.address = stored.address();
-    machine.recorded = true;
-    stored.images().forEach(machine::touchImage);
-    cluster.addMachine(machine);
-    for (RecordWire.Placement placement : stored.placements()) {
+  /**
+   * Takes up the placements of tasks that are still wanted. An attempt is stored only when all
+   * earlier ones of its task are proven gone, so of a task's placements those with the highest
+   * number count; the others are merely old. So is one whose job is gone, since a job's record goes
+   * only when none of its tasks can be anywhere, and one of a task that is complete.
+   */
+  private void restorePlacements(
+      List<Paged<RecordWire.Placement>> placements, Map<String, Job> jobs) {
+    Map<String, Long> newest = new HashMap<>();
+    for (Paged<RecordWire.Placement> paged : placements) {
+      RecordWire.Placement placement = paged.entry;
+      newest.merge(placement.job() + "/" + placement.task(), placement.attempt(), Math::max);
+    }
+    Instant now = time.now();
+    for (Paged<RecordWire.Placement> paged : placements) {
+      RecordWire.Placement placement = paged.entry;
       Job job = jobs.get(placement.job());
-      // A job's record goes only when none of its tasks can be anywhere; a record of a placement
-      // that outlives it is merely old. The same holds for a task that is complete.
-      if (job != null
-          && placement.task() < job.spec.tasks()
-          && !job.done.get(placement.task())) {
-        cluster.addAttempt(
-            job,
-            placement.task(),
-            placement.attempt(),
-            machine,
-            now,
-            Attempt.State.RECORDED);
+      if (job == null
+          || placement.task() >= job.spec.tasks()
+          || job.done.get(placement.task())
+          || newest.get(placement.job() + "/" + placement.task()) != placement.attempt()) {
+        continue;
+      }
+      Machine machine = cluster.machine(placement.machine());
+      if (machine == null) {
+        MachineType type = cluster.type(placement.type());
+        machine =
+            new Machine(placement.machine(), type, placement.zone(), placement.spot(), now);
+        machine.address = placement.address();
+        machine.recorded = true;
+        cluster.addMachine(machine);
+      }
+      String key = Machine.key(placement.job(), placement.task(), placement.attempt());
+      if (!machine.attempts.containsKey(key)) {
+        Attempt attempt =
+            cluster.addAttempt(
+                job,
+                placement.task(),
+                placement.attempt(),
+                machine,
+                now,
+                Attempt.State.RECORDED);
+        records.knownPlacement(paged.page, attempt);
       }
     }
   }
 
+  private static Job toJob(StoreWire.Entry entry) throws MalformedException {
+    RecordWire.StoredJob stored = RecordWire.parseJob(entry.value());
+    return new Job(stored.spec(), stored.acceptedAt(), stored.state());
+  }
+
   /** Jobs that other nodes accepted while they could reach no leader. */
   private void watchInbox(long after) {
     if (state != State.LEADING) {
@@ -472,6 +555,7 @@
       onDone.accept(new Lookup(cluster.jobs.get(id), null));
       return;
     }
+    long before = removals;
     store.read(
         Keys.JOB + id,
         read -> {
@@ -484,6 +568,11 @@
             onDone.accept(new Lookup(known, null));
             return;
           }
+          if (read.found() && removals != before) {
+            // It may be a job that has left meanwhile: taken up again it would end twice.
+            adopt(id, onDone);
+            return;
+          }
           if (!read.found()) {
             readEnd(id, onDone);
             return;
--- a/src/main/java/io/pineladder/fleet/Fleet.java
+++ b/src/main/java/io/pineladder/fleet/Fleet.java
@@ -402,10 +402,11 @@
       return;
     }
     machine.moveTo(Machine.State.GONE);
-    for (Attempt attempt : List.copyOf(machine.attempts.values())) {
+    List<Attempt> lost = List.copyOf(machine.attempts.values());
+    records.machineGone(lost);
+    for (Attempt attempt : lost) {
       scheduler.gone(attempt, "the machine was returned");
     }
-    records.machineGone(machine);
   }
 
   /** Returns machines that are to go: faulty or never up, or idle for long enough. */
--- a/src/main/java/io/pineladder/front/Front.java
+++ b/src/main/java/io/pineladder/front/Front.java
@@ -23,7 +23,6 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
-import java.util.BitSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -431,12 +430,7 @@
             .require(Keys.END + id, 0)
             .put(
                 Keys.JOB + id,
-                RecordWire.job(
-                    spec,
-                    node.time().timeOfDay(),
-                    Job.State.ACTIVE,
-                    new BitSet(),
-                    0))
+                RecordWire.job(spec, node.time().timeOfDay(), Job.State.ACTIVE))
             .put(Keys.INBOX + id, Json.object().put("by", node.settings().member()))
             .bytes();
     node.store().urgent(
@@ -501,7 +495,7 @@
       } else if (cancel) {
         answer.accept(later("no leader"));
       } else {
-        answer.accept(ok(JobWire.view(id, status, job.done().cardinality(), 0)));
+        answer.accept(ok(JobWire.view(id, status, 0, 0)));
       }
     } catch (MalformedException e) {
       answer.accept(later("the stored job cannot be read"));
--- a/src/main/java/io/pineladder/scheduling/Cluster.java
+++ b/src/main/java/io/pineladder/scheduling/Cluster.java
@@ -51,6 +51,8 @@
   /** Machines that keep room for a job, by job. */
   private final Map<Job, Set<Machine>> reservations = new HashMap<>();
 
+  private final Map<String, Map<String, Double>> expectedImages = new HashMap<>();
+
   /** What distinguishes machines for a job's wishes. */
   record Kind(String type, String zone, boolean spot) {}
 
@@ -154,8 +156,17 @@
     return machines.get(name);
   }
 
+  /** Remembers images that a machine not known yet is thought to have. */
+  public void expectImages(String machine, Map<String, Double> images) {
+    expectedImages.put(machine, images);
+  }
+
   public void addMachine(Machine machine) {
     machines.put(machine.name, machine);
+    Map<String, Double> images = expectedImages.remove(machine.name);
+    if (images != null) {
+      images.forEach(machine::touchImage);
+    }
     kinds.merge(kind(machine), 1, Integer::sum);
     refresh(machine);
   }
--- a/src/main/java/io/pineladder/scheduling/Placer.java
+++ b/src/main/java/io/pineladder/scheduling/Placer.java
@@ -8,7 +8,6 @@
 import io.pineladder.model.Shape;
 import io.pineladder.model.Team;
 import io.pineladder.queue.Check;
-import io.pineladder.store.Records;
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -22,13 +21,8 @@
 public final class Placer {
   private final Cluster cluster;
 
-  /** A machine's stored record must fit into one value; each placement takes part of it. */
-  private final int mostAttempts;
-
   public Placer(Cluster cluster) {
     this.cluster = cluster;
-    int bytes = cluster.settings.store().valueBytes() - 600 - Records.IMAGES_KEPT * 230;
-    this.mostAttempts = Math.max(1, bytes / 180);
   }
 
   /**
@@ -65,12 +59,12 @@
     int most = (int) Math.min(wanted, within);
     List<Candidate> candidates = new ArrayList<>();
     for (Machine machine : cluster.openFor(job)) {
-      if (!isAllowed(job, machine)) {
+      if (!machine.takesWork() || !isAllowed(job, machine)) {
         continue;
       }
       long room = spec.each().countIn(room(job, machine, now));
-      int count = (int) Math.min(room, mostAttempts - machine.attempts.size());
-      if (count > 0) {
+      if (room > 0) {
+        int count = (int) Math.min(room, wanted);
         candidates.add(new Candidate(machine, cost(job, machine), count));
       }
     }
--- a/src/main/java/io/pineladder/scheduling/Scheduler.java
+++ b/src/main/java/io/pineladder/scheduling/Scheduler.java
@@ -265,7 +265,6 @@
   private void forgetIfOver(Job job) {
     if (job.endStored && job.attempts.isEmpty()) {
       records.remove(job);
-      cluster.removeJob(job);
     }
   }
 
@@ -304,8 +303,14 @@
     if (attempt.state() == Attempt.State.EXITED) {
       return;
     }
-    if (state == Attempt.State.RUNNING || state == Attempt.State.GATHERING) {
-      attempt.machine.touchImage(attempt.job.spec.image(), attempt.job.spec.imageGb());
+    boolean hasImage = state == Attempt.State.RUNNING || state == Attempt.State.GATHERING;
+    if (hasImage && attempt.state() != state) {
+      String image = attempt.job.spec.image();
+      boolean isNew = !attempt.machine.images.containsKey(image);
+      attempt.machine.touchImage(image, attempt.job.spec.imageGb());
+      if (isNew) {
+        records.imagesDue(attempt.machine);
+      }
     }
     if (state == Attempt.State.RUNNING && attempt.runningSince == null) {
       attempt.runningSince = time.now();
@@ -388,6 +393,10 @@
       return;
     }
     if (job.spec.shape() == Shape.GANG) {
+      if (job.attempts.containsKey(attempt.task)) {
+        // An old copy of a task that has been started anew: the gang is not the worse for it.
+        return;
+      }
       if (!job.attempts.isEmpty()) {
         if (replaced(attempt)) {
           return;
@@ -722,7 +731,7 @@
     Attempt attempt =
         cluster.addAttempt(job, task, number, machine, now, Attempt.State.STORING);
     attempt.readyAt = now.plusMillis((long) (fetch * 1000));
-    records.machineDue(machine);
+    records.placementDue(attempt);
   }
 
   /** Tasks that wait, by job, for the fleet's demand. */
--- a/src/main/java/io/pineladder/store/Keys.java
+++ b/src/main/java/io/pineladder/store/Keys.java
@@ -10,14 +10,17 @@
   /** Jobs that are not over, or whose tasks may still be somewhere. */
   public static final String JOB = "job/";
 
-  /** Completions beyond a job's first page. */
-  public static final String PAGE = "page/";
+  /** Completions, many jobs' in one value. */
+  public static final String DONE = "done/";
 
   /** Final states, kept for ever and never read as a whole. */
   public static final String END = "end/";
 
-  /** Placements, by machine. */
-  public static final String MACHINE = "machine/";
+  /** Placements, many machines' in one value. */
+  public static final String PLACED = "placed/";
+
+  /** Images thought to be cached, many machines' in one value. */
+  public static final String IMAGES = "images/";
 
   /** Jobs accepted by a node without a leader, for the leader to take up. */
   public static final String INBOX = "inbox/";
@@ -28,7 +31,9 @@
 
   private Keys() {}
 
-  public static String page(String job, int page) {
-    return PAGE + job + "/" + page;
+  /** The number of a page's key, which follows its prefix; -1 when there is none. */
+  static long number(String key, String prefix) {
+    String rest = key.substring(prefix.length());
+    return rest.matches("[0-9]{1,18}") ? Long.parseLong(rest) : -1;
   }
 }
--- a/src/main/java/io/pineladder/store/Records.java
+++ b/src/main/java/io/pineladder/store/Records.java
@@ -4,168 +4,214 @@
 import io.pineladder.model.Attempt;
 import io.pineladder.model.Job;
 import io.pineladder.model.Machine;
+import io.pineladder.net.Timeline;
 import io.pineladder.store.Mutation.Priority;
 import io.pineladder.store.Mutation.Write;
 import io.pineladder.wire.RecordWire;
+import java.time.Duration;
 import java.util.ArrayList;
+import java.util.BitSet;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.function.Consumer;
 
 /**
- * Keeps the durable records in step with the leader's memory. A record that changes again before
- * its turn comes is written once.
+ * Keeps the durable records in step with the leader's memory. A job has a record of its own, which
+ * any node can find and create; placements, completions and cached images are packed into pages.
  */
 public final class Records {
   /** The longest range of completions in JSON, with its commas. */
   private static final int RANGE_BYTES = 16;
 
-  /** Room for a job's description in the record that also holds its first page. */
-  private static final int SPEC_BYTES = 2500;
+  /** Images remembered of a machine, the most recently used ones. */
+  private static final int IMAGES_KEPT = 8;
 
-  /** Images named in a machine's record, the most recently used ones. */
-  public static final int IMAGES_KEPT = 8;
+  /** Placements gather this long; a start waits for its own to be stored. */
+  private static final Duration PLACE_PACE = Duration.ofMillis(40);
+
+  private static final Duration DONE_PACE = Duration.ofMillis(300);
+  private static final Duration IMAGES_PACE = Duration.ofSeconds(2);
+
+  /** What follows when records are stored. */
+  public interface Listener {
+    void onPlacementStored(Attempt attempt);
+
+    /** The job's final state is stored. */
+    void onEndStored(Job job);
+
+    /** The job's own record is gone; only its final state is left. */
+    void onRemoved(Job job);
+  }
 
   private final Consumer<Mutation> commit;
-  private final Consumer<Attempt> onPlacementStored;
-  private final Consumer<Job> onEndStored;
-  private final int pageTasks;
-  private final Map<String, Completions> completions = new HashMap<>();
-  private final Set<String> storedPages = new HashSet<>();
-
-  /** Completions of one page that wait to be stored. */
-  private static final class Completions {
-    List<Attempt> waiting = new ArrayList<>();
+  private final Listener listener;
+  private final int chunkTasks;
+  private final Pages<Attempt> placements;
+  private final Pages<Chunk> completions;
+  private final Pages<Machine> images;
+  private final Map<Job, Map<Integer, Chunk>> chunks = new HashMap<>();
+
+  /** So many tasks of a job that their completions fit into one entry, whatever their pattern. */
+  private static final class Chunk {
+    final Job job;
+    final int number;
+    final List<Attempt> waiting = new ArrayList<>();
     List<Attempt> included = List.of();
-    boolean queued;
+
+    Chunk(Job job, int number) {
+      this.job = job;
+      this.number = number;
+    }
   }
 
   public Records(
-      int valueBytes,
-      Consumer<Mutation> commit,
-      Consumer<Attempt> onPlacementStored,
-      Consumer<Job> onEndStored) {
+      int valueBytes, Timeline time, Consumer<Mutation> commit, Listener listener) {
     this.commit = commit;
-    this.onPlacementStored = onPlacementStored;
-    this.onEndStored = onEndStored;
-    this.pageTasks = pageTasks(valueBytes);
+    this.listener = listener;
+    this.chunkTasks = chunkTasks(valueBytes);
+    this.placements =
+        new Pages<>(
+            Keys.PLACED,
+            Priority.PLACE,
+            PLACE_PACE,
+            valueBytes,
+            time,
+            commit,
+            Attempt::holdsRoom,
+            RecordWire::placement,
+            this::placementStored);
+    this.completions =
+        new Pages<>(
+            Keys.DONE,
+            Priority.COMPLETE,
+            DONE_PACE,
+            valueBytes,
+            time,
+            commit,
+            chunk -> !chunk.job.ending,
+            this::encode,
+            this::completionsStored);
+    this.images =
+        new Pages<>(
+            Keys.IMAGES,
+            Priority.TIDY,
+            IMAGES_PACE,
+            valueBytes,
+            time,
+            commit,
+            machine -> machine.state() != Machine.State.GONE,
+            Records::encodeImages,
+            machine -> {});
   }
 
-  /** Tasks of a page, such that no pattern of completions outgrows a value. */
-  public static int pageTasks(int valueBytes) {
-    return Math.max(16, (valueBytes - SPEC_BYTES) / RANGE_BYTES);
+  /** Tasks of a chunk, such that no pattern of completions outgrows half a page. */
+  static int chunkTasks(int valueBytes) {
+    return Math.max(16, Pages.capacity(valueBytes) / 2 / RANGE_BYTES - 8);
   }
 
-  /** Tells of a page read at the start of a term. */
-  public void knownPage(String key) {
-    storedPages.add(key);
+  // ---- placements
+
+  /** The attempt is decided on; its start may go out once it is stored. */
+  public void placementDue(Attempt attempt) {
+    placements.due(attempt);
   }
 
-  /** The machine's placements have changed. */
-  public void machineDue(Machine machine) {
-    if (machine.recordDue) {
-      return;
+  private void placementStored(Attempt attempt) {
+    if (attempt.state() == Attempt.State.STORING) {
+      listener.onPlacementStored(attempt);
     }
-    machine.recordDue = true;
-    List<Attempt> included = new ArrayList<>();
-    commit.accept(
-        Mutation.of(
-            Priority.PLACE,
-            List.of(new Write(Keys.MACHINE + machine.name, () -> machineValue(machine, included))),
-            () -> {
-              machine.recordDue = false;
-              machine.recorded = true;
-              for (Attempt attempt : included) {
-                if (attempt.state() == Attempt.State.STORING) {
-                  onPlacementStored.accept(attempt);
-                }
-              }
-              boolean more =
-                  machine.attempts.values().stream()
-                      .anyMatch(a -> a.state() == Attempt.State.STORING);
-              if (more && machine.state() != Machine.State.GONE) {
-                machineDue(machine);
-              }
-            }));
   }
 
-  private static JsonNode machineValue(Machine machine, List<Attempt> included) {
-    included.clear();
-    List<RecordWire.Placement> placements = new ArrayList<>();
-    for (Attempt attempt : machine.attempts.values()) {
-      if (attempt.holdsRoom()) {
-        included.add(attempt);
-        placements.add(
-            new RecordWire.Placement(attempt.job.spec.id(), attempt.task, attempt.number));
-      }
-    }
-    // Which images are there is worth much to the next leader, and costs no write of its own.
-    Map<String, Double> images = new LinkedHashMap<>();
+  /** A placement read at the start of a term. */
+  public void knownPlacement(String page, Attempt attempt) {
+    placements.known(page, attempt, RecordWire.placement(attempt));
+  }
+
+  public void knownPlacements(String page) {
+    placements.knownPage(page);
+  }
+
+  /**
+   * These attempts are gone together with their machine: what is stored of them is to go too, or
+   * the next leader would wait for a machine that is not there.
+   */
+  public void machineGone(List<Attempt> attempts) {
+    placements.tidy(attempts);
+  }
+
+  // ---- images
+
+  /** The machine has got another image. */
+  public void imagesDue(Machine machine) {
+    images.due(machine);
+  }
+
+  private static JsonNode encodeImages(Machine machine) {
+    Map<String, Double> kept = new LinkedHashMap<>();
     List<String> cached = new ArrayList<>(machine.images.keySet());
     int from = Math.max(0, cached.size() - IMAGES_KEPT);
-    cached.subList(from, cached.size()).forEach(i -> images.put(i, machine.images.get(i)));
-    return RecordWire.machine(
-        machine.address, machine.type.name(), machine.zone, machine.spot, placements, images);
-  }
-
-  /** The machine is gone for good. */
-  public void machineGone(Machine machine) {
-    if (machine.recorded || machine.recordDue) {
-      commit.accept(
-          Mutation.of(
-              Priority.TIDY,
-              List.of(new Write(Keys.MACHINE + machine.name, () -> null)),
-              () -> {}));
+    for (String image : cached.subList(from, cached.size())) {
+      kept.put(image, machine.images.get(image));
     }
+    return RecordWire.images(machine.name, kept);
   }
 
+  public void knownImages(String page) {
+    images.knownPage(page);
+  }
+
+  // ---- completions
+
   /** A task of the job is complete, as {@code attempt} reported. */
   public void taskDone(Job job, Attempt attempt) {
-    int page = attempt.task / pageTasks;
-    String key = page == 0 ? Keys.JOB + job.spec.id() : Keys.page(job.spec.id(), page);
-    Completions of = completions.computeIfAbsent(key, k -> new Completions());
-    of.waiting.add(attempt);
-    if (!of.queued && !job.ending) {
-      queueCompletions(job, page, key, of);
+    Chunk chunk = chunk(job, attempt.task / chunkTasks);
+    chunk.waiting.add(attempt);
+    if (!job.ending) {
+      completions.due(chunk);
     }
   }
 
-  private void queueCompletions(Job job, int page, String key, Completions of) {
-    of.queued = true;
-    commit.accept(
-        Mutation.onlyIf(
-            () -> !job.ending,
-            Priority.COMPLETE,
-            List.of(
-                new Write(
-                    key,
-                    () -> {
-                      of.included = List.copyOf(of.waiting);
-                      return page == 0
-                          ? jobValue(job)
-                          : RecordWire.page(job.done, page * pageTasks, pageTasks);
-                    })),
-            () -> {
-              of.queued = false;
-              if (page > 0) {
-                storedPages.add(key);
-              }
-              of.included.forEach(a -> a.forgettable = true);
-              of.waiting.removeAll(of.included);
-              if (of.waiting.isEmpty()) {
-                completions.remove(key);
-              } else if (!job.ending) {
-                queueCompletions(job, page, key, of);
-              }
-            }));
+  private Chunk chunk(Job job, int number) {
+    return chunks
+        .computeIfAbsent(job, j -> new HashMap<>())
+        .computeIfAbsent(number, n -> new Chunk(job, n));
   }
 
-  private JsonNode jobValue(Job job) {
-    return RecordWire.job(job.spec, job.acceptedAt, job.state(), job.done, pageTasks);
+  private JsonNode encode(Chunk chunk) {
+    chunk.included = List.copyOf(chunk.waiting);
+    BitSet done = chunk.job.done;
+    return RecordWire.done(
+        chunk.job.spec.id(), done, chunk.number, chunkTasks);
+  }
+
+  private void completionsStored(Chunk chunk) {
+    chunk.included.forEach(a -> a.forgettable = true);
+    chunk.waiting.removeAll(chunk.included);
+    chunk.included = List.of();
+  }
+
+  public void knownCompletions(String page) {
+    completions.knownPage(page);
+  }
+
+  /**
+   * An entry read at the start of a term, once the job holds the completions of all entries. Of a
+   * chunk's copies the newest holds everything, and only that one must not be lost.
+   */
+  public void knownDone(String page, Job job, RecordWire.StoredDone entry) {
+    Chunk chunk = chunk(job, entry.chunk());
+    JsonNode all = encode(chunk);
+    if (entry.json().equals(all)) {
+      completions.known(page, chunk, all);
+    }
+  }
+
+  // ---- jobs
+
+  private static JsonNode jobValue(Job job) {
+    return RecordWire.job(job.spec, job.acceptedAt, job.state());
   }
 
   public Write newJob(Job job) {
@@ -206,32 +252,19 @@
                 new Write(Keys.JOB + job.spec.id(), () -> null)),
             () -> {
               endStored(job);
-              dropPages(job);
+              listener.onRemoved(job);
             }));
   }
 
   private void endStored(Job job) {
     boolean first = !job.endStored;
     job.endStored = true;
-    for (int page = 0; page * pageTasks < job.spec.tasks(); page++) {
-      String key = page == 0 ? Keys.JOB + job.spec.id() : Keys.page(job.spec.id(), page);
-      Completions of = completions.remove(key);
-      if (of != null) {
-        of.waiting.forEach(a -> a.forgettable = true);
-      }
+    Map<Integer, Chunk> of = chunks.remove(job);
+    if (of != null) {
+      of.values().forEach(chunk -> chunk.waiting.forEach(a -> a.forgettable = true));
     }
     if (first) {
-      onEndStored.accept(job);
-    }
-  }
-
-  private void dropPages(Job job) {
-    for (int page = 1; page * pageTasks < job.spec.tasks(); page++) {
-      String key = Keys.page(job.spec.id(), page);
-      if (storedPages.remove(key)) {
-        commit.accept(
-            Mutation.of(Priority.TIDY, List.of(new Write(key, () -> null)), () -> {}));
-      }
+      listener.onEndStored(job);
     }
   }
 }
--- a/src/main/java/io/pineladder/wire/RecordWire.java
+++ b/src/main/java/io/pineladder/wire/RecordWire.java
@@ -3,8 +3,10 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.pineladder.model.Attempt;
 import io.pineladder.model.Job;
 import io.pineladder.model.JobSpec;
+import io.pineladder.model.Machine;
 import io.pineladder.model.MachineType;
 import io.pineladder.model.OperatorSettings;
 import java.time.Duration;
@@ -21,20 +23,25 @@
 
   private RecordWire() {}
 
-  /** A stored job with the completions of its first page. */
-  public record StoredJob(JobSpec spec, Instant acceptedAt, Job.State state, BitSet done) {}
+  /** A stored job; its completions are kept apart. */
+  public record StoredJob(JobSpec spec, Instant acceptedAt, Job.State state) {}
 
-  /** A stored placement. */
-  public record Placement(String job, int task, long attempt) {}
-
-  /** A stored machine with all that may be on it. */
-  public record StoredMachine(
+  /** A stored placement, with what is needed to reach its machine. */
+  public record Placement(
+      String machine,
       String address,
       String type,
       String zone,
       boolean spot,
-      List<Placement> placements,
-      Map<String, Double> images) {}
+      String job,
+      int task,
+      long attempt) {}
+
+  /** Completions of one chunk of a job's tasks, as they were when it was stored. */
+  public record StoredDone(String job, int chunk, BitSet done, JsonNode json) {}
+
+  /** Images that a machine had cached, with their sizes. */
+  public record StoredImages(String machine, Map<String, Double> images) {}
 
   /** The leader's key. */
   public record LeaderRecord(String member, String address, String nonce) {}
@@ -56,25 +63,20 @@
     };
   }
 
-  public static ObjectNode job(
-      JobSpec spec, Instant acceptedAt, Job.State state, BitSet done, int pageSize) {
+  public static ObjectNode job(JobSpec spec, Instant acceptedAt, Job.State state) {
     ObjectNode out = Json.object();
     out.set("spec", JobWire.write(spec));
     out.put("accepted_ms", acceptedAt.toEpochMilli());
     out.put("state", word(state));
-    out.set("done", ranges(done, 0, pageSize));
     return out;
   }
 
   public static StoredJob parseJob(JsonNode value) throws MalformedException {
     Fields in = Fields.of(value);
-    BitSet done = new BitSet();
-    addRanges(in.node("done"), done);
     return new StoredJob(
         JobWire.parse(Fields.of(in.node("spec"))),
         Instant.ofEpochMilli(in.whole("accepted_ms", 0, ANY)),
-        state(in.text("state")),
-        done);
+        state(in.text("state")));
   }
 
   /** Completed tasks in {@code [from, from + count)} as inclusive ranges. */
@@ -102,67 +104,83 @@
     }
   }
 
-  public static ObjectNode page(BitSet done, int from, int count) {
-    ObjectNode out = Json.object();
-    out.set("done", ranges(done, from, count));
-    return out;
-  }
-
-  public static void parsePage(JsonNode value, BitSet done) throws MalformedException {
-    addRanges(Fields.of(value).node("done"), done);
-  }
-
-  public static ObjectNode end(Job.State state) {
-    return Json.object().put("state", word(state));
+  /** A page's entries, as {@link #placement}, {@link #done} or {@link #images} wrote them. */
+  public static List<JsonNode> entries(JsonNode page) throws MalformedException {
+    JsonNode list = Fields.of(page).node("entries");
+    if (!list.isArray()) {
+      throw new MalformedException("entries is not a list");
+    }
+    List<JsonNode> entries = new ArrayList<>(list.size());
+    list.forEach(entries::add);
+    return entries;
   }
 
-  public static Job.State parseEnd(JsonNode value) throws MalformedException {
-    return state(Fields.of(value).text("state"));
+  private static JsonNode sized(JsonNode entry, int size) throws MalformedException {
+    if (!entry.isArray() || entry.size() != size) {
+      throw new MalformedException("an entry does not have its " + size + " parts");
+    }
+    return entry;
+  }
+
+  public static JsonNode placement(Attempt attempt) {
+    Machine machine = attempt.machine;
+    return Json.array()
+        .add(machine.name)
+        .add(machine.address)
+        .add(machine.type.name())
+        .add(machine.zone)
+        .add(machine.spot)
+        .add(attempt.job.spec.id())
+        .add(attempt.task)
+        .add(attempt.number);
+  }
+
+  public static Placement parsePlacement(JsonNode entry) throws MalformedException {
+    sized(entry, 8);
+    return new Placement(
+        entry.get(0).asText(),
+        entry.get(1).isNull() ? null : entry.get(1).asText(),
+        entry.get(2).asText(),
+        entry.get(3).asText(),
+        entry.get(4).asBoolean(),
+        entry.get(5).asText(),
+        entry.get(6).asInt(),
+        entry.get(7).asLong());
+  }
+
+  /** The completed tasks of one chunk of so many tasks. */
+  public static JsonNode done(String job, BitSet done, int chunk, int chunkTasks) {
+    return Json.array().add(job).add(chunk).add(ranges(done, chunk * chunkTasks, chunkTasks));
+  }
+
+  public static StoredDone parseDone(JsonNode entry) throws MalformedException {
+    sized(entry, 3);
+    BitSet done = new BitSet();
+    addRanges(entry.get(2), done);
+    return new StoredDone(entry.get(0).asText(), entry.get(1).asInt(), done, entry);
   }
 
-  public static ObjectNode machine(
-      String address,
-      String type,
-      String zone,
-      boolean spot,
-      List<Placement> placements,
-      Map<String, Double> images) {
-    ObjectNode out =
-        Json.object()
-            .put("address", address)
-            .put("type", type)
-            .put("zone", zone)
-            .put("spot", spot);
-    ArrayNode list = out.putArray("placed");
-    for (Placement placement : placements) {
-      list.addArray().add(placement.job()).add(placement.task()).add(placement.attempt());
-    }
-    ObjectNode cached = out.putObject("images");
+  public static JsonNode images(String machine, Map<String, Double> images) {
+    ObjectNode cached = Json.object();
     images.forEach(cached::put);
-    return out;
+    return Json.array().add(machine).add(cached);
   }
 
-  public static StoredMachine parseMachine(JsonNode value) throws MalformedException {
-    Fields in = Fields.of(value);
-    List<Placement> placements = new ArrayList<>();
-    for (JsonNode item : in.node("placed")) {
-      if (item.size() != 3) {
-        throw new MalformedException("placed holds something that is not a placement");
-      }
-      placements.add(
-          new Placement(item.get(0).asText(), item.get(1).asInt(), item.get(2).asLong()));
-    }
+  public static StoredImages parseImages(JsonNode entry) throws MalformedException {
+    sized(entry, 2);
     Map<String, Double> images = new LinkedHashMap<>();
-    for (var image : in.node("images").properties()) {
+    for (var image : entry.get(1).properties()) {
       images.put(image.getKey(), image.getValue().asDouble());
     }
-    return new StoredMachine(
-        in.textOr("address", null),
-        in.text("type"),
-        in.text("zone"),
-        in.flag("spot"),
-        placements,
-        images);
+    return new StoredImages(entry.get(0).asText(), images);
+  }
+
+  public static ObjectNode end(Job.State state) {
+    return Json.object().put("state", word(state));
+  }
+
+  public static Job.State parseEnd(JsonNode value) throws MalformedException {
+    return state(Fields.of(value).text("state"));
   }
 
   public static ObjectNode leader(LeaderRecord leader) {
--- /dev/null
+++ b/src/test/java/io/pineladder/store/PagesTest.java
@@ -0,0 +1,250 @@
+package io.pineladder.store;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.pineladder.model.Attempt;
+import io.pineladder.model.Job;
+import io.pineladder.model.JobSpec;
+import io.pineladder.model.Machine;
+import io.pineladder.model.MachineType;
+import io.pineladder.model.Rank;
+import io.pineladder.model.Resources;
+import io.pineladder.model.Shape;
+import io.pineladder.net.Timeline;
+import io.pineladder.store.Mutation.Priority;
+import io.pineladder.wire.Json;
+import io.pineladder.wire.MalformedException;
+import io.pineladder.wire.RecordWire;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+import java.util.random.RandomGeneratorFactory;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Packed records against a plain model that remembers what each entry was last told to hold. */
+class PagesTest {
+  private static final int VALUE_BYTES = 1024;
+
+  /** Timers and transactions that run when the test says so; each may be put off and asked anew. */
+  private static final class Store implements Timeline {
+    final ArrayDeque<Runnable> timers = new ArrayDeque<>();
+    final List<Mutation> pending = new ArrayList<>();
+    final Map<String, JsonNode> values = new LinkedHashMap<>();
+    int writes;
+
+    @Override
+    public Instant now() {
+      return Instant.EPOCH;
+    }
+
+    @Override
+    public Instant timeOfDay() {
+      return Instant.EPOCH;
+    }
+
+    @Override
+    public void after(Duration delay, Runnable action) {
+      timers.add(action);
+    }
+
+    void runTimers() {
+      for (int i = timers.size(); i > 0; i--) {
+        timers.poll().run();
+      }
+    }
+
+    /** Puts the first waiting changes into one transaction, which is executed or not. */
+    void transact(int most, boolean executed) {
+      Map<String, JsonNode> batch = new HashMap<>();
+      int taken = 0;
+      while (taken < most && taken < pending.size()) {
+        Mutation.Write write = pending.get(taken++).writes().get(0);
+        JsonNode value = write.value().get();
+        assertTrue(Json.bytes(value).length <= VALUE_BYTES, "a value outgrows the store's limit");
+        assertTrue(batch.put(write.key(), value) == null, "one key twice in a transaction");
+      }
+      if (executed) {
+        List<Mutation> done = List.copyOf(pending.subList(0, taken));
+        pending.subList(0, taken).clear();
+        values.putAll(batch);
+        writes += batch.size();
+        done.forEach(mutation -> mutation.onCommitted().run());
+      }
+    }
+  }
+
+  /** Something stored; its number only ever grows. */
+  private static final class Entry {
+    final int id;
+    int number;
+    boolean live = true;
+
+    Entry(int id) {
+      this.id = id;
+    }
+  }
+
+  private static Pages<Entry> pages(Store store, Map<Integer, Integer> told) {
+    Map<Integer, Integer> encoded = new HashMap<>();
+    return new Pages<>(
+        "page/",
+        Priority.PLACE,
+        Duration.ZERO,
+        VALUE_BYTES,
+        store,
+        store.pending::add,
+        entry -> entry.live,
+        entry -> {
+          encoded.put(entry.id, entry.number);
+          return Json.array().add(entry.id).add(entry.number).add("x".repeat(entry.id % 60));
+        },
+        entry -> told.put(entry.id, encoded.get(entry.id)));
+  }
+
+  private static Map<Integer, Integer> read(Store store) throws MalformedException {
+    Map<Integer, Integer> newest = new HashMap<>();
+    for (JsonNode page : store.values.values()) {
+      for (JsonNode entry : RecordWire.entries(page)) {
+        newest.merge(entry.get(0).asInt(), entry.get(1).asInt(), Math::max);
+      }
+    }
+    return newest;
+  }
+
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3, 4, 5, 6})
+  void whatWasToldStoredCanAlwaysBeRead(long seed) throws MalformedException {
+    RandomGenerator random = RandomGeneratorFactory.of("L64X128MixRandom").create(seed);
+    Store store = new Store();
+    Map<Integer, Integer> told = new HashMap<>();
+    Pages<Entry> pages = pages(store, told);
+    List<Entry> live = new ArrayList<>();
+    int ids = 0;
+    int due = 0;
+    for (int step = 0; step < 4000; step++) {
+      switch (random.nextInt(6)) {
+        case 0, 1 -> {
+          Entry entry = new Entry(ids++);
+          live.add(entry);
+          pages.due(entry);
+          due++;
+        }
+        case 2 -> {
+          if (!live.isEmpty()) {
+            Entry entry = live.get(random.nextInt(live.size()));
+            entry.number++;
+            pages.due(entry);
+            due++;
+          }
+        }
+        case 3 -> {
+          while (live.size() > 40 + random.nextInt(80)) {
+            Entry over = live.remove(random.nextInt(live.size()));
+            over.live = false;
+            if (random.nextInt(4) == 0) {
+              pages.tidy(List.of(over));
+            }
+          }
+        }
+        case 4 -> store.runTimers();
+        default -> store.transact(1 + random.nextInt(4), random.nextInt(4) > 0);
+      }
+      Map<Integer, Integer> read = read(store);
+      for (Entry entry : live) {
+        if (told.containsKey(entry.id)) {
+          assertTrue(
+              read.getOrDefault(entry.id, -1) >= told.get(entry.id),
+              "step " + step + ": entry " + entry.id);
+        }
+      }
+    }
+    for (int i = 0; i < 200; i++) {
+      store.runTimers();
+      store.transact(4, true);
+    }
+    Map<Integer, Integer> read = read(store);
+    for (Entry entry : live) {
+      assertEquals(entry.number, told.get(entry.id));
+      assertEquals(entry.number, read.get(entry.id));
+    }
+    assertTrue(store.writes < due, store.writes + " writes for " + due + " changes");
+    assertTrue(store.values.size() < 40, store.values.size() + " pages");
+  }
+
+  // ---- completions of a huge job
+
+  private static Job hugeJob() {
+    JobSpec spec =
+        new JobSpec(
+            "req-000001", "class", "red", Shape.ARRAY, Rank.NORMAL, 100_000, Resources.of(1, 0, 1),
+            null, null, false, false, false, "image", 1, Duration.ofSeconds(10), Duration.ZERO,
+            Duration.ZERO, null);
+    return new Job(spec, Instant.EPOCH, Job.State.ACTIVE);
+  }
+
+  @Test
+  void completionsOfAHugeJobFitTheirValuesWhateverTheirPattern() throws MalformedException {
+    Store store = new Store();
+    Job job = hugeJob();
+    MachineType type =
+        new MachineType(
+            "g4", Resources.of(16, 4, 64), 50, 1, 4, 1, Duration.ofSeconds(10), List.of("a"));
+    Machine machine = new Machine("m-1", type, "a", false, Instant.EPOCH);
+    Records records =
+        new Records(
+            VALUE_BYTES,
+            store,
+            store.pending::add,
+            new Records.Listener() {
+              @Override
+              public void onPlacementStored(Attempt attempt) {}
+
+              @Override
+              public void onEndStored(Job ended) {}
+
+              @Override
+              public void onRemoved(Job removed) {}
+            });
+    RandomGenerator random = RandomGeneratorFactory.of("L64X128MixRandom").create(7);
+    Set<Attempt> done = new LinkedHashSet<>();
+    // Every other task of the first half makes for the most ranges.
+    for (int task = 0; task < 20_000; task++) {
+      if (task < 10_000 ? task % 2 == 1 : random.nextInt(3) == 0) {
+        Attempt attempt = new Attempt(job, task, 1, machine, Instant.EPOCH, Attempt.State.RUNNING);
+        job.done.set(task);
+        done.add(attempt);
+        records.taskDone(job, attempt);
+      }
+    }
+    for (int i = 0; i < 2000 && !(store.pending.isEmpty() && store.timers.isEmpty()); i++) {
+      store.runTimers();
+      store.transact(4, true);
+    }
+    BitSet read = new BitSet();
+    Set<String> chunks = new HashSet<>();
+    for (JsonNode page : store.values.values()) {
+      for (JsonNode entry : RecordWire.entries(page)) {
+        RecordWire.StoredDone stored = RecordWire.parseDone(entry);
+        read.or(stored.done());
+        chunks.add(stored.job() + "/" + stored.chunk());
+      }
+    }
+    assertEquals(job.done, read);
+    assertTrue(chunks.size() > 100, "it takes many entries");
+    assertTrue(done.stream().allMatch(attempt -> attempt.forgettable));
+  }
+}
