--- a/src/main/java/io/pineladder/Node.java
+++ b/src/main/java/io/pineladder/Node.java
@@ -52,7 +52,9 @@
     this.settings = settings;
     this.time = time;
     this.http = http;
-    this.store = new StoreClient(http, time, settings.storeAddress(), settings.store());
+    this.store = 
+        new StoreClient(
+            http, time, settings.storeAddress(), settings.store(), settings.peers().size() + 1);
     this.election = new Election(store, time, settings, nonce, new Part());
   }
 
--- a/src/main/java/io/pineladder/front/Front.java
+++ b/src/main/java/io/pineladder/front/Front.java
@@ -433,8 +433,9 @@
                 RecordWire.job(spec, node.time().timeOfDay(), Job.State.ACTIVE))
             .put(Keys.INBOX + id, Json.object().put("by", node.settings().member()))
             .bytes();
-    node.store().urgent(
+    node.store().forUser(
         node.store().post("/multi", body),
+        2,
         reply -> {
           if (reply.is(200)) {
             log.info("job {} accepted without a leader", id);
@@ -459,7 +460,7 @@
   /** Answers from a fresh read of the store; a cancel gets an answer only when the job is over. */
   private void readAlone(String id, boolean cancel, Consumer<HttpAnswer> answer) {
     // A job moves from the first key to the second in one transaction, so this order misses none.
-    node.store().read(
+    node.store().readForUser(
         Keys.JOB + id,
         read -> {
           if (!read.certain()) {
@@ -470,7 +471,7 @@
             tellStored(id, cancel, read.entry(), answer);
             return;
           }
-          node.store().read(
+          node.store().readForUser(
               Keys.END + id,
               end -> {
                 if (!end.certain()) {
--- a/src/main/java/io/pineladder/store/StoreClient.java
+++ b/src/main/java/io/pineladder/store/StoreClient.java
@@ -21,8 +21,12 @@
   private static final Duration TIMEOUT = Duration.ofMillis(1500);
   private static final Duration RETRY = Duration.ofMillis(250);
 
-  /** The limits are the whole cluster's; the other nodes' few requests need their part. */
-  private static final double OUR_PART = 0.85;
+  /**
+   * The limits are the whole cluster's. This part of them is for what all nodes together ask on
+   * behalf of users while no leader answers; with more, the leader's commits, its renewals and a
+   * new leader's first reads would be refused along with them.
+   */
+  private static final double USERS_PART = 0.3;
 
   private final HttpCaller http;
   private final Timeline time;
@@ -30,6 +34,8 @@
   private final Settings.StoreLimits limits;
   private final RateBudget requests;
   private final RateBudget writes;
+  private final RateBudget userRequests;
+  private final RateBudget userWrites;
   private final Deque<Waiting> waiting = new ArrayDeque<>();
   private boolean pumpSet;
   private Instant answeredAt;
@@ -38,17 +44,24 @@
   private record Waiting(Request request, Consumer<Reply> onReply) {}
 
   public StoreClient(
-      HttpCaller http, Timeline time, String address, Settings.StoreLimits limits) {
+      HttpCaller http, Timeline time, String address, Settings.StoreLimits limits, int nodes) {
     this.http = http;
     this.time = time;
     this.address = address;
     this.limits = limits;
     Instant now = time.now();
-    double rps = limits.requestsPerSecond() * OUR_PART;
-    double wps = limits.writesPerSecond() * OUR_PART;
+    double rps = limits.requestsPerSecond() * (1 - USERS_PART);
+    double wps = limits.writesPerSecond() * (1 - USERS_PART);
     requests = new RateBudget(rps, Math.max(1, rps), now);
     // A whole transaction must fit into the burst, or it would never be sent.
     writes = new RateBudget(wps, Math.max(limits.transactionOps(), wps), now);
+    double part = USERS_PART / nodes;
+    userRequests = userBudget(limits.requestsPerSecond() * part, now);
+    userWrites = userBudget(limits.writesPerSecond() * part, now);
+  }
+
+  private static RateBudget userBudget(double perSecond, Instant now) {
+    return new RateBudget(perSecond, Math.max(2, perSecond), now);
   }
 
   public Settings.StoreLimits limits() {
@@ -88,6 +101,28 @@
     http.call(request, observed(onReply));
   }
 
+  /**
+   * Sends at once or not at all: a user is told to come back rather than kept waiting, and what
+   * users ask for never stands before this node's own requests.
+   *
+   * @param changes puts and deletes in the request
+   */
+  public void forUser(Request request, int changes, Consumer<Reply> onReply) {
+    Instant now = time.now();
+    if (userRequests.available(now) < 1 || userWrites.available(now) < changes) {
+      onReply.accept(Reply.NOT_SENT);
+      return;
+    }
+    userRequests.take(1, now);
+    userWrites.take(changes, now);
+    http.call(request, observed(onReply));
+  }
+
+  /** Reads one key afresh for a user. */
+  public void readForUser(String key, Consumer<Read> onRead) {
+    forUser(get(StoreWire.keyPath(key)), 0, reply -> onRead.accept(toRead(reply)));
+  }
+
   /** Sends when the budget allows. */
   void send(Request request, Consumer<Reply> onReply) {
     waiting.addLast(new Waiting(request, onReply));
