One log line less for every machine, task and job

Cause: a cold controller with 600 workers spent 1.9 s of processor until all were confirmed, 0.7 s of it for a line of log each (measured on a real process among stand-ins).

--- a/src/main/java/io/pineladder/Leader.java
+++ b/src/main/java/io/pineladder/Leader.java
@@ -175,7 +175,7 @@
 
               @Override
               public void onMachine(Machine machine) {
-                log.info("machine {} reports", machine);
+                log.debug("machine {} reports", machine);
               }
             });
     this.fleet =
@@ -582,7 +582,7 @@
             committer.known(read.entry().key(), read.entry().version());
             scheduler.add(job);
             fleet.accepted(job);
-            log.info("job {} was accepted elsewhere", id);
+            log.debug("job {} was accepted elsewhere", id);
             onDone.accept(new Lookup(job, null));
           } catch (MalformedException e) {
             log.error("job {} cannot be read: {}", id, e.getMessage());
@@ -684,7 +684,7 @@
             List.of(Keys.END + id),
             () -> {
               List<Consumer<JobWire.Status>> all = accepting.remove(id);
-              log.info(
+              log.debug(
                   "job {} accepted: {} x {} of {} for {}",
                   id,
                   spec.tasks(),
--- a/src/main/java/io/pineladder/fleet/Fleet.java
+++ b/src/main/java/io/pineladder/fleet/Fleet.java
@@ -303,7 +303,7 @@
         if (machine.state() == Machine.State.CONFIRMED) {
           machine.moveTo(Machine.State.SILENT);
           cluster.refresh(machine);
-          log.info("machine {} is silent", machine);
+          log.debug("machine {} is silent", machine);
         }
       }
     }
@@ -367,7 +367,7 @@
     if (machine.state() == Machine.State.RELEASING || machine.state() == Machine.State.GONE) {
       return;
     }
-    log.info("returning machine {} ({}, {})", machine, machine.state(), machine.attempts.size());
+    log.debug("returning machine {} ({}, {})", machine, machine.state(), machine.attempts.size());
     machine.moveTo(Machine.State.RELEASING);
     cluster.refresh(machine);
     toRelease.add(machine.name);
--- a/src/main/java/io/pineladder/front/Front.java
+++ b/src/main/java/io/pineladder/front/Front.java
@@ -438,7 +438,7 @@
         2,
         reply -> {
           if (reply.is(200)) {
-            log.info("job {} accepted without a leader", id);
+            log.debug("job {} accepted without a leader", id);
             answer.accept(
                 new HttpAnswer(201, JobWire.view(id, JobWire.Status.PENDING)));
           } else if (reply.is(409)) {
--- a/src/main/java/io/pineladder/scheduling/Scheduler.java
+++ b/src/main/java/io/pineladder/scheduling/Scheduler.java
@@ -248,7 +248,7 @@
 
   /** The job's final state is stored. */
   public void onEndStored(Job job) {
-    log.info("job {} is {}", job, job.state());
+    log.debug("job {} is {}", job, job.state());
     List.copyOf(job.endWaiters).forEach(Runnable::run);
     job.endWaiters.clear();
     killAll(job, Duration.ZERO);
@@ -457,7 +457,7 @@
     if (machine.attempts.containsKey(key) || !effects.mayAct()) {
       return false;
     }
-    log.info("{} is replaced on {}", lost, machine);
+    log.debug("{} is replaced on {}", lost, machine);
     start(job, lost.task, lost.number, machine, now);
     return true;
   }
@@ -630,7 +630,7 @@
       return false;
     }
     Machine machine = plan.machine();
-    log.info("{} displaces {} on {}", job, plan.victims(), machine);
+    log.debug("{} displaces {} on {}", job, plan.victims(), machine);
     cluster.reserve(machine, job, now.plus(RESERVATION));
     plan.victims().forEach(this::displace);
     return true;
@@ -671,7 +671,7 @@
         if (best == null) {
           break;
         }
-        log.info("{} moves to {}, which has its image", best, machine);
+        log.debug("{} moves to {}, which has its image", best, machine);
         room = room.minus(best.job.spec.each());
         cluster.reserve(machine, best.job, now.plus(RESERVATION));
         kill(best, Duration.ZERO);
