Send tasks that have to fetch a slow image to different machines

Cause: two replicas of one service filled a machine, so no room was left next to the copies that later replicas need; an image takes 50 to 150 s there, longer than a machine to boot.

--- a/src/main/java/io/pineladder/scheduling/Placer.java
+++ b/src/main/java/io/pineladder/scheduling/Placer.java
@@ -19,6 +19,9 @@
 
 /** The checks that a placement must pass, and the choice among the machines that pass them. */
 public final class Placer {
+  /** What speaks against a second task on a machine that is to fetch a slow image, in seconds. */
+  private static final double SECOND_COPY = 10;
+
   private final Cluster cluster;
 
   public Placer(Cluster cluster) {
@@ -65,7 +68,13 @@
       long room = spec.each().countIn(room(job, machine, now));
       if (room > 0) {
         int count = (int) Math.min(room, wanted);
-        candidates.add(new Candidate(machine, cost(job, machine), count));
+        double cost = cost(job, machine);
+        if (count > 1 && isSlowFetch(job, machine)) {
+          candidates.add(new Candidate(machine, cost, 1));
+          candidates.add(new Candidate(machine, cost + SECOND_COPY, count - 1));
+        } else {
+          candidates.add(new Candidate(machine, cost, count));
+        }
       }
     }
     if (candidates.isEmpty()) {
@@ -78,6 +87,19 @@
     return limited ? new Decision(decision.machines(), Check.TEAM_LIMIT) : decision;
   }
 
+  /**
+   * Whether the image is yet to be fetched there and takes longer than another machine would to
+   * boot. Then copies are scarcer than machines: tasks that have to fetch go to different ones, and
+   * leave room next to them where the image will be.
+   */
+  private static boolean isSlowFetch(Job job, Machine machine) {
+    if (machine.images.containsKey(job.spec.image())) {
+      return false;
+    }
+    double alone = job.spec.imageGb() / Math.max(1e-3, machine.type.fetchGbPerSecond());
+    return alone > machine.type.boot().toMillis() / 1000.0;
+  }
+
   /** A machine with room for so many tasks of the job. */
   private record Candidate(Machine machine, double cost, int count) {}
 
