--- a/src/main/java/io/pineladder/front/Front.java
+++ b/src/main/java/io/pineladder/front/Front.java
@@ -162,13 +162,18 @@
   private void serve(
       String method, String path, byte[] body, Consumer<HttpAnswer> answer, Runnable alone) {
     Leader leader = node.actingLeader();
-    if (leader != null) {
+    if (leader != null && (!isSubmission(path) || node.store().isHealthy())) {
       lead(leader, method, path, body, answer);
       return;
     }
+    // A leader that the store refuses has peers that may be able to store a submission.
     forward(method, path, body, answer, alone);
   }
 
+  private static boolean isSubmission(String path) {
+    return path.equals("/v1/jobs");
+  }
+
   private void forward(
       String method, String path, byte[] body, Consumer<HttpAnswer> answer, Runnable alone) {
     List<String> ways = new ArrayList<>();
@@ -208,7 +213,7 @@
             way,
             PeerWire.PATH,
             PeerWire.write(forward),
-            forward.path().equals("/v1/jobs") ? SUBMIT_TIMEOUT : FORWARD_TIMEOUT),
+            isSubmission(forward.path()) ? SUBMIT_TIMEOUT : FORWARD_TIMEOUT),
         reply -> {
           try {
             if (reply.is(200)) {
@@ -248,14 +253,29 @@
         () ->
             answer.accept(
                 ok(PeerWire.write(new PeerWire.Answer(false, later("no leader"), name))));
+    // A submission that this node cannot take is better tried by the next one than given up.
+    Consumer<HttpAnswer> taken =
+        isSubmission(forward.path())
+            ? http -> {
+              if (http.status() == 503) {
+                undecided.run();
+              } else {
+                decided.accept(http);
+              }
+            }
+            : decided;
     Leader leader = node.actingLeader();
     if (leader != null) {
-      lead(leader, forward.method(), forward.path(), forward.body(), decided);
+      lead(leader, forward.method(), forward.path(), forward.body(), taken);
       return;
     }
     boolean other = known != null && !known.member().equals(node.settings().member());
     if (forward.hops() <= 0 || !other) {
-      undecided.run();
+      if (isSubmission(forward.path())) {
+        storeFor(forward.body(), taken);
+      } else {
+        undecided.run();
+      }
       return;
     }
     forwardTo(
@@ -263,7 +283,16 @@
         0,
         new PeerWire.Forward(forward.method(), forward.path(), forward.body(), forward.hops() - 1),
         decided,
-        undecided);
+        isSubmission(forward.path()) ? () -> storeFor(forward.body(), taken) : undecided);
+  }
+
+  /** Stores a submission on behalf of a peer that reaches neither a leader nor the store. */
+  private void storeFor(byte[] body, Consumer<HttpAnswer> answer) {
+    try {
+      submitAlone(JobWire.parse(body), once(answer, COMMIT_TIMEOUT));
+    } catch (MalformedException e) {
+      answer.accept(error(400, e.getMessage()));
+    }
   }
 
   private static HttpAnswer ok(byte[] body) {
@@ -350,7 +379,14 @@
       answer.accept(ok(JobWire.view(spec.id(), known)));
       return;
     }
-    serve("POST", "/v1/jobs", body, answer, () -> submitAlone(spec, once(answer, COMMIT_TIMEOUT)));
+    Instant begun = node.time().now();
+    Consumer<HttpAnswer> logged =
+        http -> {
+          Duration took = Duration.between(begun, node.time().now());
+          log.debug("submission of {}: {} after {}", spec.id(), http.status(), took);
+          answer.accept(http);
+        };
+    serve("POST", "/v1/jobs", body, logged, () -> submitAlone(spec, once(logged, COMMIT_TIMEOUT)));
   }
 
   private void submitTo(Leader leader, JobSpec spec, Consumer<HttpAnswer> answer) {
@@ -433,7 +469,7 @@
                 RecordWire.job(spec, node.time().timeOfDay(), Job.State.ACTIVE))
             .put(Keys.INBOX + id, Json.object().put("by", node.settings().member()))
             .bytes();
-    node.store().forUser(
+    node.store().changeForUser(
         node.store().post("/multi", body),
         2,
         reply -> {
--- a/src/main/java/io/pineladder/store/StoreClient.java
+++ b/src/main/java/io/pineladder/store/StoreClient.java
@@ -34,7 +34,7 @@
   private final Settings.StoreLimits limits;
   private final RateBudget requests;
   private final RateBudget writes;
-  private final RateBudget userRequests;
+  private final RateBudget userReads;
   private final RateBudget userWrites;
   private final Deque<Waiting> waiting = new ArrayDeque<>();
   private boolean pumpSet;
@@ -56,12 +56,12 @@
     // A whole transaction must fit into the burst, or it would never be sent.
     writes = new RateBudget(wps, Math.max(limits.transactionOps(), wps), now);
     double part = USERS_PART / nodes;
-    userRequests = userBudget(limits.requestsPerSecond() * part, now);
+    userReads = userBudget(limits.requestsPerSecond() * part * 0.7, now);
     userWrites = userBudget(limits.writesPerSecond() * part, now);
   }
 
   private static RateBudget userBudget(double perSecond, Instant now) {
-    return new RateBudget(perSecond, Math.max(2, perSecond), now);
+    return new RateBudget(perSecond, Math.max(2, 2 * perSecond), now);
   }
 
   public Settings.StoreLimits limits() {
@@ -102,27 +102,33 @@
   }
 
   /**
-   * Sends at once or not at all: a user is told to come back rather than kept waiting, and what
-   * users ask for never stands before this node's own requests.
+   * Changes something for a user, at once or not at all: a user is told to come back rather than
+   * kept waiting, and what users ask for never stands before this node's own requests. Reads have
+   * a budget of their own: many poll, and a submission must not wait for them.
    *
    * @param changes puts and deletes in the request
    */
-  public void forUser(Request request, int changes, Consumer<Reply> onReply) {
+  public void changeForUser(Request request, int changes, Consumer<Reply> onReply) {
+    sendForUser(userWrites, changes, request, onReply);
+  }
+
+  /** Reads one key afresh for a user, at once or not at all. */
+  public void readForUser(String key, Consumer<Read> onRead) {
+    sendForUser(
+        userReads, 1, get(StoreWire.keyPath(key)), reply -> onRead.accept(toRead(reply)));
+  }
+
+  private void sendForUser(
+      RateBudget budget, int cost, Request request, Consumer<Reply> onReply) {
     Instant now = time.now();
-    if (userRequests.available(now) < 1 || userWrites.available(now) < changes) {
+    if (budget.available(now) < cost) {
       onReply.accept(Reply.NOT_SENT);
       return;
     }
-    userRequests.take(1, now);
-    userWrites.take(changes, now);
+    budget.take(cost, now);
     http.call(request, observed(onReply));
   }
 
-  /** Reads one key afresh for a user. */
-  public void readForUser(String key, Consumer<Read> onRead) {
-    forUser(get(StoreWire.keyPath(key)), 0, reply -> onRead.accept(toRead(reply)));
-  }
-
   /** Sends when the budget allows. */
   void send(Request request, Consumer<Reply> onReply) {
     waiting.addLast(new Waiting(request, onReply));
