Return machines that are no longer listed at once

Cause: work on spot machines taken without a notice waited for 13.5 s of silence, and a takeover began that time anew. Now a machine missing from a list that is surely younger than its first listing is returned at once; the answer to that is the proof, as before.

--- a/src/main/java/io/pineladder/fleet/Fleet.java
+++ b/src/main/java/io/pineladder/fleet/Fleet.java
@@ -27,6 +27,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -208,7 +209,9 @@
   // ---- what there is
 
   private void list(Instant now) {
-    Duration every = cluster.settings.cloud().listLag().plusSeconds(2);
+    // A list of many pages takes its part of the calls; a short one is asked for as often as it ages.
+    long pages = 1 + cluster.machines().size() / CloudWire.PAGE;
+    Duration every = cluster.settings.cloud().listLag().dividedBy(2).plusSeconds(pages / 2);
     if (listing || now.isBefore(listedAt.plus(every))) {
       return;
     }
@@ -217,6 +220,7 @@
 
   private boolean listPage(String after, Instant begun) {
     String path = "/rentals?page=" + CloudWire.PAGE + (after.isEmpty() ? "" : "&since=" + after);
+    Instant sent = time.now();
     return call(
         Request.get(address, path, TIMEOUT),
         reply -> {
@@ -227,8 +231,10 @@
           try {
             CloudWire.Page page = CloudWire.parsePage(reply.body());
             page.machines().forEach(this::listed);
-            if (page.more() && !page.machines().isEmpty()) {
-              String last = page.machines().get(page.machines().size() - 1).name();
+            boolean more = page.more() && !page.machines().isEmpty();
+            String last = more ? page.machines().get(page.machines().size() - 1).name() : null;
+            releaseMissing(page, after, last, sent);
+            if (more) {
               listing = listPage(last, begun);
             } else {
               listedAt = begun;
@@ -239,6 +245,32 @@
         });
   }
 
+  /**
+   * A machine that was listed stays listed until it is gone. One that is missing from a list too
+   * young to be from before it was listed has most likely been taken; its tasks wait for the proof,
+   * which its return gives at once. Without this, work on machines taken without a notice waited
+   * until they had been silent for long.
+   *
+   * @param last the last name of the page, or null when no more follow
+   */
+  private void releaseMissing(CloudWire.Page page, String after, String last, Instant sent) {
+    Set<String> names = new HashSet<>();
+    page.machines().forEach(listed -> names.add(listed.name()));
+    Instant before = sent.minus(cluster.settings.cloud().listLag().multipliedBy(2)).minusSeconds(1);
+    List<Machine> missing = new ArrayList<>();
+    for (Machine machine : cluster.machinesBetween(after, last)) {
+      Instant known = machine.recorded ? startedAt : machine.listedAt;
+      boolean up = machine.state() != Machine.State.RELEASING && !names.contains(machine.name);
+      if (up && known != null && known.isBefore(before)) {
+        missing.add(machine);
+      }
+    }
+    if (!missing.isEmpty()) {
+      log.info("{} machines are no longer listed", missing.size());
+      missing.forEach(this::release);
+    }
+  }
+
   private void listed(CloudWire.Listed listed) {
     if (released.containsKey(listed.name())) {
       return;
@@ -257,6 +289,9 @@
     if (machine.address == null) {
       machine.address = listed.address();
     }
+    if (machine.listedAt == null) {
+      machine.listedAt = time.now();
+    }
     machine.listedRunning |= listed.life() == CloudWire.Life.RUNNING;
     if (listed.life() == CloudWire.Life.FAILED && !machine.failed) {
       machine.failed = true;
--- a/src/main/java/io/pineladder/model/Machine.java
+++ b/src/main/java/io/pineladder/model/Machine.java
@@ -40,6 +40,9 @@
   /** No new work: it is to be returned. */
   public boolean draining;
 
+  /** When this leader first saw it in the cloud's list, or null. */
+  public Instant listedAt;
+
   /** The cloud has listed it as running. */
   public boolean listedRunning;
 
--- a/src/main/java/io/pineladder/scheduling/Cluster.java
+++ b/src/main/java/io/pineladder/scheduling/Cluster.java
@@ -17,6 +17,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.NavigableMap;
 import java.util.Set;
 import java.util.TreeMap;
 
@@ -27,7 +28,7 @@
 public final class Cluster {
   public final Settings settings;
   public final Map<String, Job> jobs = new LinkedHashMap<>();
-  private final Map<String, Machine> machines = new TreeMap<>();
+  private final NavigableMap<String, Machine> machines = new TreeMap<>();
   private final Map<String, Team> teams = new HashMap<>();
   private final Map<String, Resources> usage = new HashMap<>();
   private final Map<String, TeamJobs> jobsByTeam = new HashMap<>();
@@ -152,6 +153,12 @@
     return Collections.unmodifiableCollection(machines.values());
   }
 
+  /** Machines whose names follow {@code after}, up to {@code last}; null is no bound. */
+  public Collection<Machine> machinesBetween(String after, String last) {
+    NavigableMap<String, Machine> following = machines.tailMap(after, false);
+    return (last == null ? following : following.headMap(last, true)).values();
+  }
+
   public Machine machine(String name) {
     return machines.get(name);
   }
--- a/src/test/java/io/pineladder/workers/WorkersTest.java
+++ b/src/test/java/io/pineladder/workers/WorkersTest.java
@@ -222,6 +222,48 @@
     assertEquals(Machine.State.RELEASING, leader.cluster.machine("m-2").state());
   }
 
+  private static byte[] listOf(String... machines) {
+    StringBuilder hosts = new StringBuilder();
+    for (String machine : machines) {
+      hosts.append(hosts.isEmpty() ? "" : ",");
+      hosts.append(
+          """
+          {"ref":"%s","addr":"10.1.0.1:9000","hull":"g4","yard":"a","loaners":true,
+           "status":"running","age_s":60}"""
+              .formatted(machine));
+    }
+    return ("{\"hosts\":[" + hosts + "],\"truncated\":false}").getBytes(StandardCharsets.UTF_8);
+  }
+
+  /** Found on the grown colombo: work on 148 machines taken at once waited for their silence. */
+  @Test
+  void aMachineThatIsNoLongerListedIsReturnedBeforeItIsMissed() {
+    leader.fleet.start();
+    boolean wasListed = false;
+    for (int second = 0; second < 30; second++) {
+      leader.report("m-1", 1 + second);
+      leader.report("m-2", 1 + second);
+      leader.runFor(Duration.ofSeconds(1));
+      for (var sent = leader.sent.poll(); sent != null; sent = leader.sent.poll()) {
+        if (sent.request().path().startsWith("/rentals?")) {
+          // Until a list is surely younger than the machine's first, its absence means nothing.
+          boolean all = !wasListed;
+          byte[] list = all ? listOf("m-1", "m-2") : listOf("m-2");
+          wasListed = true;
+          sent.onReply().accept(HttpCaller.Reply.answered(200, list));
+        }
+      }
+      if (second == 4) {
+        assertEquals(Machine.State.CONFIRMED, leader.cluster.machine("m-1").state());
+      }
+      if (second == 20) {
+        assertEquals(Machine.State.RELEASING, leader.cluster.machine("m-1").state());
+        assertEquals(Machine.State.CONFIRMED, leader.cluster.machine("m-2").state());
+        return;
+      }
+    }
+  }
+
   @Test
   void oneSilentMachineIsReturned() {
     leader.fleet.start();
