Keep jobs that a lost spot machine would make late on ordinary machines

Now: a job whose objective one restart would break, and that is likely to lose a machine (rate of losses as seen, 0.1), prefers and rents ordinary machines; work of such jobs is displaced last; an objective of 1.5 times the deadline is known as such.

--- a/src/main/java/io/pineladder/fleet/Fleet.java
+++ b/src/main/java/io/pineladder/fleet/Fleet.java
@@ -174,6 +174,7 @@
     if (effects.mayAct()) {
       Instant now = time.now();
       list(now);
+      cluster.spotRisk.observe(spotUp(), now);
       findSilent(now);
       retire(now);
       sendReleases();
@@ -182,6 +183,14 @@
     time.after(TICK, this::tick);
   }
 
+  private int spotUp() {
+    int count = 0;
+    for (Machine machine : cluster.machines()) {
+      count += machine.spot && machine.state() == Machine.State.CONFIRMED ? 1 : 0;
+    }
+    return count;
+  }
+
   private boolean call(Request request, Consumer<Reply> onReply) {
     Instant now = time.now();
     if (calls.available(now) < 1 || now.isBefore(troubleUntil)) {
@@ -267,7 +276,12 @@
     }
     if (!missing.isEmpty()) {
       log.info("{} machines are no longer listed", missing.size());
-      missing.forEach(this::release);
+      for (Machine machine : missing) {
+        if (machine.spot && machine.takenAt == null) {
+          cluster.spotRisk.lost();
+        }
+        release(machine);
+      }
     }
   }
 
@@ -645,7 +659,8 @@
       planned.merge(spec.team(), spec.each().times(count), Resources::plus);
       double machines = (double) count / spec.each().countIn(type.size());
       Want want = wants.computeIfAbsent(type, t -> new Want());
-      if (spec.spotAllowed()) {
+      boolean avoidsSpot = cluster.avoidsSpot(job, time.timeOfDay()) && !isRefused(type, false);
+      if (spec.spotAllowed() && !avoidsSpot) {
         want.spotAllowed += machines;
       } else {
         want.ordinary += machines;
@@ -657,6 +672,18 @@
     return wants;
   }
 
+  /** Whether the cloud has lately refused this kind in every zone. */
+  private boolean isRefused(MachineType type, boolean spot) {
+    Instant now = time.now();
+    for (String zone : type.zones()) {
+      Instant until = refused.get(new Pool(type.name(), zone, spot));
+      if (until == null || until.isBefore(now)) {
+        return false;
+      }
+    }
+    return true;
+  }
+
   private boolean ask(MachineType type, String zone, boolean spot, int count, Instant now) {
     List<String> zones = zone == null ? new ArrayList<>(type.zones()) : List.of(zone);
     Map<String, Integer> there = new HashMap<>();
--- a/src/main/java/io/pineladder/model/Settings.java
+++ b/src/main/java/io/pineladder/model/Settings.java
@@ -22,8 +22,12 @@
   /** Another controller. */
   public record Peer(String member, String zone, String address) {}
 
-  /** What is expected of a class of jobs; {@code within} and {@code jobClass} may be null. */
-  public record Objective(String kind, String jobClass, Duration within, double share) {}
+  /**
+   * What is expected of a class of jobs; {@code within} and {@code jobClass} may be null. Without
+   * {@code within} it is about {@code times} the job's own deadline.
+   */
+  public record Objective(
+      String kind, String jobClass, Duration within, double share, double times) {}
 
   /** The times that workers keep to. */
   public record WorkerTimes(
--- a/src/main/java/io/pineladder/scheduling/Cluster.java
+++ b/src/main/java/io/pineladder/scheduling/Cluster.java
@@ -2,6 +2,7 @@
 
 import io.pineladder.model.Attempt;
 import io.pineladder.model.Job;
+import io.pineladder.model.JobSpec;
 import io.pineladder.model.Machine;
 import io.pineladder.model.MachineType;
 import io.pineladder.model.Rank;
@@ -26,6 +27,9 @@
  * keeps the indexes that let one event be dealt with without a look at the whole fleet.
  */
 public final class Cluster {
+  /** A loss that is likelier than this is worth the price of ordinary machines. */
+  private static final double LIKELY = 0.1;
+
   public final Settings settings;
   public final Map<String, Job> jobs = new LinkedHashMap<>();
   private final NavigableMap<String, Machine> machines = new TreeMap<>();
@@ -52,6 +56,8 @@
   /** Machines that keep room for a job, by job. */
   private final Map<Job, Set<Machine>> reservations = new HashMap<>();
 
+  private final Objectives objectives;
+  public final SpotRisk spotRisk = new SpotRisk();
   private final Map<String, Map<String, Double>> expectedImages = new HashMap<>();
 
   /** What distinguishes machines for a job's wishes. */
@@ -66,11 +72,35 @@
 
   public Cluster(Settings settings) {
     this.settings = settings;
+    this.objectives = new Objectives(settings);
     for (Team team : settings.teams()) {
       teams.put(team.name(), team);
     }
   }
 
+  Objectives objectives() {
+    return objectives;
+  }
+
+  /**
+   * Whether a job that may use spot machines is better kept off them: the loss of one would make it
+   * miss an objective, and is likely enough for a job of its size and length.
+   */
+  public boolean avoidsSpot(Job job, Instant timeOfDay) {
+    JobSpec spec = job.spec;
+    if (!spec.spotAllowed() || spec.savesWork() || !objectives.breaksByRestart(job, timeOfDay)) {
+      return false;
+    }
+    double machines = 0;
+    for (MachineType type : types.values()) {
+      if (spec.allowsType(type.name())) {
+        double each = Math.min(1, spec.each().shareOf(type.size()));
+        machines = Math.max(machines, (spec.tasks() - job.done.cardinality()) * each);
+      }
+    }
+    return spotRisk.likelihood(machines, spec.estimate()) > LIKELY;
+  }
+
   public Team team(String name) {
     return teams.get(name);
   }
--- a/src/main/java/io/pineladder/scheduling/Placer.java
+++ b/src/main/java/io/pineladder/scheduling/Placer.java
@@ -7,6 +7,7 @@
 import io.pineladder.model.Resources;
 import io.pineladder.model.Shape;
 import io.pineladder.model.Team;
+import io.pineladder.net.Timeline;
 import io.pineladder.queue.Check;
 import java.time.Instant;
 import java.util.ArrayList;
@@ -22,10 +23,16 @@
   /** What speaks against a second task on a machine that is to fetch a slow image, in seconds. */
   private static final double SECOND_COPY = 10;
 
+  /** What speaks against a spot machine for a job that its loss would make late, in seconds. */
+  private static final double SPOT_RISK = 12;
+
   private final Cluster cluster;
 
-  public Placer(Cluster cluster) {
+  private final Timeline time;
+
+  public Placer(Cluster cluster, Timeline time) {
     this.cluster = cluster;
+    this.time = time;
   }
 
   /**
@@ -60,6 +67,7 @@
       return Decision.no(Check.TEAM_LIMIT);
     }
     int most = (int) Math.min(wanted, within);
+    boolean avoidsSpot = cluster.avoidsSpot(job, time.timeOfDay());
     List<Candidate> candidates = new ArrayList<>();
     for (Machine machine : cluster.openFor(job)) {
       if (!machine.takesWork() || !isAllowed(job, machine)) {
@@ -68,7 +76,7 @@
       long room = spec.each().countIn(room(job, machine, now));
       if (room > 0) {
         int count = (int) Math.min(room, wanted);
-        double cost = cost(job, machine);
+        double cost = cost(job, machine, avoidsSpot);
         if (count > 1 && isSlowFetch(job, machine)) {
           candidates.add(new Candidate(machine, cost, 1));
           candidates.add(new Candidate(machine, cost + SECOND_COPY, count - 1));
@@ -178,7 +186,7 @@
       }
       double worst = 0;
       for (Machine machine : chosen) {
-        worst = Math.max(worst, cost(job, machine));
+        worst = Math.max(worst, fetchSeconds(job, machine));
       }
       if (chosen.size() > best.size() || (chosen.size() == best.size() && worst < bestCost)) {
         best = chosen;
@@ -228,10 +236,11 @@
    * may use spot machines leaves the others to those that may not, and fuller machines come first
    * so that some become empty and can be returned.
    */
-  static double cost(Job job, Machine machine) {
-    JobSpec spec = job.spec;
+  private static double cost(Job job, Machine machine, boolean avoidsSpot) {
     double cost = fetchSeconds(job, machine);
-    if (spec.spotAllowed() && !machine.spot) {
+    if (avoidsSpot) {
+      cost += machine.spot ? SPOT_RISK : 0;
+    } else if (job.spec.spotAllowed() && !machine.spot) {
       cost += 3;
     }
     cost += 1 - machine.used.shareOf(machine.type.size());
--- a/src/main/java/io/pineladder/scheduling/Preemptor.java
+++ b/src/main/java/io/pineladder/scheduling/Preemptor.java
@@ -7,6 +7,7 @@
 import io.pineladder.model.Resources;
 import io.pineladder.model.Shape;
 import io.pineladder.model.Team;
+import io.pineladder.net.Timeline;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
@@ -15,10 +16,15 @@
 
 /** Finds the work whose stopping costs least and lets a job of higher priority in. */
 final class Preemptor {
+  /** What speaks against stopping a task that its job cannot start again in time, in seconds. */
+  private static final double LATE = 60;
+
   private final Cluster cluster;
+  private final Timeline time;
 
-  Preemptor(Cluster cluster) {
+  Preemptor(Cluster cluster, Timeline time) {
     this.cluster = cluster;
+    this.time = time;
   }
 
   /** Attempts to stop on one machine. */
@@ -112,8 +118,13 @@
     return guaranteed && !victimGuaranteed && !victim.spec.team().equals(job.spec.team());
   }
 
-  /** Seconds of work that stopping it throws away. */
-  private static double loss(Attempt attempt, Instant now) {
+  /** Seconds of work that stopping it throws away, and more if its job would be late for it. */
+  private double loss(Attempt attempt, Instant now) {
+    boolean late = cluster.objectives().breaksByRestart(attempt.job, time.timeOfDay());
+    return lostWork(attempt, now) + (late ? LATE : 0);
+  }
+
+  private static double lostWork(Attempt attempt, Instant now) {
     Instant from = attempt.runningSince == null ? attempt.since : attempt.runningSince;
     Duration ran = Duration.between(from, now);
     if (attempt.job.spec.savesWork()) {
--- a/src/main/java/io/pineladder/scheduling/Scheduler.java
+++ b/src/main/java/io/pineladder/scheduling/Scheduler.java
@@ -89,8 +89,8 @@
     this.time = time;
     this.term = term;
     this.effects = effects;
-    this.placer = new Placer(cluster);
-    this.preemptor = new Preemptor(cluster);
+    this.placer = new Placer(cluster, time);
+    this.preemptor = new Preemptor(cluster, time);
     this.displacements =
         new RateBudget(DISPLACEMENTS_A_SECOND, DISPLACEMENTS_A_SECOND, time.now());
     this.queue = new SchedulingQueue(hints(), new ByObjective(), operator);
@@ -117,28 +117,8 @@
     }
   }
 
-  /**
-   * How long after its submission a job should have started for the tightest objective that it can
-   * still keep. An objective already missed no longer presses, or the late would make others late.
-   */
   private Duration allowance(Job job) {
-    JobSpec spec = job.spec;
-    Duration age = Duration.between(job.acceptedAt, time.timeOfDay());
-    Duration allowance = Duration.ofMinutes(10);
-    for (Settings.Objective objective : cluster.settings.objectives()) {
-      if (!spec.jobClass().equals(objective.jobClass())) {
-        continue;
-      }
-      Duration until = objective.within() == null ? spec.deadline() : objective.within();
-      if (until == null) {
-        continue;
-      }
-      Duration start = objective.kind().equals("wait") ? until : until.minus(spec.estimate());
-      if (start.compareTo(allowance) < 0 && start.compareTo(age) > 0) {
-        allowance = start;
-      }
-    }
-    return allowance.plus(turn(job));
+    return cluster.objectives().allowance(job, time.timeOfDay()).plus(turn(job));
   }
 
   /**
--- a/src/main/java/io/pineladder/wire/SettingsReader.java
+++ b/src/main/java/io/pineladder/wire/SettingsReader.java
@@ -83,7 +83,8 @@
               item.text("kind"),
               item.has("class") ? item.text("class") : null,
               item.has("within_s") ? item.seconds("within_s", 0) : null,
-              item.has("share") ? item.number("share", 0, 1) : 1));
+              item.has("share") ? item.number("share", 0, 1) : 1,
+              item.has("times") ? item.number("times", 0, MAX) : 1));
     }
     return new Settings(
         member,
--- a/src/main/java/io/pineladder/workers/Workers.java
+++ b/src/main/java/io/pineladder/workers/Workers.java
@@ -140,6 +140,9 @@
       if (machine.takenAt == null) {
         log.info("machine {} is taken back in {}", machine, report.notice());
         machine.takenAt = taken;
+        if (machine.spot) {
+          cluster.spotRisk.lost();
+        }
       } else if (taken.isBefore(machine.takenAt)) {
         machine.takenAt = taken;
       }
--- a/src/test/java/io/pineladder/scheduling/PlacerTest.java
+++ b/src/test/java/io/pineladder/scheduling/PlacerTest.java
@@ -11,6 +11,7 @@
 import io.pineladder.model.Rank;
 import io.pineladder.model.Resources;
 import io.pineladder.model.Shape;
+import io.pineladder.net.Timeline;
 import io.pineladder.queue.Check;
 import io.pineladder.wire.SettingsReader;
 import io.pineladder.wire.SettingsReaderTest;
@@ -31,6 +32,18 @@
   private static final Instant NOW = Instant.EPOCH.plusSeconds(100);
   private static final double BLUE_GPUS = 8;
 
+  private record FixedTime(Instant now) implements Timeline {
+    @Override
+    public Instant timeOfDay() {
+      return now;
+    }
+
+    @Override
+    public void after(Duration delay, Runnable action) {
+      throw new UnsupportedOperationException();
+    }
+  }
+
   private static MachineType type(String name, int cpus, int gpus) {
     return new MachineType(
         name, Resources.of(cpus, gpus, 64), 50, 1, 4, 1, Duration.ofSeconds(10), List.of("a"));
@@ -131,7 +144,7 @@
       machine.draining = i == 7;
       cluster.addMachine(machine);
     }
-    Placer placer = new Placer(cluster);
+    Placer placer = new Placer(cluster, new FixedTime(NOW));
     List<Attempt> there = new ArrayList<>();
     int placed = 0;
     int refused = 0;
@@ -176,7 +189,50 @@
             "req-1", "class", "blue", Shape.GANG, Rank.NORMAL, 9, Resources.of(1, 1, 1), null, null,
             false, false, true, "i", 1, Duration.ZERO, Duration.ZERO, Duration.ZERO, null);
     Placer.Decision decision =
-        new Placer(cluster).place(new Job(spec, NOW, Job.State.ACTIVE), NOW);
+        new Placer(cluster, new FixedTime(NOW)).place(new Job(spec, NOW, Job.State.ACTIVE), NOW);
     assertEquals(Check.TEAM_LIMIT, decision.rejectedBy());
   }
+
+  /** Found on the grown colombo: long jobs on spot machines lost a task each and were done late. */
+  @Test
+  void aJobThatALossWouldMakeLateKeepsOffSpotMachines() throws SettingsReader.BadSettingsException {
+    String objective =
+        """
+        [[deployment.objectives]]
+        kind = "finished"
+        class = "class"
+        within_s = 120.0
+        share = 0.9
+
+        [deployment.workers]""";
+    Cluster cluster =
+        new Cluster(
+            SettingsReader.parse(
+                SettingsReaderTest.GOOD.replace("[deployment.workers]", objective)));
+    MachineType type = type("large", 24, 4);
+    cluster.setTypes(List.of(type));
+    for (boolean spot : List.of(true, false)) {
+      Machine machine = new Machine(spot ? "m-spot" : "m-ordinary", type, "a", spot, NOW);
+      machine.moveTo(Machine.State.CONFIRMED);
+      machine.touchImage("img", 1);
+      cluster.addMachine(machine);
+    }
+    Placer placer = new Placer(cluster, new FixedTime(NOW));
+    for (int i = 0; i < 200; i++) {
+      cluster.spotRisk.observe(10, NOW.plusSeconds(i));
+      if (i % 20 == 0) {
+        cluster.spotRisk.lost();
+      }
+    }
+    for (int seconds : List.of(20, 80, 130)) {
+      JobSpec spec =
+          new JobSpec(
+              "req-1", "class", "red", Shape.ARRAY, Rank.NORMAL, 12, Resources.of(1, 1, 1), null,
+              null, false, false, true, "img", 1, Duration.ofSeconds(seconds), Duration.ZERO,
+              Duration.ZERO, null);
+      Placer.Decision decision = placer.place(new Job(spec, NOW, Job.State.ACTIVE), 1, NOW);
+      // A short one can start anew in time, and the longest is late whatever happens.
+      assertEquals(seconds != 80, decision.machines().get(0).spot, seconds + " s");
+    }
+  }
 }
