--- a/src/main/java/io/pineladder/fleet/Fleet.java
+++ b/src/main/java/io/pineladder/fleet/Fleet.java
@@ -77,7 +77,8 @@
   private long requests;
   private boolean closed;
   private final Instant startedAt;
-  private final Forecast tight = new Forecast();
+  private final Forecast tightOrdinary = new Forecast();
+  private final Forecast tightSpot = new Forecast();
   private final Forecast patientOrdinary = new Forecast();
   private final Forecast patientSpot = new Forecast();
   private double meanImageGb;
@@ -528,13 +529,16 @@
     Instant now = time.now();
     long perMachine = Math.max(1, spec.each().countIn(type.size()));
     double machines = (double) spec.tasks() / perMachine;
-    boolean patient = spec.rank() != Rank.PRODUCTION;
-    if (!patient) {
-      tight.add(machines, now);
-    } else if (spec.spotAllowed()) {
-      patientSpot.add(machines, now);
+    // A job is patient if it can wait for a machine to boot and to fetch its image there.
+    double fetch = spec.imageGb() / Math.max(1e-3, type.fetchGbPerSecond());
+    Duration ready = type.boot().plusMillis((long) (fetch * 1000));
+    boolean patient =
+        spec.rank() != Rank.PRODUCTION
+            && cluster.allowance(job, time.timeOfDay()).compareTo(ready) > 0;
+    if (spec.spotAllowed()) {
+      (patient ? patientSpot : tightSpot).add(machines, now);
     } else {
-      patientOrdinary.add(machines, now);
+      (patient ? patientOrdinary : tightOrdinary).add(machines, now);
     }
     meanImageGb = meanImageGb == 0 ? spec.imageGb() : 0.9 * meanImageGb + 0.1 * spec.imageGb();
   }
@@ -543,8 +547,8 @@
   private double headroom(boolean spot, MachineType type, Instant now) {
     double boot = type.boot().toMillis() / 1000.0;
     return spot
-        ? patientSpot.rate(now) * boot * PATIENT_PART
-        : tight.rate(now) * boot + patientOrdinary.rate(now) * boot * PATIENT_PART;
+        ? tightSpot.rate(now) * boot + patientSpot.rate(now) * boot * PATIENT_PART
+        : tightOrdinary.rate(now) * boot + patientOrdinary.rate(now) * boot * PATIENT_PART;
   }
 
   private MachineType cheapest(JobSpec spec) {
--- a/src/main/java/io/pineladder/scheduling/Cluster.java
+++ b/src/main/java/io/pineladder/scheduling/Cluster.java
@@ -9,6 +9,7 @@
 import io.pineladder.model.Resources;
 import io.pineladder.model.Settings;
 import io.pineladder.model.Team;
+import java.time.Duration;
 import java.time.Instant;
 import java.util.Collection;
 import java.util.Collections;
@@ -82,6 +83,11 @@
     return objectives;
   }
 
+  /** How long after its submission the job should have started. */
+  public Duration allowance(Job job, Instant timeOfDay) {
+    return objectives.allowance(job, timeOfDay);
+  }
+
   /**
    * Whether a job that may use spot machines is better kept off them: the loss of one would make it
    * miss an objective, and is likely enough for a job of its size and length.
