--- a/src/main/java/io/pineladder/scheduling/Scheduler.java
+++ b/src/main/java/io/pineladder/scheduling/Scheduler.java
@@ -362,6 +362,11 @@
       log.debug("{}: {}", attempt, proof);
       lost(attempt, false);
       freed(attempt);
+    } else if (attempt.cause == Cause.INCOMPLETE
+        && attempt.job.isFree(attempt.task)
+        && stillGathers(attempt)) {
+      // Forgotten there, it can be started again where its image is.
+      replaced(attempt);
     }
   }
 
@@ -378,7 +383,7 @@
         return;
       }
       if (!job.attempts.isEmpty()) {
-        if (replaced(attempt)) {
+        if (stillGathers(attempt) && (replaced(attempt) || waitsForForget(attempt))) {
           return;
         }
         // A gang that lost a task is stopped as a whole and started again as a whole.
@@ -405,14 +410,13 @@
   }
 
   /**
-   * Starts a task of a gang that has not begun yet anew, under the same attempt number, so that the
-   * others, which wait for it, need not fetch again. Not on a machine that still lists the attempt:
-   * a start of what it knows already has no effect there.
+   * Whether a gang has not begun yet and its other tasks still wait or fetch, so that one lost task
+   * can be started anew under the same attempt number and the others need not fetch again. That one
+   * task waited in vain for the others is no reason to stop their fetches.
    */
-  private boolean replaced(Attempt lost) {
+  private static boolean stillGathers(Attempt lost) {
     Job job = lost.job;
-    boolean gangFailed = lost.cause == Cause.PEERS || lost.cause == Cause.INCOMPLETE;
-    if (!lost.isWanted() || gangFailed || lost.runningSince != null) {
+    if (!lost.isWanted() || lost.cause == Cause.PEERS || lost.runningSince != null) {
       return false;
     }
     for (Set<Attempt> attempts : job.attempts.values()) {
@@ -427,6 +431,15 @@
         }
       }
     }
+    return !job.attempts.isEmpty();
+  }
+
+  /**
+   * Starts a lost task of a gathering gang anew. Not on a machine that still lists the attempt: a
+   * start of what it knows already has no effect there.
+   */
+  private boolean replaced(Attempt lost) {
+    Job job = lost.job;
     Instant now = time.now();
     Placer.Decision decision = placer.place(job, 1, now);
     if (!decision.isPlaced()) {
@@ -442,6 +455,15 @@
     return true;
   }
 
+  /** Keeps the place of a task that waited in vain until its machine has forgotten the attempt. */
+  private boolean waitsForForget(Attempt lost) {
+    if (lost.cause != Cause.INCOMPLETE) {
+      return false;
+    }
+    cluster.reserve(lost.machine, lost.job, time.now().plus(RESERVATION));
+    return true;
+  }
+
   private void freed(Attempt attempt) {
     Machine machine = attempt.machine;
     Instant now = time.now();
--- a/src/test/java/io/pineladder/workers/WorkersTest.java
+++ b/src/test/java/io/pineladder/workers/WorkersTest.java
@@ -222,6 +222,23 @@
     assertEquals(Machine.State.RELEASING, leader.cluster.machine("m-2").state());
   }
 
+  /** Found on the grown laval: one task's vain wait stopped the other's fetch, again and again. */
+  @Test
+  void aGangTaskThatWaitedInVainStartsAgainAndTheOtherGoesOnFetching() {
+    leader.report("m-1", 1);
+    Job gang = leader.accept(LeaderHarness.spec("req-1", Shape.GANG, Rank.LOW, 2, "i"));
+    Attempt first = gang.attempts.get(0).iterator().next();
+    Attempt second = gang.attempts.get(1).iterator().next();
+    leader.report(
+        "m-1", 2, exited(first, Cause.INCOMPLETE), LeaderHarness.task(second, TaskState.FETCHING));
+    assertTrue(second.isWanted());
+    assertFalse(gang.attempts.containsKey(0), "its machine still lists the attempt");
+    leader.report("m-1", 3, LeaderHarness.task(second, TaskState.FETCHING));
+    Attempt again = gang.attempts.get(0).iterator().next();
+    assertEquals(first.number, again.number);
+    assertEquals("m-1", again.machine.name);
+  }
+
   private static byte[] listOf(String... machines) {
     StringBuilder hosts = new StringBuilder();
     for (String machine : machines) {
