--- a/src/main/java/io/pineladder/fleet/Fleet.java
+++ b/src/main/java/io/pineladder/fleet/Fleet.java
@@ -506,10 +506,10 @@
     }
   }
 
-  /** An idle machine is kept as long as having one ready again would take, twice over. */
+  /** An idle machine is kept as long as having one ready again would take. */
   private Duration keepIdle(MachineType type) {
     double fetch = meanImageGb / Math.max(1e-3, type.fetchGbPerSecond());
-    Duration again = type.boot().plusMillis((long) (fetch * 1000)).multipliedBy(2);
+    Duration again = type.boot().plusMillis((long) (fetch * 1000));
     return again.compareTo(operator.idleRelease()) > 0 ? again : operator.idleRelease();
   }
 
