--- a/src/main/java/io/pineladder/model/Machine.java
+++ b/src/main/java/io/pineladder/model/Machine.java
@@ -113,19 +113,13 @@
     return type.size().minus(used);
   }
 
-  /** What the cached images take together. */
-  public double cachedGb() {
+  public void touchImage(String image, double gb) {
+    images.remove(image);
+    images.put(image, gb);
     double total = 0;
     for (double each : images.values()) {
       total += each;
     }
-    return total;
-  }
-
-  public void touchImage(String image, double gb) {
-    images.remove(image);
-    images.put(image, gb);
-    double total = cachedGb();
     var oldest = images.entrySet().iterator();
     while (total > type.cacheGb() && oldest.hasNext() && images.size() > 1) {
       total -= oldest.next().getValue();
--- a/src/main/java/io/pineladder/scheduling/Placer.java
+++ b/src/main/java/io/pineladder/scheduling/Placer.java
@@ -23,12 +23,6 @@
   /** What speaks against a second task on a machine that is to fetch a slow image, in seconds. */
   private static final double SECOND_COPY = 10;
 
-  /**
-   * What speaks against a machine that is to fetch a slow image for each gigabyte of others that it
-   * has, in seconds: it serves tasks that need those at once, and is best left to them.
-   */
-  private static final double CACHED_GB = 0.1;
-
   /** What speaks against a spot machine for a job that its loss would make late, in seconds. */
   private static final double SPOT_RISK = 12;
 
@@ -83,11 +77,7 @@
       if (room > 0) {
         int count = (int) Math.min(room, wanted);
         double cost = cost(job, machine, avoidsSpot);
-        boolean slow = isSlowFetch(job, machine);
-        if (slow) {
-          cost += CACHED_GB * machine.cachedGb();
-        }
-        if (count > 1 && slow) {
+        if (count > 1 && isSlowFetch(job, machine)) {
           candidates.add(new Candidate(machine, cost, 1));
           candidates.add(new Candidate(machine, cost + SECOND_COPY, count - 1));
         } else {
