A peer stores a submission also when it has lost the leader itself; types learned early are stored

Found by a new test of the simulation, not by the bench: a peer that was asked to store a submission first waited for the leader that it could not reach either, as long as the asking node waited; and machine types that came while a term was still loading were never stored, so that no other node could accept a job without a leader.

--- a/src/main/java/io/pineladder/Leader.java
+++ b/src/main/java/io/pineladder/Leader.java
@@ -84,6 +84,9 @@
   private final Instant begunAt;
   private State state = State.LOADING;
 
+  /** Machine types learned while loading, or null. */
+  private List<MachineType> typesToStore;
+
   /** How many jobs have left the memory for good; a read that saw one before is too old then. */
   private long removals;
 
@@ -270,6 +273,9 @@
   /** Stores the machine types, so that a cloud outage does not stop submissions. */
   void storeTypes(List<MachineType> types) {
     if (state != State.LEADING) {
+      // They came while the store is still being read. Forgotten here, no other node would learn
+      // them, and none could accept a job without a leader.
+      typesToStore = types;
       return;
     }
     committer.submit(
@@ -413,6 +419,9 @@
         records.end(job);
       }
     }
+    if (typesToStore != null) {
+      storeTypes(typesToStore);
+    }
     log.info(
         "term {} begins with {} jobs and {} machines",
         term,
--- a/src/main/java/io/pineladder/front/Front.java
+++ b/src/main/java/io/pineladder/front/Front.java
@@ -178,12 +178,7 @@
       String method, String path, byte[] body, Consumer<HttpAnswer> answer, Runnable alone) {
     List<String> ways = new ArrayList<>();
     RecordWire.LeaderRecord known = node.election().known();
-    boolean other = known != null && !known.member().equals(node.settings().member());
-    Instant now = node.time().now();
-    boolean failed =
-        (leaderFailedAt != null && leaderFailedAt.plusMillis(1000).isAfter(now))
-            || (other && known.equals(unreachable));
-    if (other && !failed) {
+    if (reachesLeader(known)) {
       ways.add(known.address());
     }
     if (!node.store().isHealthy()) {
@@ -197,6 +192,14 @@
     forwardTo(ways, 0, new PeerWire.Forward(method, path, body, 1), answer, alone);
   }
 
+  /** Whether there is a leader other than this node that has not failed to answer just now. */
+  private boolean reachesLeader(RecordWire.LeaderRecord known) {
+    boolean other = known != null && !known.member().equals(node.settings().member());
+    boolean failed =
+        leaderFailedAt != null && leaderFailedAt.plusMillis(1000).isAfter(node.time().now());
+    return other && !failed && !known.equals(unreachable);
+  }
+
   private void forwardTo(
       List<String> ways,
       int from,
@@ -269,8 +272,7 @@
       lead(leader, forward.method(), forward.path(), forward.body(), taken);
       return;
     }
-    boolean other = known != null && !known.member().equals(node.settings().member());
-    if (forward.hops() <= 0 || !other) {
+    if (forward.hops() <= 0 || !reachesLeader(known)) {
       if (isSubmission(forward.path())) {
         storeFor(forward.body(), taken);
       } else {
--- a/src/test/java/io/pineladder/sim/ClusterSimulationTest.java
+++ b/src/test/java/io/pineladder/sim/ClusterSimulationTest.java
@@ -237,6 +237,47 @@
     assertEquals(0, unanswered);
   }
 
+  private int leader() {
+    String member = store.value("lead/holder").get("member").asText();
+    return Integer.parseInt(member.substring(member.length() - 1));
+  }
+
+  /**
+   * Found on the grown colombo: a submission to a node that reached neither the leader nor the store
+   * was refused until the cut was over, though a peer could have stored it.
+   */
+  @Test
+  void aPeerStoresWhatANodeWithoutLeaderAndStoreCannot() {
+    begin(5);
+    world.runFor(Duration.ofSeconds(5));
+    int leader = leader();
+    String leading = "10.0.0." + (leader + 1);
+    String alone = "10.0.0." + ((leader + 1) % 3 + 1);
+    String peer = "10.0.0." + ((leader + 2) % 3 + 1);
+    world.cut(alone, "10.2.0.1");
+    world.cut(alone, leading);
+    world.cut(peer, leading);
+    world.runFor(Duration.ofSeconds(8));
+    int[] status = new int[1];
+    ObjectNode spec = job("array", 2, "red");
+    Rules.Known job = new Rules.Known(spec.get("ref").asText(), spec);
+    rules.jobs.put(job.id, job);
+    world
+        .caller("user", () -> true)
+        .call(
+            new HttpCaller.Request(
+                alone + ":8080", "POST", "/v1/jobs", Json.bytes(spec), Duration.ofSeconds(5)),
+            reply -> status[0] = reply.status());
+    world.runFor(Duration.ofSeconds(5));
+    assertEquals(201, status[0]);
+    job.accepted = true;
+    world.heal(alone, "10.2.0.1");
+    world.heal(alone, leading);
+    world.heal(peer, leading);
+    poll(job);
+    settle(Duration.ofSeconds(120));
+  }
+
   /** Twelve days; more by hand with {@code -Dpineladder.days=1000 -Dpineladder.first=1}. */
   static LongStream seeds() {
     long first = Long.getLong("pineladder.first", 1);
