Machines keep counting as booting or spare when the cloud's spot prices move

Ruled out: waiting jobs (none were parked then), retired machines. Test: newPricesDoNotMakeBootingMachinesBeRentedAgain.

--- a/src/main/java/io/pineladder/fleet/Fleet.java
+++ b/src/main/java/io/pineladder/fleet/Fleet.java
@@ -593,7 +593,7 @@
       double spareSpot = 0;
       double spareOrdinary = 0;
       for (Machine machine : cluster.machines()) {
-        if (machine.type != type) {
+        if (!machine.isOf(type)) {
           continue;
         }
         if (machine.state() == Machine.State.EXPECTED || machine.state() == Machine.State.HEARD) {
@@ -692,7 +692,7 @@
     List<String> zones = zone == null ? new ArrayList<>(type.zones()) : List.of(zone);
     Map<String, Integer> there = new HashMap<>();
     for (Machine machine : cluster.machines()) {
-      if (machine.type == type && machine.spot == spot) {
+      if (machine.isOf(type) && machine.spot == spot) {
         there.merge(machine.zone, 1, Integer::sum);
       }
     }
--- a/src/main/java/io/pineladder/model/Machine.java
+++ b/src/main/java/io/pineladder/model/Machine.java
@@ -109,6 +109,14 @@
     return state == State.CONFIRMED && !draining && takenAt == null && !strangers;
   }
 
+  /**
+   * Whether it is of this type. Only the name tells: spot prices move, so the type as the cloud last
+   * described it is seldom the one that the machine was rented as.
+   */
+  public boolean isOf(MachineType other) {
+    return type.name().equals(other.name());
+  }
+
   public Resources free() {
     return type.size().minus(used);
   }
--- /dev/null
+++ b/src/test/java/io/pineladder/scheduling/FailuresTest.java
@@ -0,0 +1,204 @@
+package io.pineladder.scheduling;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import io.pineladder.model.Job;
+import io.pineladder.model.JobSpec;
+import io.pineladder.model.Machine;
+import io.pineladder.model.MachineType;
+import io.pineladder.model.Rank;
+import io.pineladder.model.Resources;
+import io.pineladder.model.Shape;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+import java.util.random.RandomGeneratorFactory;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** The verdicts against a plain model that works them out anew from the whole history. */
+class FailuresTest {
+  private static final MachineType TYPE =
+      new MachineType(
+          "g4", Resources.of(16, 4, 64), 50, 0.1, 4, 1, Duration.ofSeconds(10), List.of("a"));
+
+  private final Set<Job> atFault = new HashSet<>();
+  private final Set<Machine> suspect = new HashSet<>();
+  private final Set<Machine> faulty = new HashSet<>();
+  private final Failures failures =
+      new Failures(
+          new Failures.Listener() {
+            @Override
+            public void onJob(Job job, boolean is) {
+              set(atFault, job, is);
+            }
+
+            @Override
+            public void onSuspect(Machine machine, boolean is) {
+              set(suspect, machine, is);
+            }
+
+            @Override
+            public void onFaulty(Machine machine) {
+              suspect.remove(machine);
+              faulty.add(machine);
+            }
+          });
+
+  private static <T> void set(Set<T> all, T one, boolean in) {
+    if (in) {
+      all.add(one);
+    } else {
+      all.remove(one);
+    }
+  }
+
+  private static Job job(int number) {
+    return new Job(
+        new JobSpec(
+            "req-" + number, "class", "red", Shape.ARRAY, Rank.LOW, 4, Resources.of(2, 1, 4),
+            null, null, false, false, true, "i", 5, Duration.ofSeconds(30), Duration.ZERO,
+            Duration.ZERO, null),
+        Instant.EPOCH,
+        Job.State.ACTIVE);
+  }
+
+  private static Machine machine(int number) {
+    return new Machine("m-" + number, TYPE, "a", false, Instant.EPOCH);
+  }
+
+  private void fail(Job job, Machine machine) {
+    failures.failed(job, machine, Duration.ZERO, Instant.EPOCH);
+  }
+
+  private void complete(Job job) {
+    job.done.set(0);
+    failures.succeeded(job);
+  }
+
+  /** What failed where, and who went well: everything else follows from it. */
+  private static final class Model {
+    final Map<Job, Set<Machine>> failed = new LinkedHashMap<>();
+    final Set<Job> good = new HashSet<>();
+    final Set<Machine> faulty = new HashSet<>();
+
+    boolean atFault(Job job) {
+      Set<Machine> on = new HashSet<>(failed.getOrDefault(job, Set.of()));
+      on.removeAll(faulty);
+      return !good.contains(job) && on.size() >= Failures.SEVERAL;
+    }
+
+    List<Job> blaming(Machine machine) {
+      return failed.keySet().stream()
+          .filter(j -> failed.get(j).contains(machine) && !atFault(j))
+          .toList();
+    }
+
+    boolean isSuspect(Machine machine) {
+      return !faulty.contains(machine) && blaming(machine).size() >= Failures.SEVERAL;
+    }
+
+    /** Another machine may be faulty once one is, since that clears jobs. */
+    void settle(List<Machine> machines) {
+      boolean changed = true;
+      while (changed) {
+        changed = false;
+        for (Machine machine : machines) {
+          boolean proven =
+              isSuspect(machine) && blaming(machine).stream().anyMatch(good::contains);
+          changed |= proven && faulty.add(machine);
+        }
+      }
+    }
+  }
+
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
+  void theVerdictsAreThoseOfThePlainModel(long seed) {
+    RandomGenerator random = RandomGeneratorFactory.of("L64X128MixRandom").create(seed);
+    Model model = new Model();
+    List<Machine> machines = new ArrayList<>();
+    List<Job> jobs = new ArrayList<>();
+    for (int i = 0; i < 12; i++) {
+      machines.add(machine(i));
+      jobs.add(job(i));
+    }
+    for (int step = 0; step < 300; step++) {
+      int at = random.nextInt(jobs.size());
+      Job job = jobs.get(at);
+      switch (random.nextInt(12)) {
+        case 0 -> {
+          if (model.failed.containsKey(job)) {
+            model.good.add(job);
+          }
+          complete(job);
+        }
+        case 1, 2 -> {
+          failures.forget(job);
+          model.failed.remove(job);
+          atFault.remove(job);
+          jobs.set(at, job(100 + step));
+        }
+        default -> {
+          Machine machine = machines.get(random.nextInt(machines.size()));
+          fail(job, machine);
+          if (!job.done.isEmpty()) {
+            model.good.add(job);
+          }
+          Set<Machine> on = model.failed.computeIfAbsent(job, j -> new LinkedHashSet<>());
+          if (!model.faulty.contains(machine)) {
+            on.add(machine);
+          }
+        }
+      }
+      model.settle(machines);
+      assertEquals(model.faulty, faulty, "step " + step);
+      for (Job each : jobs) {
+        assertEquals(model.atFault(each), atFault.contains(each), "step " + step);
+      }
+      for (Machine each : machines) {
+        assertEquals(model.isSuspect(each), suspect.contains(each), "step " + step);
+      }
+    }
+  }
+
+  /** The operators' bad night: several jobs with a mistake, each trying machine after machine. */
+  @Test
+  void jobsThatFailEverywhereBlameNoMachine() {
+    List<Machine> machines = List.of(machine(0), machine(1), machine(2), machine(3));
+    List<Job> jobs = List.of(job(0), job(1), job(2));
+    for (Machine machine : machines) {
+      jobs.forEach(job -> fail(job, machine));
+    }
+    assertEquals(new HashSet<>(jobs), atFault);
+    assertEquals(Set.of(), suspect);
+    assertEquals(Set.of(), faulty);
+  }
+
+  @Test
+  void aJobWhoseFirstMachinesWereFaultyIsCleared() {
+    Machine bad = machine(0);
+    Machine worse = machine(1);
+    Job unlucky = job(0);
+    fail(unlucky, bad);
+    fail(unlucky, worse);
+    assertEquals(Set.of(unlucky), atFault);
+    Job other = job(1);
+    Job third = job(2);
+    fail(other, bad);
+    fail(third, bad);
+    assertEquals(Set.of(bad), suspect, "nobody knows yet who is at fault");
+    complete(other);
+    assertEquals(Set.of(bad), faulty);
+    assertEquals(Set.of(), suspect);
+    assertEquals(Set.of(), atFault, "what failed on a faulty machine counts no longer");
+  }
+}
--- /dev/null
+++ b/src/test/java/io/pineladder/workers/FailingJobsTest.java
@@ -0,0 +1,150 @@
+package io.pineladder.workers;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.pineladder.model.Attempt;
+import io.pineladder.model.Cause;
+import io.pineladder.model.Job;
+import io.pineladder.model.Machine;
+import io.pineladder.model.Rank;
+import io.pineladder.model.Shape;
+import io.pineladder.wire.MalformedException;
+import io.pineladder.wire.RecordWire;
+import io.pineladder.wire.WorkerWire.TaskId;
+import io.pineladder.wire.WorkerWire.TaskReport;
+import io.pineladder.wire.WorkerWire.TaskState;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+/** Jobs that were submitted with a mistake, among machines that are sound. */
+class FailingJobsTest {
+  private static final int MACHINES = 6;
+
+  private final LeaderHarness leader = new LeaderHarness();
+  private final Set<Attempt> failed = new HashSet<>();
+  private final Set<Job> broken = new HashSet<>();
+  private long sequence;
+
+  /** Every machine reports; what a broken job runs has failed, and everything else runs. */
+  private void second() {
+    sequence++;
+    for (int i = 0; i < MACHINES; i++) {
+      Machine machine = leader.cluster.machine("m-" + i);
+      List<TaskReport> tasks = new ArrayList<>();
+      for (Attempt attempt :
+          machine == null ? List.<Attempt>of() : List.copyOf(machine.attempts.values())) {
+        if (attempt.state() == Attempt.State.STORING) {
+          continue;
+        }
+        boolean fails = broken.contains(attempt.job);
+        if (fails) {
+          failed.add(attempt);
+        }
+        tasks.add(
+            new TaskReport(
+                new TaskId(attempt.job.spec.id(), attempt.task),
+                attempt.number,
+                fails ? TaskState.EXITED : TaskState.RUNNING,
+                fails ? Cause.ERROR : null,
+                false));
+      }
+      leader.report("m-" + i, sequence, tasks.toArray(TaskReport[]::new));
+    }
+    leader.sent.clear();
+    leader.scheduler.failures().review(leader.now());
+    leader.runFor(Duration.ofMillis(700));
+  }
+
+  private Job breaking(String id, Shape shape, int tasks) {
+    Job job = leader.accept(LeaderHarness.spec(id, shape, Rank.LOW, tasks, "i"));
+    broken.add(job);
+    return job;
+  }
+
+  /**
+   * Found on colombo-ops: machines on which two jobs with a mistake had failed were returned, and
+   * the jobs' whole arrays were started again every second.
+   */
+  @Test
+  void jobsWithAMistakeCostNoMachineAndFewStarts() {
+    second();
+    Job array = breaking("req-000001", Shape.ARRAY, 8);
+    Job other = breaking("req-000002", Shape.ARRAY, 8);
+    breaking("req-000003", Shape.GANG, 2);
+    for (int i = 0; i < 120; i++) {
+      second();
+    }
+    for (int i = 0; i < MACHINES; i++) {
+      Machine machine = leader.cluster.machine("m-" + i);
+      assertTrue(machine.takesWork(), machine.name);
+    }
+    assertTrue(array.atFault);
+    assertTrue(array.isActive(), "it is the user's to cancel");
+    // One wave of each, then a few probes each time the longest back-off of 10 s is over.
+    assertTrue(failed.size() < 120, "started " + failed.size());
+    assertTrue(failed.size() > 40, "still tried now and then: " + failed.size());
+    leader.scheduler.cancel(other);
+    second();
+    assertTrue(other.attempts.isEmpty());
+    assertTrue(other.endStored);
+  }
+
+  @Test
+  void aJobAtFaultDisplacesNobodyAndIsTriedWhereThereIsRoom() {
+    second();
+    Job job = leader.accept(LeaderHarness.spec("req-000001", Shape.ARRAY, Rank.HIGH, 8, "i"));
+    broken.add(job);
+    for (int i = 0; i < 4; i++) {
+      second();
+    }
+    assertTrue(job.atFault);
+    Job low = leader.accept(LeaderHarness.spec("req-000002", Shape.ARRAY, Rank.LOW, 24, "i"));
+    for (int i = 0; i < 40; i++) {
+      second();
+    }
+    assertTrue(low.pending.cardinality() <= 2, "all but the probes' room: " + low.pending);
+    low.attempts.values().forEach(all -> all.forEach(a -> assertTrue(a.isWanted())));
+  }
+
+  @Test
+  void aJobThatGoesWellAfterAllGetsAllItsRoom() {
+    second();
+    Job job = breaking("req-000001", Shape.ARRAY, 8);
+    for (int i = 0; i < 4; i++) {
+      second();
+    }
+    assertTrue(job.atFault);
+    broken.clear();
+    for (int i = 0; i < 30; i++) {
+      second();
+    }
+    assertFalse(job.atFault, "what runs on for long is not at fault");
+    assertEquals(8, job.attempts.size());
+  }
+
+  /** Each takeover would start the whole array once more if a new leader had to find out anew. */
+  @Test
+  void aNewLeaderTriesAJobFoundAtFaultWithCare() throws MalformedException {
+    ObjectNode stored =
+        RecordWire.job(
+            LeaderHarness.spec("req-000001", Shape.ARRAY, Rank.LOW, 8, "i"),
+            leader.now(),
+            Job.State.ACTIVE);
+    assertFalse(RecordWire.parseJob(stored).atFault());
+    assertTrue(RecordWire.parseJob(stored.put("at_fault", true)).atFault());
+    second();
+    Job job =
+        new Job(RecordWire.parseJob(stored).spec(), leader.now(), Job.State.ACTIVE);
+    job.atFault = true;
+    leader.scheduler.add(job);
+    second();
+    assertEquals(2, job.attempts.size());
+  }
+}
--- a/src/test/java/io/pineladder/workers/WorkersTest.java
+++ b/src/test/java/io/pineladder/workers/WorkersTest.java
@@ -10,6 +10,7 @@
 import io.pineladder.model.Job;
 import io.pineladder.model.JobSpec;
 import io.pineladder.model.Machine;
+import io.pineladder.model.MachineType;
 import io.pineladder.model.Rank;
 import io.pineladder.model.Shape;
 import io.pineladder.net.HttpCaller;
@@ -222,6 +223,43 @@
     assertEquals(Machine.State.RELEASING, leader.cluster.machine("m-2").state());
   }
 
+  /**
+   * Found on laval-ops: after each change of the spot prices no machine counted as booting or spare
+   * any more, and room was rented once again.
+   */
+  @Test
+  void newPricesDoNotMakeBootingMachinesBeRentedAgain() {
+    leader.fleet.start();
+    leader.accept(LeaderHarness.spec("req-1", Shape.ARRAY, Rank.LOW, 4, "i"));
+    assertEquals(1, rentals());
+    MachineType was = LeaderHarness.TYPE;
+    leader.cluster.setTypes(
+        List.of(
+            new MachineType(
+                was.name(), was.size(), was.cacheGb(), was.fetchGbPerSecond(), was.price(),
+                was.spotPrice() * 1.1, was.boot(), was.zones())));
+    leader.runFor(Duration.ofSeconds(3));
+    assertEquals(0, rentals());
+  }
+
+  /** Answers what the fleet asks of the cloud and counts the machines it wants rented. */
+  private int rentals() {
+    int wanted = 0;
+    for (int second = 0; second < 3; second++) {
+      leader.runFor(Duration.ofSeconds(1));
+      for (var sent = leader.sent.poll(); sent != null; sent = leader.sent.poll()) {
+        if (sent.request().path().equals("/rentals")) {
+          wanted++;
+          byte[] names = ("{\"hosts\":[\"m-1\"]}").getBytes(StandardCharsets.UTF_8);
+          sent.onReply().accept(HttpCaller.Reply.answered(200, names));
+        } else {
+          sent.onReply().accept(HttpCaller.Reply.answered(200, listOf()));
+        }
+      }
+    }
+    return wanted;
+  }
+
   /** Found on the grown laval: one task's vain wait stopped the other's fetch, again and again. */
   @Test
   void aGangTaskThatWaitedInVainStartsAgainAndTheOtherGoesOnFetching() {
