Tell jobs submitted with a mistake from faulty machines, and try such jobs with care

Done: scheduling/Failures judges by where things fail and go well; a job at fault gets two probes at a time under the capped back-off (parked under the new check FAILING), displaces nobody, has nothing rented, and the verdict is stored with the job (one put a change) for the next leader. Ruled out: that the machines were faulty (nothing else failed there).

--- a/src/main/java/io/pineladder/Leader.java
+++ b/src/main/java/io/pineladder/Leader.java
@@ -496,7 +496,9 @@
 
   private static Job toJob(StoreWire.Entry entry) throws MalformedException {
     RecordWire.StoredJob stored = RecordWire.parseJob(entry.value());
-    return new Job(stored.spec(), stored.acceptedAt(), stored.state());
+    Job job = new Job(stored.spec(), stored.acceptedAt(), stored.state());
+    job.atFault = stored.atFault();
+    return job;
   }
 
   /** Jobs that other nodes accepted while they could reach no leader. */
--- a/src/main/java/io/pineladder/fleet/Fleet.java
+++ b/src/main/java/io/pineladder/fleet/Fleet.java
@@ -14,6 +14,7 @@
 import io.pineladder.net.HttpCaller.Reply;
 import io.pineladder.net.HttpCaller.Request;
 import io.pineladder.net.Timeline;
+import io.pineladder.queue.Check;
 import io.pineladder.queue.QueueEntry;
 import io.pineladder.scheduling.Cluster;
 import io.pineladder.scheduling.Scheduler;
@@ -177,6 +178,7 @@
       list(now);
       cluster.spotRisk.observe(spotUp(), now);
       findSilent(now);
+      scheduler.failures().review(now);
       retire(now);
       sendReleases();
       rent(now);
@@ -452,6 +454,7 @@
       return;
     }
     machine.moveTo(Machine.State.GONE);
+    scheduler.failures().forget(machine);
     List<Attempt> lost = List.copyOf(machine.attempts.values());
     records.machineGone(lost);
     for (Attempt attempt : lost) {
@@ -647,12 +650,16 @@
           entry.rejectedBy() != null
               && switch (entry.rejectedBy()) {
                 case FIT, PLACE, SPREAD, TOGETHER -> true;
-                case TEAM_LIMIT, PREDECESSOR -> false;
+                case TEAM_LIMIT, PREDECESSOR, FAILING -> false;
               };
       MachineType type = cheapest(spec);
       if (!lacksRoom || type == null || entry.place() == QueueEntry.Place.BACKOFF_ERROR) {
         continue;
       }
+      if (job.atFault && entry.rejectedBy() != Check.PLACE) {
+        // It is tried where there happens to be room.
+        continue;
+      }
       Team team = cluster.team(spec.team());
       Resources used = cluster.usage(spec.team());
       Resources before = planned.getOrDefault(spec.team(), Resources.NONE);
--- a/src/main/java/io/pineladder/model/Job.java
+++ b/src/main/java/io/pineladder/model/Job.java
@@ -4,7 +4,6 @@
 import java.util.ArrayList;
 import java.util.BitSet;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -35,9 +34,11 @@
   /** Attempts that may be on a machine, by task; one that was superseded stays until proven gone. */
   public final Map<Integer, Set<Attempt>> attempts = new HashMap<>();
 
-  /** Machines on which it failed. */
-  public final Set<String> avoid = new HashSet<>();
+  /** Machines on which it failed of late. */
+  public final Set<String> avoid = new LinkedHashSet<>();
 
+  /** It fails wherever it is tried, so its user has made a mistake: it is tried now and then only. */
+  public boolean atFault;
 
   /** The final state is on its way to the store; other records of the job no longer matter. */
   public boolean ending;
--- a/src/main/java/io/pineladder/model/Machine.java
+++ b/src/main/java/io/pineladder/model/Machine.java
@@ -1,7 +1,6 @@
 package io.pineladder.model;
 
 import java.time.Instant;
-import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.Map;
 
@@ -64,8 +63,8 @@
   /** Images thought to be cached, the most recently used last, with their size. */
   public final LinkedHashMap<String, Double> images = new LinkedHashMap<>(8, 0.75f, true);
 
-  /** Jobs that failed here, to tell a faulty machine from a faulty job. */
-  public final Map<String, Integer> failures = new HashMap<>();
+  /** Jobs fail here, and it is not known yet whether it or they are at fault: no new work. */
+  public boolean suspect;
 
   /** Since when it has had no work, or null. */
   public Instant idleSince;
@@ -106,7 +105,7 @@
   }
 
   public boolean takesWork() {
-    return state == State.CONFIRMED && !draining && takenAt == null && !strangers;
+    return state == State.CONFIRMED && !draining && !suspect && takenAt == null && !strangers;
   }
 
   /**
--- a/src/main/java/io/pineladder/queue/Check.java
+++ b/src/main/java/io/pineladder/queue/Check.java
@@ -13,5 +13,7 @@
   /** There is room, but not in the one zone that all tasks must share. */
   TOGETHER,
   /** Tasks of an older attempt may still be on a machine. */
-  PREDECESSOR
+  PREDECESSOR,
+  /** The job fails wherever it is tried, and as much of it as may be tried at a time is out. */
+  FAILING
 }
--- a/src/main/java/io/pineladder/queue/SchedulingQueue.java
+++ b/src/main/java/io/pineladder/queue/SchedulingQueue.java
@@ -140,10 +140,14 @@
     requeue(entry, best, now);
   }
 
-  /** Puts an entry that failed by an error, not by a check, into its back-off. */
-  public void failed(QueueEntry entry, Instant now) {
+  /**
+   * Puts an entry that failed by an error, not by a check, into its back-off.
+   *
+   * @param times how often it has failed, whatever of it was placed in between
+   */
+  public void failed(QueueEntry entry, int times, Instant now) {
     entry.triedAt = now;
-    entry.attempts = Math.max(1, entry.attempts);
+    entry.attempts = Math.max(1, times);
     entry.expiry = expiry(entry);
     if (entry.place == QueueEntry.Place.OUTSIDE) {
       entry.arrival = ++arrivals;
@@ -151,11 +155,6 @@
     moveTo(entry, QueueEntry.Place.BACKOFF_ERROR);
   }
 
-  /** Counts another failure, which doubles the next back-off. */
-  public void countFailure(QueueEntry entry) {
-    entry.attempts++;
-  }
-
   private void requeue(QueueEntry entry, Hint hint, Instant now) {
     if (hint == Hint.QUEUE_AT_ONCE || (hint == Hint.QUEUE && !entry.expiry.isAfter(now))) {
       moveTo(entry, QueueEntry.Place.ACTIVE);
--- a/src/main/java/io/pineladder/scheduling/Objectives.java
+++ b/src/main/java/io/pineladder/scheduling/Objectives.java
@@ -9,7 +9,7 @@
 /** What the settings expect of a job's class, and what that means for one job now. */
 final class Objectives {
   /** How long a job may wait that nothing is expected of, or whose objectives are all missed. */
-  private static final Duration NO_HURRY = Duration.ofMinutes(10);
+  static final Duration NO_HURRY = Duration.ofMinutes(10);
 
   private final Settings settings;
 
--- a/src/main/java/io/pineladder/scheduling/Scheduler.java
+++ b/src/main/java/io/pineladder/scheduling/Scheduler.java
@@ -48,8 +48,11 @@
   /** Looks at the whole fleet for work to displace, each second; the first by priority get them. */
   private static final double DISPLACEMENTS_A_SECOND = 20;
 
-  /** Different jobs that must fail on a machine before it is taken for faulty. */
-  private static final int FAILED_JOBS = 2;
+  /** Tasks of a job at fault that are tried at a time. */
+  private static final int PROBES = 2;
+
+  /** Machines that a job keeps off because it failed there. */
+  private static final int AVOIDED = 16;
 
   /** Attempt numbers of a term; they start from the term, so no other leader uses them. */
   private static final int NUMBER_BITS = 20;
@@ -74,6 +77,7 @@
   private final Map<String, QueueEntry> entries = new HashMap<>();
   private final long term;
   private final RateBudget displacements;
+  private final Failures failures = new Failures(new Verdicts());
 
   /** Machines on which room came free, with how many tries there had been by then. */
   private final Map<Machine, Long> roomy = new LinkedHashMap<>();
@@ -104,6 +108,37 @@
     return queue;
   }
 
+  public Failures failures() {
+    return failures;
+  }
+
+  /** What follows when a job or a machine is found to be at fault, or not to be. */
+  private final class Verdicts implements Failures.Listener {
+    @Override
+    public void onJob(Job job, boolean atFault) {
+      job.atFault = atFault;
+      records.verdict(job);
+      if (!atFault) {
+        enqueue(job);
+      }
+    }
+
+    @Override
+    public void onSuspect(Machine machine, boolean suspect) {
+      machine.suspect = suspect;
+      cluster.refresh(machine);
+      if (machine.takesWork()) {
+        machineReady(machine);
+      }
+    }
+
+    @Override
+    public void onFaulty(Machine machine) {
+      machine.draining = true;
+      cluster.refresh(machine);
+    }
+  }
+
   /** Guarantees first, then what has the nearest time to keep. */
   private final class ByObjective implements SchedulingQueue.Ordering {
     @Override
@@ -118,7 +153,12 @@
   }
 
   private Duration allowance(Job job) {
-    return cluster.objectives().allowance(job, time.timeOfDay()).plus(turn(job));
+    // What fails wherever it is tried makes no other job wait.
+    Duration allowance =
+        job.atFault
+            ? Objectives.NO_HURRY
+            : cluster.objectives().allowance(job, time.timeOfDay());
+    return allowance.plus(turn(job));
   }
 
   /**
@@ -159,6 +199,10 @@
     for (Check check : List.of(Check.SPREAD, Check.TOGETHER, Check.PREDECESSOR)) {
       table.on(check, Event.Kind.ATTEMPT_GONE, ownTask);
     }
+    table.on(
+        Check.FAILING,
+        Event.Kind.ATTEMPT_GONE,
+        (entry, event) -> event.job() == entry.job ? Hint.QUEUE : Hint.SKIP);
     return table.on(
         Check.TEAM_LIMIT,
         Event.Kind.TEAM_FREED,
@@ -185,6 +229,9 @@
       forgetIfOver(job);
       return;
     }
+    if (job.atFault) {
+      failures.inherit(job);
+    }
     if (job.spec.shape() == Shape.GANG && !job.attempts.isEmpty()) {
       // A gang is started as a whole. One whose placements were stored in part never completes.
       if (job.attempts.size() < job.spec.tasks()) {
@@ -220,6 +267,7 @@
 
   private void leaveQueue(Job job) {
     job.pending.clear();
+    failures.forget(job);
     QueueEntry entry = entries.remove(job.spec.id());
     if (entry != null) {
       queue.remove(entry);
@@ -316,8 +364,8 @@
       completed(attempt);
     } else {
       attempt.forgettable = true;
-      if (cause == Cause.ERROR) {
-        blame(attempt);
+      if (cause == Cause.ERROR && job.isActive()) {
+        failed(attempt);
       }
       lost(attempt, wanted && isRefusalOrError(cause));
     }
@@ -345,6 +393,7 @@
       job.done.set(attempt.task);
     }
     job.pending.clear(attempt.task);
+    failures.succeeded(job);
     cluster.demandChanged(job);
     records.taskDone(job, attempt);
     if (job.done.cardinality() == job.spec.tasks()) {
@@ -383,7 +432,8 @@
         return;
       }
       if (!job.attempts.isEmpty()) {
-        if (stillGathers(attempt) && (replaced(attempt) || waitsForForget(attempt))) {
+        boolean mend = !job.atFault && stillGathers(attempt);
+        if (mend && (replaced(attempt) || waitsForForget(attempt))) {
           return;
         }
         // A gang that lost a task is stopped as a whole and started again as a whole.
@@ -397,11 +447,15 @@
     if (job.pending.isEmpty()) {
       return;
     }
-    if (backoff) {
+    // Of a gang that fails the last task to go may have been stopped for the others.
+    if (backoff || job.atFault) {
       QueueEntry entry = entries.computeIfAbsent(job.spec.id(), id -> new QueueEntry(job));
-      if (entry.place() != QueueEntry.Place.ACTIVE) {
-        queue.countFailure(entry);
-        queue.failed(entry, time.now());
+      // What fails together while it waits already is one failure.
+      if (entry.place() != QueueEntry.Place.ACTIVE
+          && entry.place() != QueueEntry.Place.BACKOFF_ERROR) {
+        boolean failing = job.atFault || attempt.cause == Cause.ERROR;
+        int times = failing ? failures.round(job) : entry.attempts() + 1;
+        queue.failed(entry, times, time.now());
         wakeForBackoff();
       }
     } else {
@@ -476,20 +530,19 @@
     kick();
   }
 
-  private void blame(Attempt attempt) {
+  private void failed(Attempt attempt) {
     Job job = attempt.job;
-    Machine machine = attempt.machine;
-    machine.failures.merge(job.spec.id(), 1, Integer::sum);
-    job.avoid.add(machine.name);
+    Instant now = time.now();
+    job.avoid.add(attempt.machine.name);
     // A job that fails everywhere must not run out of machines.
-    if (job.avoid.size() > cluster.machines().size() / 2) {
-      job.avoid.clear();
-    }
-    if (machine.failures.size() >= FAILED_JOBS && !machine.draining) {
-      log.info("machine {} fails different jobs and is retired", machine);
-      machine.draining = true;
-      cluster.refresh(machine);
+    if (job.avoid.size() > Math.min(AVOIDED, cluster.machines().size() / 2)) {
+      job.avoid.remove(job.avoid.iterator().next());
     }
+    Duration ran =
+        attempt.runningSince == null
+            ? Duration.ZERO
+            : Duration.between(attempt.runningSince, now);
+    failures.failed(job, attempt.machine, ran, now);
   }
 
   /** A machine can take work now, or more than before. */
@@ -593,13 +646,22 @@
       return;
     }
     int wanted = Math.min(job.pending.cardinality(), TASKS_A_TURN);
+    if (job.atFault) {
+      wanted = Math.min(wanted, PROBES - job.attempts.size());
+      if (wanted <= 0) {
+        queue.park(entry, Check.FAILING, now);
+        return;
+      }
+    }
     Placer.Decision decision = placer.place(job, wanted, now);
     for (Machine machine : decision.machines()) {
       if (waitsForWarmRoom(entry, machine, now)) {
         return;
       }
       start(job, job.pending.nextSetBit(0), nextNumber(), machine, now);
-      entry.progressed();
+      if (!job.atFault) {
+        entry.progressed();
+      }
     }
     if (!decision.isPlaced()) {
       reject(entry, decision.rejectedBy(), now);
@@ -613,7 +675,7 @@
 
   private void reject(QueueEntry entry, Check by, Instant now) {
     boolean room = by == Check.FIT || by == Check.SPREAD || by == Check.TOGETHER;
-    if (room) {
+    if (room && !entry.job.atFault) {
       int lacking = entry.job.pending.cardinality() - preemptor.waiting(entry.job, now);
       while (lacking-- > 0 && makeRoom(entry.job, Double.MAX_VALUE, now)) {
         // Each turn frees a place for one more task.
@@ -648,7 +710,7 @@
     Duration left =
         Duration.between(time.timeOfDay(), job.acceptedAt.plus(allowance(job)));
     double seconds = left.toMillis() / 1000.0;
-    if (fetch < 1 || seconds < 0 || fetch < seconds) {
+    if (job.atFault || fetch < 1 || seconds < 0 || fetch < seconds) {
       return false;
     }
     if (preemptor.waiting(job, now) == 0 && !makeRoom(job, seconds, now)) {
--- a/src/main/java/io/pineladder/store/Records.java
+++ b/src/main/java/io/pineladder/store/Records.java
@@ -1,6 +1,7 @@
 package io.pineladder.store;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.pineladder.model.Attempt;
 import io.pineladder.model.Job;
 import io.pineladder.model.Machine;
@@ -211,7 +212,18 @@
   // ---- jobs
 
   private static JsonNode jobValue(Job job) {
-    return RecordWire.job(job.spec, job.acceptedAt, job.state());
+    ObjectNode value = RecordWire.job(job.spec, job.acceptedAt, job.state());
+    return job.atFault ? value.put("at_fault", true) : value;
+  }
+
+  /** The job was found to be at fault, or not to be: the next leader need not find out anew. */
+  public void verdict(Job job) {
+    commit.accept(
+        Mutation.onlyIf(
+            () -> !job.ending,
+            Priority.TIDY,
+            List.of(new Write(Keys.JOB + job.spec.id(), () -> jobValue(job))),
+            () -> {}));
   }
 
   public Write newJob(Job job) {
--- a/src/main/java/io/pineladder/wire/RecordWire.java
+++ b/src/main/java/io/pineladder/wire/RecordWire.java
@@ -24,7 +24,8 @@
   private RecordWire() {}
 
   /** A stored job; its completions are kept apart. */
-  public record StoredJob(JobSpec spec, Instant acceptedAt, Job.State state) {}
+  public record StoredJob(
+      JobSpec spec, Instant acceptedAt, Job.State state, boolean atFault) {}
 
   /** A stored placement, with what is needed to reach its machine. */
   public record Placement(
@@ -76,7 +77,8 @@
     return new StoredJob(
         JobWire.parse(Fields.of(in.node("spec"))),
         Instant.ofEpochMilli(in.whole("accepted_ms", 0, ANY)),
-        state(in.text("state")));
+        state(in.text("state")),
+        value.path("at_fault").asBoolean(false));
   }
 
   /** Completed tasks in {@code [from, from + count)} as inclusive ranges. */
--- a/src/test/java/io/pineladder/queue/SchedulingQueueTest.java
+++ b/src/test/java/io/pineladder/queue/SchedulingQueueTest.java
@@ -122,7 +122,7 @@
             queue.remove(popped);
             model.remove(first);
           } else if (fate == 1) {
-            queue.failed(popped, now);
+            queue.failed(popped, popped.attempts(), now);
             first.backOff();
             first.place = QueueEntry.Place.BACKOFF_ERROR;
           } else {
