One look at the fleet displaces for all of a job's tasks, and stops only what helps

Done: one look gives places for all tasks; it sums up before it sorts, asks once for each job, passes over work that holds none of what is lacking; looks take a fifth of the time at most. Ruled out: the store's limits (3 refusals), the cloud, the store's latency.

--- a/src/main/java/io/pineladder/model/Resources.java
+++ b/src/main/java/io/pineladder/model/Resources.java
@@ -28,6 +28,13 @@
     return microCpus <= room.microCpus && microGpus <= room.microGpus && microGb <= room.microGb;
   }
 
+  /** Whether it holds some of what {@code room} lacks for {@code each}. */
+  public boolean eases(Resources each, Resources room) {
+    return (microCpus > 0 && each.microCpus > room.microCpus)
+        || (microGpus > 0 && each.microGpus > room.microGpus)
+        || (microGb > 0 && each.microGb > room.microGb);
+  }
+
   /** How many times this fits into {@code room}. */
   public long countIn(Resources room) {
     long count = Long.MAX_VALUE;
--- a/src/main/java/io/pineladder/scheduling/Preemptor.java
+++ b/src/main/java/io/pineladder/scheduling/Preemptor.java
@@ -12,7 +12,9 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.IdentityHashMap;
 import java.util.List;
+import java.util.Map;
 
 /** Finds the work whose stopping costs least and lets a job of higher priority in. */
 final class Preemptor {
@@ -27,8 +29,8 @@
     this.time = time;
   }
 
-  /** Attempts to stop on one machine. */
-  record Plan(Machine machine, List<Attempt> victims) {}
+  /** Attempts to stop on one machine, and what that costs, in seconds. */
+  record Plan(Machine machine, List<Attempt> victims, double loss) {}
 
   /** On how many machines work stopped for this job is still leaving. */
   int waiting(Job job, Instant now) {
@@ -44,71 +46,104 @@
   }
 
   /**
-   * Room for one task of the job where its image takes at most so long to arrive, or null when
-   * nothing may be stopped for it.
+   * Room for up to so many tasks of the job, each on a machine of its own where its image takes at
+   * most so long to arrive; the cheapest first. One look at the fleet serves them all: a look for
+   * each stopped a leader for seconds when a large job was turned away.
    */
-  Plan plan(Job job, double mostFetchSeconds, Instant now) {
+  List<Plan> plans(Job job, int wanted, double mostFetchSeconds, Instant now) {
     JobSpec spec = job.spec;
     if (spec.shape() == Shape.GANG && spec.tasks() > 1) {
       // Stopping work for a part of a gang frees room that the gang may not be able to use.
-      return null;
+      return List.of();
     }
-    Team team = cluster.team(spec.team());
-    boolean guaranteed =
-        cluster.isGuaranteed(job)
-            && team.guarantees(cluster.usage(spec.team()).plus(spec.each()));
-    Plan best = null;
-    double bestLoss = Double.MAX_VALUE;
+    Look look = new Look(job, now);
+    List<Plan> plans = new ArrayList<>();
     for (Machine machine : cluster.machines()) {
       if (!machine.takesWork()
           || !Placer.isAllowed(job, machine)
           || (machine.reservedFor == job && machine.reservedUntil.isAfter(now))
-          || !Placer.mayTake(job, machine)
-          || Placer.fetchSeconds(job, machine) > mostFetchSeconds) {
+          || !Placer.mayTake(job, machine)) {
         continue;
       }
-      List<Attempt> victims = victims(job, machine, guaranteed, now);
-      if (victims == null) {
-        continue;
-      }
-      double loss = Placer.fetchSeconds(job, machine);
-      for (Attempt victim : victims) {
-        loss += loss(victim, now);
-      }
-      if (loss < bestLoss) {
-        bestLoss = loss;
-        best = new Plan(machine, victims);
+      double fetch = Placer.fetchSeconds(job, machine);
+      Plan plan = fetch > mostFetchSeconds ? null : look.plan(machine, fetch);
+      if (plan != null) {
+        plans.add(plan);
       }
     }
-    return best;
+    plans.sort(Comparator.comparingDouble(Plan::loss));
+    return plans.subList(0, Math.min(wanted, plans.size()));
   }
 
-  private List<Attempt> victims(Job job, Machine machine, boolean guaranteed, Instant now) {
-    Resources room = Placer.room(job, machine, now);
-    List<Attempt> candidates = new ArrayList<>();
-    for (Attempt attempt : machine.attempts.values()) {
-      if (!attempt.holdsRoom()) {
-        continue;
-      }
-      if (!attempt.isWanted()) {
-        // It is leaving anyway.
-        room = room.plus(attempt.job.spec.each());
-      } else if (mayDisplace(job, attempt.job, guaranteed)) {
-        candidates.add(attempt);
+  /** One look at the fleet for one job, with what it has found out about other jobs. */
+  private final class Look {
+    private final Job job;
+    private final Instant now;
+    private final boolean guaranteed;
+
+    /** What speaks against stopping any task of a job, in seconds; infinite if that may not be. */
+    private final Map<Job, Double> penalties = new IdentityHashMap<>();
+
+    Look(Job job, Instant now) {
+      this.job = job;
+      this.now = now;
+      Team team = cluster.team(job.spec.team());
+      guaranteed =
+          cluster.isGuaranteed(job)
+              && team.guarantees(cluster.usage(job.spec.team()).plus(job.spec.each()));
+    }
+
+    private double penalty(Job victim) {
+      if (!mayDisplace(job, victim, guaranteed)) {
+        return Double.POSITIVE_INFINITY;
       }
+      return cluster.objectives().breaksByRestart(victim, time.timeOfDay()) ? LATE : 0;
     }
-    candidates.sort(Comparator.comparingDouble(a -> loss(a, now)));
-    List<Attempt> victims = new ArrayList<>();
-    for (Attempt candidate : candidates) {
-      if (job.spec.each().fitsIn(room)) {
-        break;
+
+    Plan plan(Machine machine, double fetch) {
+      Resources each = job.spec.each();
+      Resources room = Placer.room(job, machine, now);
+      Resources most = room;
+      List<Victim> candidates = new ArrayList<>();
+      for (Attempt attempt : machine.attempts.values()) {
+        if (!attempt.holdsRoom()) {
+          continue;
+        }
+        Resources held = attempt.job.spec.each();
+        if (!attempt.isWanted()) {
+          // It is leaving anyway.
+          room = room.plus(held);
+          most = most.plus(held);
+          continue;
+        }
+        double penalty = penalties.computeIfAbsent(attempt.job, this::penalty);
+        if (penalty != Double.POSITIVE_INFINITY) {
+          candidates.add(new Victim(attempt, lostWork(attempt, now) + penalty));
+          most = most.plus(held);
+        }
+      }
+      if (!each.fitsIn(most) || each.fitsIn(room)) {
+        return null;
+      }
+      candidates.sort(Comparator.comparingDouble(Victim::loss));
+      List<Attempt> victims = new ArrayList<>();
+      double loss = fetch;
+      for (Victim candidate : candidates) {
+        Resources held = candidate.attempt.job.spec.each();
+        // Stopping what holds nothing of what is lacking would help nobody.
+        if (!each.fitsIn(room) && held.eases(each, room)) {
+          victims.add(candidate.attempt);
+          loss += candidate.loss;
+          room = room.plus(held);
+        }
       }
-      victims.add(candidate);
-      room = room.plus(candidate.job.spec.each());
+      return new Plan(machine, victims, loss);
     }
-    return job.spec.each().fitsIn(room) && !victims.isEmpty() ? victims : null;
   }
 
+  /** Work that may be stopped, and what that would cost, in seconds. */
+  private record Victim(Attempt attempt, double loss) {}
+
   /** A higher rank, or a guarantee against what another team has beyond its own. */
   private boolean mayDisplace(Job job, Job victim, boolean guaranteed) {
     boolean victimGuaranteed = cluster.isGuaranteed(victim);
@@ -118,12 +153,7 @@
     return guaranteed && !victimGuaranteed && !victim.spec.team().equals(job.spec.team());
   }
 
-  /** Seconds of work that stopping it throws away, and more if its job would be late for it. */
-  private double loss(Attempt attempt, Instant now) {
-    boolean late = cluster.objectives().breaksByRestart(attempt.job, time.timeOfDay());
-    return lostWork(attempt, now) + (late ? LATE : 0);
-  }
-
+  /** Seconds of work that stopping it throws away. */
   private static double lostWork(Attempt attempt, Instant now) {
     Instant from = attempt.runningSince == null ? attempt.since : attempt.runningSince;
     Duration ran = Duration.between(from, now);
--- a/src/main/java/io/pineladder/scheduling/Scheduler.java
+++ b/src/main/java/io/pineladder/scheduling/Scheduler.java
@@ -17,7 +17,6 @@
 import io.pineladder.queue.HintTable;
 import io.pineladder.queue.QueueEntry;
 import io.pineladder.queue.SchedulingQueue;
-import io.pineladder.store.RateBudget;
 import io.pineladder.store.Records;
 import java.time.Duration;
 import java.time.Instant;
@@ -45,8 +44,8 @@
 
   private static final Duration RESERVATION = Duration.ofSeconds(20);
 
-  /** Looks at the whole fleet for work to displace, each second; the first by priority get them. */
-  private static final double DISPLACEMENTS_A_SECOND = 20;
+  /** The part of the time that looks at the whole fleet for work to displace may take. */
+  private static final int LOOKS_PART = 5;
 
   /** Tasks of a job at fault that are tried at a time. */
   private static final int PROBES = 2;
@@ -76,7 +75,10 @@
   private final SchedulingQueue queue;
   private final Map<String, QueueEntry> entries = new HashMap<>();
   private final long term;
-  private final RateBudget displacements;
+
+  /** When the fleet may next be looked over for work to displace. */
+  private Instant looksFrom = Instant.MIN;
+
   private final Failures failures = new Failures(new Verdicts());
 
   /** Machines on which room came free, with how many tries there had been by then. */
@@ -95,8 +97,6 @@
     this.effects = effects;
     this.placer = new Placer(cluster, time);
     this.preemptor = new Preemptor(cluster, time);
-    this.displacements =
-        new RateBudget(DISPLACEMENTS_A_SECOND, DISPLACEMENTS_A_SECOND, time.now());
     this.queue = new SchedulingQueue(hints(), new ByObjective(), operator);
   }
 
@@ -676,28 +676,31 @@
   private void reject(QueueEntry entry, Check by, Instant now) {
     boolean room = by == Check.FIT || by == Check.SPREAD || by == Check.TOGETHER;
     if (room && !entry.job.atFault) {
-      int lacking = entry.job.pending.cardinality() - preemptor.waiting(entry.job, now);
-      while (lacking-- > 0 && makeRoom(entry.job, Double.MAX_VALUE, now)) {
-        // Each turn frees a place for one more task.
-      }
+      makeRoom(entry.job, Double.MAX_VALUE, now);
     }
     queue.park(entry, by, now);
   }
 
+  /**
+   * Stops work for as many of the job's tasks as still lack a place, in one look at the fleet, which
+   * no index answers. Looks take a bounded part of the time, and the first by priority get them.
+   */
   private boolean makeRoom(Job job, double mostFetchSeconds, Instant now) {
-    if (!cluster.mayDisplaceAny(job) || displacements.available(now) < 1) {
+    int lacking = job.pending.cardinality() - preemptor.waiting(job, now);
+    Instant begun = time.now();
+    if (lacking <= 0 || looksFrom.isAfter(begun) || !cluster.mayDisplaceAny(job)) {
       return false;
     }
-    displacements.take(1, now);
-    Preemptor.Plan plan = preemptor.plan(job, mostFetchSeconds, now);
-    if (plan == null) {
-      return false;
+    List<Preemptor.Plan> plans = preemptor.plans(job, lacking, mostFetchSeconds, now);
+    Instant looked = time.now();
+    looksFrom = looked.plus(Duration.between(begun, looked).multipliedBy(LOOKS_PART - 1));
+    for (Preemptor.Plan plan : plans) {
+      Machine machine = plan.machine();
+      log.debug("{} displaces {} on {}", job, plan.victims(), machine);
+      cluster.reserve(machine, job, now.plus(RESERVATION));
+      plan.victims().forEach(this::displace);
     }
-    Machine machine = plan.machine();
-    log.debug("{} displaces {} on {}", job, plan.victims(), machine);
-    cluster.reserve(machine, job, now.plus(RESERVATION));
-    plan.victims().forEach(this::displace);
-    return true;
+    return !plans.isEmpty();
   }
 
   /**
