Start huge arrays at a bounded pace; a report costs less

The leader was busy with nothing else, and normal work was displaced to and fro. Done: arrays of more than 256 tasks start 120 tasks a second (check PACE, one initial back-off); a look serves 128 tasks instead of 32; what a report lists is marked on the attempts, with names built once.

--- a/src/main/java/io/pineladder/fleet/Fleet.java
+++ b/src/main/java/io/pineladder/fleet/Fleet.java
@@ -650,7 +650,7 @@
           entry.rejectedBy() != null
               && switch (entry.rejectedBy()) {
                 case FIT, PLACE, SPREAD, TOGETHER -> true;
-                case TEAM_LIMIT, PREDECESSOR, FAILING -> false;
+                case TEAM_LIMIT, PREDECESSOR, FAILING, PACE -> false;
               };
       MachineType type = cheapest(spec);
       if (!lacksRoom || type == null || entry.place() == QueueEntry.Place.BACKOFF_ERROR) {
--- a/src/main/java/io/pineladder/model/Attempt.java
+++ b/src/main/java/io/pineladder/model/Attempt.java
@@ -50,6 +50,13 @@
   public final long number;
   public final Machine machine;
   public final Instant since;
+
+  /** What it is listed by on its machine. */
+  public final String key;
+
+  /** Which of all reports dealt with was the last to list it. */
+  public long listedIn;
+
   private State state;
 
   /** Null until the attempt exits. */
@@ -91,6 +98,7 @@
     this.number = number;
     this.machine = machine;
     this.since = since;
+    this.key = Machine.key(job.spec.id(), task, number);
     this.readyAt = since;
     this.state = first;
   }
--- a/src/main/java/io/pineladder/queue/Check.java
+++ b/src/main/java/io/pineladder/queue/Check.java
@@ -15,5 +15,7 @@
   /** Tasks of an older attempt may still be on a machine. */
   PREDECESSOR,
   /** The job fails wherever it is tried, and as much of it as may be tried at a time is out. */
-  FAILING
+  FAILING,
+  /** As many tasks of large jobs have been started of late as may be. */
+  PACE
 }
--- a/src/main/java/io/pineladder/queue/SchedulingQueue.java
+++ b/src/main/java/io/pineladder/queue/SchedulingQueue.java
@@ -124,6 +124,15 @@
     moveTo(entry, QueueEntry.Place.ACTIVE);
   }
 
+  /** Has a tried entry wait for the initial back-off, which no event cuts short. */
+  public void postpone(QueueEntry entry, Check by, Instant now) {
+    entry.triedAt = now;
+    entry.attempts = 1;
+    entry.rejectedBy = by;
+    entry.expiry = expiry(entry);
+    moveTo(entry, QueueEntry.Place.BACKOFF_REJECTED);
+  }
+
   /** Parks a tried entry under the check that rejected it, unless an event came in meanwhile. */
   public void park(QueueEntry entry, Check by, Instant now) {
     List<Event> seen = inFlight.getOrDefault(entry, List.of());
--- a/src/main/java/io/pineladder/scheduling/Cluster.java
+++ b/src/main/java/io/pineladder/scheduling/Cluster.java
@@ -296,7 +296,7 @@
       Job job, int task, long number, Machine machine, Instant now, Attempt.State first) {
     Attempt attempt = new Attempt(job, task, number, machine, now, first);
     job.add(attempt);
-    machine.attempts.put(Machine.key(job.spec.id(), task, number), attempt);
+    machine.attempts.put(attempt.key, attempt);
     machine.used = machine.used.plus(job.spec.each());
     machine.idleSince = null;
     usage.merge(job.spec.team(), job.spec.each(), Resources::plus);
@@ -322,8 +322,7 @@
       refresh(attempt.machine);
     }
     if (next == Attempt.State.GONE) {
-      attempt.machine.attempts.remove(
-          Machine.key(attempt.job.spec.id(), attempt.task, attempt.number));
+      attempt.machine.attempts.remove(attempt.key);
     }
   }
 
--- a/src/main/java/io/pineladder/scheduling/Scheduler.java
+++ b/src/main/java/io/pineladder/scheduling/Scheduler.java
@@ -17,6 +17,7 @@
 import io.pineladder.queue.HintTable;
 import io.pineladder.queue.QueueEntry;
 import io.pineladder.queue.SchedulingQueue;
+import io.pineladder.store.RateBudget;
 import io.pineladder.store.Records;
 import java.time.Duration;
 import java.time.Instant;
@@ -34,10 +35,19 @@
   private static final Logger log = LoggerFactory.getLogger(Scheduler.class);
 
   /** Tasks of one entry placed before others of higher priority get a look. */
-  private static final int TASKS_A_TURN = 32;
+  private static final int TASKS_A_TURN = 128;
 
   /** Turns taken before waiting messages are read. */
-  private static final int TURNS_A_PASS = 40;
+  private static final int TURNS_A_PASS = 20;
+
+  /** A job of more tasks is started at a bounded pace. */
+  private static final int LARGE = 256;
+
+  /**
+   * Tasks of large jobs started each second. Each costs orders, reports and a completion, and an
+   * array of tens of thousands that starts at once keeps the leader from everything else.
+   */
+  private static final double LARGE_A_SECOND = 120;
 
   /** A fetch that takes longer yet is worth a new start where the image is. */
   private static final Duration WORTH_MOVING = Duration.ofSeconds(6);
@@ -75,6 +85,7 @@
   private final SchedulingQueue queue;
   private final Map<String, QueueEntry> entries = new HashMap<>();
   private final long term;
+  private final RateBudget large;
 
   /** When the fleet may next be looked over for work to displace. */
   private Instant looksFrom = Instant.MIN;
@@ -97,6 +108,8 @@
     this.effects = effects;
     this.placer = new Placer(cluster, time);
     this.preemptor = new Preemptor(cluster, time);
+    // A back-off with its window may last for two seconds, and what comes up in them is not lost.
+    this.large = new RateBudget(LARGE_A_SECOND, 2 * LARGE_A_SECOND, time.now());
     this.queue = new SchedulingQueue(hints(), new ByObjective(), operator);
   }
 
@@ -653,7 +666,18 @@
         return;
       }
     }
+    boolean paced = job.spec.shape() == Shape.ARRAY && job.spec.tasks() > LARGE;
+    if (paced) {
+      wanted = Math.min(wanted, large.available(now));
+      if (wanted == 0) {
+        queue.postpone(entry, Check.PACE, now);
+        return;
+      }
+    }
     Placer.Decision decision = placer.place(job, wanted, now);
+    if (paced) {
+      large.take(decision.machines().size(), now);
+    }
     for (Machine machine : decision.machines()) {
       if (waitsForWarmRoom(entry, machine, now)) {
         return;
--- a/src/main/java/io/pineladder/wire/WorkerWire.java
+++ b/src/main/java/io/pineladder/wire/WorkerWire.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.pineladder.model.Cause;
+import io.pineladder.model.Machine;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -65,7 +66,13 @@
 
   /** One task in a report; {@code cause} is null unless exited. */
   public record TaskReport(
-      TaskId task, long attempt, TaskState state, Cause cause, boolean saved) {}
+      TaskId task, long attempt, TaskState state, Cause cause, boolean saved) {
+
+    /** What the attempt is listed by on its machine. */
+    public String key() {
+      return Machine.key(task.job, task.index, attempt);
+    }
+  }
 
   /** A report; {@code notice} is null unless the cloud takes the machine back. */
   public record Report(
--- a/src/main/java/io/pineladder/workers/Workers.java
+++ b/src/main/java/io/pineladder/workers/Workers.java
@@ -21,7 +21,6 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
@@ -42,6 +41,10 @@
   private final BooleanSupplier mayAct;
   private final Listener listener;
   private final Set<Machine> due = new LinkedHashSet<>();
+
+  /** How many reports have been dealt with. */
+  private long reports;
+
   private boolean flushSet;
 
   /** What the rest of the leader learns from here. */
@@ -189,12 +192,11 @@
 
   /** Brings the attempts of a machine in step with the newest report of one that has our token. */
   private void follow(Machine machine, Report report) {
-    Set<String> listed = new HashSet<>();
+    // A mark on each attempt, not a set of names: a report may list hundreds of tasks.
+    long mark = ++reports;
     machine.strangers = false;
     for (TaskReport task : report.tasks()) {
-      String key = Machine.key(task.task().job(), task.task().index(), task.attempt());
-      listed.add(key);
-      Attempt attempt = machine.attempts.get(key);
+      Attempt attempt = machine.attempts.get(task.key());
       if (attempt == null) {
         attempt = adopt(machine, task);
       }
@@ -204,18 +206,20 @@
         }
         continue;
       }
+      attempt.listedIn = mark;
       if (task.state() == TaskState.EXITED) {
         scheduler.exited(attempt, task.cause());
       } else {
         scheduler.seen(attempt, state(task.state()));
       }
     }
-    for (Attempt attempt : List.copyOf(machine.attempts.values())) {
-      String key = Machine.key(attempt.job.spec.id(), attempt.task, attempt.number);
-      if (!listed.contains(key)) {
-        absent(attempt, report);
+    List<Attempt> unlisted = new ArrayList<>();
+    for (Attempt attempt : machine.attempts.values()) {
+      if (attempt.listedIn != mark) {
+        unlisted.add(attempt);
       }
     }
+    unlisted.forEach(attempt -> absent(attempt, report));
   }
 
   private static Attempt.State state(TaskState reported) {
@@ -462,8 +466,7 @@
   /** Forgets tasks of jobs that are over, which no attempt here accounts for. */
   private static void writeStrangers(Report report, Machine machine, Orders orders) {
     for (TaskReport task : report.tasks()) {
-      String key = Machine.key(task.task().job(), task.task().index(), task.attempt());
-      if (machine.attempts.containsKey(key)) {
+      if (machine.attempts.containsKey(task.key())) {
         continue;
       }
       if (task.state() == TaskState.EXITED) {
--- a/src/test/java/io/pineladder/workers/LeaderHarness.java
+++ b/src/test/java/io/pineladder/workers/LeaderHarness.java
@@ -228,6 +228,13 @@
     throw new AssertionError("no direct command went out");
   }
 
+  /** Every attempt on any machine. */
+  List<Attempt> attempts() {
+    List<Attempt> all = new ArrayList<>();
+    cluster.machines().forEach(machine -> all.addAll(machine.attempts.values()));
+    return all;
+  }
+
   static Attempt only(Job job) {
     return job.attempts.values().iterator().next().iterator().next();
   }
--- a/src/test/java/io/pineladder/workers/WorkersTest.java
+++ b/src/test/java/io/pineladder/workers/WorkersTest.java
@@ -12,6 +12,7 @@
 import io.pineladder.model.Machine;
 import io.pineladder.model.MachineType;
 import io.pineladder.model.Rank;
+import io.pineladder.model.Resources;
 import io.pineladder.model.Shape;
 import io.pineladder.net.HttpCaller;
 import io.pineladder.wire.WorkerWire.Report;
@@ -21,6 +22,7 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 
 class WorkersTest {
@@ -375,6 +377,60 @@
   }
 
   /** Found on laval: tasks sat out fetches of minutes while machines with the image came free. */
+  /**
+   * Found on colombo-ops: a look at the whole fleet for each of a job's tasks stopped the leader for
+   * longer than its lease. And work that holds none of what is lacking was stopped as well.
+   */
+  @Test
+  void oneLookMakesRoomForAllTasksAndStopsOnlyWhatHelps() {
+    for (int i = 0; i < 4; i++) {
+      leader.report("m-" + i, 1);
+    }
+    JobSpec cpus = LeaderHarness.spec("req-000001", Shape.ARRAY, Rank.LOW, 4, "i");
+    Job tiny =
+        leader.accept(
+            new JobSpec(
+                cpus.id(), cpus.jobClass(), cpus.team(), cpus.shape(), cpus.rank(), 4,
+                Resources.of(1, 0, 1), null, null, false, false, true, "i", 5, cpus.estimate(),
+                Duration.ZERO, Duration.ZERO, null));
+    Job low = leader.accept(LeaderHarness.spec("req-000002", Shape.ARRAY, Rank.LOW, 16, "i"));
+    assertTrue(low.pending.isEmpty());
+    for (Attempt attempt : leader.attempts()) {
+      leader.scheduler.seen(attempt, Attempt.State.RUNNING);
+    }
+    leader.accept(LeaderHarness.spec("req-000003", Shape.ARRAY, Rank.HIGH, 3, "i"));
+    assertEquals(3, low.attempts.values().stream().filter(WorkersTest::isStopped).count());
+    assertEquals(0, tiny.attempts.values().stream().filter(WorkersTest::isStopped).count());
+  }
+
+  private static boolean isStopped(Set<Attempt> attempts) {
+    return attempts.stream().noneMatch(Attempt::isWanted);
+  }
+
+  /** Found on colombo-ops: an array of 25,000 tasks kept the leader from renewing its lease. */
+  @Test
+  void aHugeArrayStartsAtABoundedPaceAndASmallOneAtOnce() {
+    for (int i = 0; i < 40; i++) {
+      leader.report("m-" + i, 1);
+    }
+    JobSpec like = LeaderHarness.spec("req-000001", Shape.ARRAY, Rank.NORMAL, 4, "i");
+    Job huge =
+        leader.accept(
+            new JobSpec(
+                like.id(), like.jobClass(), like.team(), like.shape(), like.rank(), 1000,
+                Resources.of(0.25, 0, 0.5), null, null, false, false, true, "i", 5,
+                like.estimate(), Duration.ZERO, Duration.ZERO, null));
+    leader.runFor(Duration.ofMillis(500));
+    assertTrue(huge.attempts.size() <= 240, "at once: " + huge.attempts.size());
+    Job small = leader.accept(LeaderHarness.spec("req-000002", Shape.ARRAY, Rank.LOW, 8, "i"));
+    assertEquals(8, small.attempts.size());
+    leader.runFor(Duration.ofSeconds(4));
+    int later = huge.attempts.size();
+    assertTrue(later > 300 && later < 900, "after some seconds: " + later);
+    leader.runFor(Duration.ofSeconds(8));
+    assertTrue(huge.pending.isEmpty());
+  }
+
   @Test
   void aFetchingTaskMovesToRoomWhereItsImageIs() {
     leader.report("cold", 1);
