A leader that workers reach only through its peers makes way; the simulation learns the new troubles

Peers handed reports on, so it heard them and went on, but each order waited for a report that came by detours, and some 100 machines a second were logged as not answering. Done: when most workers heard of late came through peers, the leader gives its term up and lets others stand first, once a minute at most. Ruled out: takeovers (3.5 s each, at 110, 177 and 263 s), the freezes.

--- a/src/main/java/io/pineladder/Leader.java
+++ b/src/main/java/io/pineladder/Leader.java
@@ -60,6 +60,9 @@
 
     void resign(String reason);
 
+    /** Others can do what this node cannot: the term ends, and this node does not stand at once. */
+    void handOver(String reason);
+
     void superseded();
 
     void onFinal(String job, JobWire.Status status);
@@ -201,6 +204,11 @@
                 host.resign(reason);
               }
 
+              @Override
+              public void handOver(String reason) {
+                host.handOver(reason);
+              }
+
               @Override
               public void probe(Machine machine) {
                 workers.probe(machine);
@@ -775,8 +783,12 @@
 
   // ---- workers
 
-  /** Answers a report, or returns null when the worker must go elsewhere. */
-  public byte[] onReport(WorkerWire.Report report) {
+  /**
+   * Answers a report, or returns null when the worker must go elsewhere.
+   *
+   * @param relayed whether a peer handed it on
+   */
+  public byte[] onReport(WorkerWire.Report report, boolean relayed) {
     if (state != State.LEADING) {
       // The store is still being read: the lease is kept and our token learned, nothing more.
       return state == State.LOADING
@@ -790,6 +802,10 @@
       return null;
     }
     WorkerWire.Orders orders = workers.onReport(report);
+    Machine machine = cluster.machine(report.machine());
+    if (machine != null) {
+      machine.relayed = relayed;
+    }
     return orders == null ? null : WorkerWire.reportResponse(term, orders);
   }
 }
--- a/src/main/java/io/pineladder/Node.java
+++ b/src/main/java/io/pineladder/Node.java
@@ -29,6 +29,7 @@
   private static final Duration WATCH = Duration.ofSeconds(20);
   private static final Duration RETRY = Duration.ofMillis(500);
   private static final Duration TYPES_EVERY = Duration.ofSeconds(60);
+  private static final Duration HAND_OVER_EVERY = Duration.ofSeconds(60);
   private static final Duration CLOUD_TIMEOUT = Duration.ofSeconds(3);
   private static final int FINALS_KEPT = 20_000;
 
@@ -46,6 +47,7 @@
   private List<MachineType> types = List.of();
   private OperatorSettings operator = OperatorSettings.DEFAULTS;
   private Instant typesAt;
+  private Instant handedOverAt;
   private boolean stopped;
 
   public Node(Settings settings, Timeline time, HttpCaller http, String nonce) {
@@ -113,6 +115,16 @@
       election.lose(reason);
     }
 
+    @Override
+    public void handOver(String reason) {
+      Instant now = time.now();
+      // Where no other node does better the leadership must not go round and round.
+      if (handedOverAt == null || handedOverAt.plus(HAND_OVER_EVERY).isBefore(now)) {
+        handedOverAt = now;
+        election.yield(reason);
+      }
+    }
+
     @Override
     public void superseded() {
       election.lose("a worker follows a later leader");
--- a/src/main/java/io/pineladder/fleet/Fleet.java
+++ b/src/main/java/io/pineladder/fleet/Fleet.java
@@ -90,6 +90,9 @@
 
     void resign(String reason);
 
+    /** Another node can do better. */
+    void handOver(String reason);
+
     /** Asks a machine that is overdue whether it is there. */
     void probe(Machine machine);
   }
@@ -178,6 +181,7 @@
       list(now);
       cluster.spotRisk.observe(spotUp(), now);
       findSilent(now);
+      findRelayed(now);
       scheduler.failures().review(now);
       retire(now);
       sendReleases();
@@ -378,6 +382,26 @@
     }
   }
 
+  /**
+   * Most workers heard of late came through peers: they do not reach this node, but others. Orders
+   * then go out only with reports handed on, so a peer serves better as the leader. Found on
+   * colombo-ops, where a leader cut from its workers alone went on for a minute.
+   */
+  private void findRelayed(Instant now) {
+    Instant from = now.minus(cluster.settings.workers().report());
+    int heard = 0;
+    int relayed = 0;
+    for (Machine machine : cluster.machines()) {
+      if (machine.state() == Machine.State.CONFIRMED && machine.heardAt.isAfter(from)) {
+        heard++;
+        relayed += machine.relayed ? 1 : 0;
+      }
+    }
+    if (relayed >= 3 && relayed * 2 > heard) {
+      effects.handOver("workers reach its peers and not this node");
+    }
+  }
+
   /** A cancelled job's task is still there and its time is running out. */
   private boolean isUrgent(Machine machine, Instant now) {
     Duration half = cluster.settings.workers().cancel().dividedBy(2);
--- a/src/main/java/io/pineladder/front/Front.java
+++ b/src/main/java/io/pineladder/front/Front.java
@@ -100,7 +100,7 @@
       }
       case "/v1/report" -> {
         if (allow("POST", method, answer)) {
-          report(body, answer);
+          report(body, false, answer);
         }
         return;
       }
@@ -313,7 +313,7 @@
       return;
     }
     if (path.equals("/v1/report")) {
-      report(body, answer);
+      report(body, true, answer);
       return;
     }
     if (path.equals("/v1/jobs")) {
@@ -553,7 +553,7 @@
 
   // ---- workers
 
-  private void report(byte[] body, Consumer<HttpAnswer> answer) {
+  private void report(byte[] body, boolean relayed, Consumer<HttpAnswer> answer) {
     WorkerWire.Report report;
     try {
       report = WorkerWire.parseReport(body);
@@ -563,13 +563,13 @@
     }
     Leader holder = node.termHolder();
     if (holder != null && report.token() <= holder.term()) {
-      byte[] response = holder.onReport(report);
+      byte[] response = holder.onReport(report, relayed);
       if (response != null) {
         answer.accept(ok(response));
         return;
       }
     } else if (holder != null) {
-      holder.onReport(report);
+      holder.onReport(report, relayed);
     }
     RecordWire.LeaderRecord known = node.election().known();
     boolean other = known != null && !known.member().equals(node.settings().member());
--- a/src/main/java/io/pineladder/leadership/Election.java
+++ b/src/main/java/io/pineladder/leadership/Election.java
@@ -27,6 +27,10 @@
   private static final double DRIFT = 0.002;
 
   private static final Duration RETRY = Duration.ofMillis(300);
+
+  /** How long a node that makes way for others lets them stand first. */
+  private static final Duration YIELD = Duration.ofSeconds(3);
+
   private static final Duration WATCH = Duration.ofSeconds(20);
 
   /** Where a node stands. */
@@ -67,6 +71,7 @@
   private long lease;
   private long term;
   private Instant leaseUntil = Instant.MIN;
+  private Instant standFrom = Instant.MIN;
   private LeaderRecord known;
   private long knownVersion;
   /** Changes with every new try, so that late replies of an older one are told apart. */
@@ -167,7 +172,11 @@
             }
             if (reply.is(404)) {
               learn(null);
-              stand(of);
+              if (time.now().isBefore(standFrom)) {
+                time.after(RETRY, () -> look(of));
+              } else {
+                stand(of);
+              }
               return;
             }
           } catch (MalformedException e) {
@@ -349,6 +358,12 @@
     time.after(RETRY, () -> look(of));
   }
 
+  /** Gives the term up in favour of any other node that stands within a while. */
+  public void yield(String reason) {
+    standFrom = time.now().plus(YIELD);
+    lose(reason);
+  }
+
   /** The revision of the leader's key as last read, to tell newer news from older. */
   public long knownVersion() {
     return knownVersion;
--- a/src/main/java/io/pineladder/model/Machine.java
+++ b/src/main/java/io/pineladder/model/Machine.java
@@ -33,6 +33,9 @@
   public long sequence = -1;
   public Instant heardAt;
 
+  /** Its last report came through a peer: it does not reach this node itself. */
+  public boolean relayed;
+
   /** When the cloud takes it away, or null. */
   public Instant takenAt;
 
--- a/src/test/java/io/pineladder/sim/ClusterSimulationTest.java
+++ b/src/test/java/io/pineladder/sim/ClusterSimulationTest.java
@@ -98,8 +98,9 @@
     controller.alive = alive;
     Settings settings = settings(controller.index);
     double rate = 1 + (world.random.nextDouble() - 0.5) * 0.001;
-    Timeline time = world.timeline(() -> alive[0], rate);
-    HttpCaller http = world.caller("10.0.0." + (controller.index + 1), () -> alive[0]);
+    String host = "10.0.0." + (controller.index + 1);
+    Timeline time = world.timeline(host, () -> alive[0], rate);
+    HttpCaller http = world.caller(host, () -> alive[0]);
     Node node = new Node(settings, time, http, "nonce-" + world.random.nextLong());
     Front front = new Front(node, new Metrics());
     world.serve(settings.frontAddress(), front::handle);
@@ -213,7 +214,8 @@
     for (Rules.Known job : rules.jobs.values()) {
       boolean service = job.spec.get("shape").asText().equals("service");
       assertTrue(job.accepted, job.id + " was not accepted");
-      assertTrue(service || job.isOver(), job.id + " did not end: " + job.completed);
+      assertTrue(
+          service || job.broken || job.isOver(), job.id + " did not end: " + job.completed);
     }
     assertTrue(rules.starts > 0);
     assertEquals(0, store.count("inbox/"));
@@ -278,6 +280,31 @@
     settle(Duration.ofSeconds(120));
   }
 
+  /** Leadership goes where it can be exercised, and not back and forth while the cut lasts. */
+  @Test
+  void aLeaderWhoseWorkersOnlyReachItsPeersMakesWayOnce() {
+    begin(6);
+    world.runFor(Duration.ofSeconds(5));
+    for (int i = 0; i < 5; i++) {
+      submit(job("service", 4, "red"));
+    }
+    world.runFor(Duration.ofSeconds(30));
+    int before = leader();
+    String host = "10.0.0." + (before + 1);
+    assertTrue(fleet.up().size() >= 4);
+    for (int i = 1; i <= 60; i++) {
+      world.cut(host, "10.1.0." + i);
+    }
+    world.runFor(Duration.ofSeconds(25));
+    int after = leader();
+    assertTrue(before != after, "leader " + after);
+    world.runFor(Duration.ofSeconds(40));
+    assertEquals(after, leader());
+    Rules.Known late = submit(job("array", 4, "blue"));
+    world.runFor(Duration.ofSeconds(60));
+    assertTrue(late.done, "served while the cut lasts");
+  }
+
   /** Twelve days; more by hand with {@code -Dpineladder.days=1000 -Dpineladder.first=1}. */
   static LongStream seeds() {
     long first = Long.getLong("pineladder.first", 1);
@@ -291,13 +318,14 @@
     world.runFor(Duration.ofSeconds(4));
     world.lossy = 0.03;
     for (int step = 0; step < 60; step++) {
-      submit(randomJob());
+      Rules.Known job = submit(randomJob());
+      job.broken = world.random.nextInt(12) == 0;
       List<Rules.Known> open =
           rules.jobs.values().stream().filter(j -> j.accepted && !j.isOver()).toList();
       if (!open.isEmpty() && world.random.nextInt(3) == 0) {
         cancel(open.get(world.random.nextInt(open.size())));
       }
-      trouble(world.random.nextInt(14));
+      trouble(world.random.nextInt(18));
       world.runFor(Duration.ofMillis(2_000 + world.random.nextInt(4_000)));
     }
     settle(Duration.ofSeconds(400));
@@ -356,7 +384,24 @@
           taken.end();
         }
       }
+      case 8, 9 -> world.freeze(host, millis);
+      case 10 -> {
+        fleet.badBoots = true;
+        world.after(millis, () -> fleet.badBoots = false);
+      }
+      case 11 -> {
+        // Everybody asks about everything, again and again.
+        for (int i = 0; i < 8; i++) {
+          world.after(i * 500L, () -> rules.jobs.values().stream().toList().forEach(this::ask));
+        }
+      }
       default -> {}
     }
   }
+
+  private void ask(Rules.Known job) {
+    if (job.accepted) {
+      send(job, "GET", "/v1/jobs/" + job.id, null);
+    }
+  }
 }
--- a/src/test/java/io/pineladder/sim/FleetStandIn.java
+++ b/src/test/java/io/pineladder/sim/FleetStandIn.java
@@ -31,6 +31,9 @@
   private int names;
   boolean outage;
 
+  /** Half of the machines come up late or never. */
+  boolean badBoots;
+
   FleetStandIn(World world, Rules rules, List<String> controllers) {
     this.world = world;
     this.rules = rules;
@@ -111,7 +114,12 @@
     String name = String.format("m-%06d", ++names);
     Worker worker = new Worker(name, "10.1.0." + names + ":9000", zone, spot);
     machines.put(name, worker);
-    world.after(5_000 + world.random.nextInt(10_000), worker::boot);
+    // Some come up at once, some take several times as long, and a few never come.
+    int luck = world.random.nextInt(badBoots ? 4 : 20);
+    long late = luck == 0 ? 40_000 : luck == 1 ? 0 : 5_000;
+    if (luck != 2) {
+      world.after(late + world.random.nextInt(10_000), worker::boot);
+    }
     return name;
   }
 
@@ -346,7 +354,9 @@
             millis,
             () -> {
               if (!ended && tasks.get(key) == task && task.status.equals("running")) {
-                boolean fails = world.random.nextInt(40) == 0 && !rules.isGang(task);
+                boolean fails =
+                    rules.isBroken(task)
+                        || world.random.nextInt(40) == 0 && !rules.isGang(task);
                 if (!fails) {
                   rules.completed(task);
                 }
--- a/src/test/java/io/pineladder/sim/Rules.java
+++ b/src/test/java/io/pineladder/sim/Rules.java
@@ -21,6 +21,10 @@
     final String id;
     final ObjectNode spec;
     boolean accepted;
+
+    /** Submitted with a mistake: every task of it fails. */
+    boolean broken;
+
     boolean cancelAsked;
     Instant cancelled;
     boolean done;
@@ -57,6 +61,10 @@
     return new AssertionError(rule + " at " + world.now() + ": " + what);
   }
 
+  boolean isBroken(Task task) {
+    return jobs.get(task.job()).broken;
+  }
+
   boolean isGang(Task task) {
     return jobs.get(task.job()).spec.get("shape").asText().equals("group");
   }
--- a/src/test/java/io/pineladder/sim/World.java
+++ b/src/test/java/io/pineladder/sim/World.java
@@ -33,6 +33,9 @@
   private long order;
   private long nowMillis = 1_000_000;
 
+  /** Hosts whose process stands still, and until when; their clocks go on. */
+  private final Map<String, Long> frozen = new HashMap<>();
+
   /** The part of messages whose reply is lost, and which may then be executed late. */
   double lossy;
 
@@ -72,6 +75,21 @@
     cuts.add(other + " " + one);
   }
 
+  /** The host's process stands still; what comes for it meanwhile waits, timers too. */
+  void freeze(String host, long millis) {
+    frozen.merge(host, nowMillis + millis, Math::max);
+  }
+
+  /** Runs the action on the host, once its process moves again. */
+  private void on(String host, Runnable action) {
+    long until = frozen.getOrDefault(host, 0L);
+    if (until > nowMillis) {
+      timers.add(new Timer(until, order++, () -> on(host, action)));
+    } else {
+      action.run();
+    }
+  }
+
   void heal(String one, String other) {
     cuts.remove(one + " " + other);
     cuts.remove(other + " " + one);
@@ -82,7 +100,7 @@
   }
 
   /** A clock of a process that ends when {@code alive} says so. */
-  Timeline timeline(BooleanSupplier alive, double rate) {
+  Timeline timeline(String host, BooleanSupplier alive, double rate) {
     Instant begun = now();
     return new Timeline() {
       @Override
@@ -100,11 +118,14 @@
       public void after(Duration delay, Runnable action) {
         World.this.after(
             (long) Math.ceil(delay.toNanos() / 1e6 / rate),
-            () -> {
-              if (alive.getAsBoolean()) {
-                action.run();
-              }
-            });
+            () ->
+                on(
+                    host,
+                    () -> {
+                      if (alive.getAsBoolean()) {
+                        action.run();
+                      }
+                    }));
       }
     };
   }
@@ -114,12 +135,15 @@
     return (request, onReply) -> {
       boolean[] over = new boolean[1];
       Consumer<HttpCaller.Reply> once =
-          reply -> {
-            if (!over[0] && alive.getAsBoolean()) {
-              over[0] = true;
-              onReply.accept(reply);
-            }
-          };
+          reply ->
+              on(
+                  from,
+                  () -> {
+                    if (!over[0] && alive.getAsBoolean()) {
+                      over[0] = true;
+                      onReply.accept(reply);
+                    }
+                  });
       long timeout = request.timeout().toMillis();
       String way = from + " " + host(request.address());
       if (cuts.contains(way)) {
@@ -161,7 +185,13 @@
     HttpHandlerAsync server = servers.get(request.address());
     if (server != null) {
       byte[] body = request.body() == null ? new byte[0] : request.body();
-      server.handle(request.method(), request.path(), body, onAnswer);
+      on(
+          host(request.address()),
+          () -> {
+            if (servers.get(request.address()) == server) {
+              server.handle(request.method(), request.path(), body, onAnswer);
+            }
+          });
     }
   }
 }
--- a/src/test/java/io/pineladder/workers/LeaderHarness.java
+++ b/src/test/java/io/pineladder/workers/LeaderHarness.java
@@ -134,6 +134,11 @@
                 resigned.add(reason);
               }
 
+              @Override
+              public void handOver(String reason) {
+                resigned.add(reason);
+              }
+
               @Override
               public void probe(Machine machine) {}
             });
--- a/src/test/java/io/pineladder/workers/WorkersTest.java
+++ b/src/test/java/io/pineladder/workers/WorkersTest.java
@@ -212,6 +212,24 @@
     assertTrue(other.resigned.contains("no worker is heard"));
   }
 
+  /**
+   * Found on colombo-ops: a leader that its workers could not reach, while its peers could, went on
+   * for a minute with orders only in the reports that those handed on.
+   */
+  @Test
+  void aLeaderThatMostWorkersReachOnlyThroughPeersMakesWay() {
+    leader.fleet.start();
+    for (int second = 0; second < 10; second++) {
+      for (int i = 0; i < 5; i++) {
+        leader.report("m-" + i, 1 + second);
+        // Two of five are no reason: they may be cut off themselves.
+        leader.cluster.machine("m-" + i).relayed = i < (second < 5 ? 2 : 4);
+      }
+      leader.runFor(Duration.ofMillis(700));
+      assertEquals(second < 5, leader.resigned.isEmpty(), "second " + second);
+    }
+  }
+
   /** Found by the bench's run of real processes: idle machines stayed rented after the last job. */
   @Test
   void withoutAnyJobIdleMachinesGoSoon() {
