--- a/src/main/java/io/pineladder/scheduling/Preemptor.java
+++ b/src/main/java/io/pineladder/scheduling/Preemptor.java
@@ -13,6 +13,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.IdentityHashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 
@@ -51,11 +52,6 @@
    * each stopped a leader for seconds when a large job was turned away.
    */
   List<Plan> plans(Job job, int wanted, double mostFetchSeconds, Instant now) {
-    JobSpec spec = job.spec;
-    if (spec.shape() == Shape.GANG && spec.tasks() > 1) {
-      // Stopping work for a part of a gang frees room that the gang may not be able to use.
-      return List.of();
-    }
     Look look = new Look(job, now);
     List<Plan> plans = new ArrayList<>();
     for (Machine machine : cluster.machines()) {
@@ -75,6 +71,51 @@
     return plans.subList(0, Math.min(wanted, plans.size()));
   }
 
+  /**
+   * Room for all tasks of a gang, on machines that have it or where work makes way, in one zone if
+   * they must be together; empty when there is not enough. Room for a part of it would stop work
+   * for a gang that may not be able to start. Found on laval-ops: a guest's work of low rank filled
+   * every machine, and gangs of two waited until two happened to be empty at once.
+   */
+  List<Plan> gangPlans(Job job, Instant now) {
+    JobSpec spec = job.spec;
+    if (spec.spread()) {
+      return List.of();
+    }
+    Look look = new Look(job, now);
+    Map<String, List<Plan>> zones = new LinkedHashMap<>();
+    for (Machine machine : cluster.machines()) {
+      if (!machine.takesWork() || !Placer.isAllowed(job, machine)) {
+        continue;
+      }
+      double fetch = Placer.fetchSeconds(job, machine);
+      long free = spec.each().countIn(Placer.room(job, machine, now));
+      Plan plan = free > 0 ? new Plan(machine, List.of(), fetch) : look.plan(machine, fetch);
+      if (plan != null) {
+        List<Plan> there =
+            zones.computeIfAbsent(spec.together() ? machine.zone : "", z -> new ArrayList<>());
+        for (long i = 0; i < Math.max(1, Math.min(free, spec.tasks())); i++) {
+          there.add(plan);
+        }
+      }
+    }
+    List<Plan> best = List.of();
+    for (List<Plan> there : zones.values()) {
+      if (there.size() >= spec.tasks()) {
+        there.sort(Comparator.comparingDouble(Plan::loss));
+        List<Plan> first = there.subList(0, spec.tasks());
+        if (best.isEmpty() || loss(first) < loss(best)) {
+          best = first;
+        }
+      }
+    }
+    return best;
+  }
+
+  private static double loss(List<Plan> plans) {
+    return plans.stream().mapToDouble(Plan::loss).sum();
+  }
+
   /** One look at the fleet for one job, with what it has found out about other jobs. */
   private final class Look {
     private final Job job;
@@ -90,7 +131,10 @@
       Team team = cluster.team(job.spec.team());
       guaranteed =
           cluster.isGuaranteed(job)
-              && team.guarantees(cluster.usage(job.spec.team()).plus(job.spec.each()));
+              && team.guarantees(
+                  cluster
+                      .usage(job.spec.team())
+                      .plus(job.spec.shape() == Shape.GANG ? job.spec.least() : job.spec.each()));
     }
 
     private double penalty(Job victim) {
--- a/src/main/java/io/pineladder/scheduling/Scheduler.java
+++ b/src/main/java/io/pineladder/scheduling/Scheduler.java
@@ -188,6 +188,10 @@
     return Duration.ofMillis((long) (spec.estimate().toMillis() * share));
   }
 
+  private static boolean isGangOfSeveral(JobSpec spec) {
+    return spec.shape() == Shape.GANG && spec.tasks() > 1;
+  }
+
   /** Which events may help which rejections. */
   private HintTable hints() {
     HintTable.HintFunction room =
@@ -199,9 +203,8 @@
               || !job.spec.each().fitsIn(Placer.room(job, machine, time.now()))) {
             return Hint.SKIP;
           }
-          return job.spec.shape() == Shape.GANG && job.spec.tasks() > 1
-              ? Hint.QUEUE
-              : Hint.QUEUE_AT_ONCE;
+          boolean waits = isGangOfSeveral(job.spec) && machine.reservedFor != job;
+          return waits ? Hint.QUEUE : Hint.QUEUE_AT_ONCE;
         };
     HintTable.HintFunction ownTask =
         (entry, event) -> event.job() == entry.job ? Hint.QUEUE_AT_ONCE : Hint.SKIP;
@@ -650,6 +653,7 @@
       if (job.spec.tasks() == 1 && waitsForWarmRoom(entry, decision.machines().get(0), now)) {
         return;
       }
+      List.copyOf(cluster.reservedFor(job)).forEach(cluster::unreserve);
       long number = nextNumber();
       for (int task = 0; task < job.spec.tasks(); task++) {
         start(job, task, number, decision.machines().get(task), now);
@@ -715,7 +719,14 @@
     if (lacking <= 0 || looksFrom.isAfter(begun) || !cluster.mayDisplaceAny(job)) {
       return false;
     }
-    List<Preemptor.Plan> plans = preemptor.plans(job, lacking, mostFetchSeconds, now);
+    boolean gang = isGangOfSeveral(job.spec);
+    if (gang && cluster.reservedFor(job).stream().anyMatch(m -> m.reservedUntil.isAfter(now))) {
+      return false;
+    }
+    List<Preemptor.Plan> plans =
+        gang
+            ? preemptor.gangPlans(job, now)
+            : preemptor.plans(job, lacking, mostFetchSeconds, now);
     Instant looked = time.now();
     looksFrom = looked.plus(Duration.between(begun, looked).multipliedBy(LOOKS_PART - 1));
     for (Preemptor.Plan plan : plans) {
