Late machines are replaced by observed boot times; nobody is given up for the leader's own pause

Done: fleet/BootTimes; late ones count half and then not, by the slowest tenth of late; as many more are asked for as do not come; idle ones are kept for as long as boots take. Also: silence counts from when the process listens again after standing still (a leader whose lease outlives the pause gave up all its workers; found by reasoning, test afterAPauseOfItsOwnTheLeaderGivesNobodyUp), a pause is logged, operators see jobs at fault and suspect machines.

--- a/src/main/java/io/pineladder/Node.java
+++ b/src/main/java/io/pineladder/Node.java
@@ -26,6 +26,10 @@
 public final class Node {
   private static final Logger log = LoggerFactory.getLogger(Node.class);
   private static final Duration TICK = Duration.ofSeconds(2);
+
+  /** A tick that comes so much late is worth a line. */
+  private static final Duration PAUSE = Duration.ofSeconds(1);
+
   private static final Duration WATCH = Duration.ofSeconds(20);
   private static final Duration RETRY = Duration.ofMillis(500);
   private static final Duration TYPES_EVERY = Duration.ofSeconds(60);
@@ -48,6 +52,7 @@
   private OperatorSettings operator = OperatorSettings.DEFAULTS;
   private Instant typesAt;
   private Instant handedOverAt;
+  private Instant tickDue;
   private boolean stopped;
 
   public Node(Settings settings, Timeline time, HttpCaller http, String nonce) {
@@ -279,6 +284,11 @@
     if (stopped) {
       return;
     }
+    Instant now = time.now();
+    if (tickDue != null && tickDue.plus(PAUSE).isBefore(now)) {
+      log.warn("this process stood still or fell behind for {}", Duration.between(tickDue, now));
+    }
+    tickDue = now.plus(TICK);
     if (election.holdsTerm()) {
       Duration every = types.isEmpty() ? TICK : TYPES_EVERY;
       if (typesAt == null || !typesAt.plus(every).isAfter(time.now())) {
--- a/src/main/java/io/pineladder/admin/AdminApi.java
+++ b/src/main/java/io/pineladder/admin/AdminApi.java
@@ -104,7 +104,9 @@
         Json.object()
             .put("term", leader.term())
             .put("jobs", leader.cluster().jobs.size())
-            .put("waiting_writes", leader.waitingWrites());
+            .put("waiting_writes", leader.waitingWrites())
+            .put("jobs_at_fault", leader.scheduler().failures().jobsAtFault())
+            .put("machines_under_suspicion", leader.scheduler().failures().suspects());
     ObjectNode places = out.putObject("entries");
     leader
         .scheduler()
@@ -133,6 +135,8 @@
           .put("used_cpus", machine.used.cpus())
           .put("used_gpus", machine.used.gpus())
           .put("attempts", machine.attempts.size())
+          .put("suspect", machine.suspect)
+          .put("draining", machine.draining)
           .put("images", machine.images.size());
     }
     return out;
--- a/src/main/java/io/pineladder/fleet/Fleet.java
+++ b/src/main/java/io/pineladder/fleet/Fleet.java
@@ -44,15 +44,14 @@
   private static final Duration TICK = Duration.ofSeconds(1);
   private static final Duration TIMEOUT = Duration.ofSeconds(4);
   private static final Duration REFUSED_FOR = Duration.ofSeconds(6);
-  private static final Duration TROUBLE_FOR = Duration.ofSeconds(2);
 
-  /** A booting machine counts on for so many times its type's usual boot time. */
-  private static final double LATE_BOOTS = 2.5;
+  /** A tick that comes so much late shows that this process stood still. */
+  private static final Duration PAUSE = Duration.ofSeconds(2);
 
-  /** A machine that has not come up after so many is returned. */
-  private static final double DEAD_BOOTS = 5;
+  /** How long after a takeover workers are still on their way from node to node. */
+  private static final Duration SETTLING = Duration.ofSeconds(15);
 
-  private static final Duration FORECAST = Duration.ofSeconds(60);
+  private static final Duration TROUBLE_FOR = Duration.ofSeconds(2);
 
   /** The part of the forecast kept ready for jobs that can wait for a machine to boot. */
   private static final double PATIENT_PART = 0.25;
@@ -78,10 +77,19 @@
   private long requests;
   private boolean closed;
   private final Instant startedAt;
+  private Instant tickedAt;
+
+  /**
+   * Since when this process has taken in what came for it. After it stood still, what its workers
+   * sent is yet to be read, and their silence is its own.
+   */
+  private Instant listeningSince;
+
   private final Forecast tightOrdinary = new Forecast();
   private final Forecast tightSpot = new Forecast();
   private final Forecast patientOrdinary = new Forecast();
   private final Forecast patientSpot = new Forecast();
+  private final BootTimes boots = new BootTimes();
   private double meanImageGb;
 
   /** What the fleet asks of the leader. */
@@ -113,30 +121,6 @@
     }
   }
 
-  /** Machines' worth of work arriving per second, as an exponential average. */
-  private static final class Forecast {
-    private double rate;
-    private Instant at;
-
-    void add(double machines, Instant now) {
-      decay(now);
-      rate += machines / FORECAST.toSeconds();
-    }
-
-    double rate(Instant now) {
-      decay(now);
-      return rate;
-    }
-
-    private void decay(Instant now) {
-      if (at != null) {
-        double seconds = Duration.between(at, now).toMillis() / 1000.0;
-        rate *= Math.exp(-seconds / FORECAST.toSeconds());
-      }
-      at = now;
-    }
-  }
-
   public Fleet(
       Cluster cluster,
       Scheduler scheduler,
@@ -158,6 +142,8 @@
     double rps = cluster.settings.cloud().requestsPerSecond() * 0.85;
     this.calls = new RateBudget(rps, Math.max(1, rps * 2), time.now());
     this.startedAt = time.now();
+    this.tickedAt = startedAt;
+    this.listeningSince = startedAt;
   }
 
   public void configure(OperatorSettings next) {
@@ -176,8 +162,12 @@
     if (closed) {
       return;
     }
+    Instant now = time.now();
+    if (now.isAfter(tickedAt.plus(TICK).plus(PAUSE))) {
+      listeningSince = now;
+    }
+    tickedAt = now;
     if (effects.mayAct()) {
-      Instant now = time.now();
       list(now);
       cluster.spotRisk.observe(spotUp(), now);
       findSilent(now);
@@ -388,6 +378,9 @@
    * colombo-ops, where a leader cut from its workers alone went on for a minute.
    */
   private void findRelayed(Instant now) {
+    if (startedAt.plus(SETTLING).isAfter(now)) {
+      return;
+    }
     Instant from = now.minus(cluster.settings.workers().report());
     int heard = 0;
     int relayed = 0;
@@ -418,6 +411,11 @@
 
   /** Since when nothing was heard of a machine that should report, or null if it need not yet. */
   private Instant silentSince(Machine machine) {
+    Instant since = unheardSince(machine);
+    return since == null || since.isAfter(listeningSince) ? since : listeningSince;
+  }
+
+  private Instant unheardSince(Machine machine) {
     return switch (machine.state()) {
       case HEARD, CONFIRMED, SILENT -> machine.heardAt;
       case EXPECTED -> {
@@ -479,6 +477,7 @@
     }
     machine.moveTo(Machine.State.GONE);
     scheduler.failures().forget(machine);
+    boots.forget(machine);
     List<Attempt> lost = List.copyOf(machine.attempts.values());
     records.machineGone(lost);
     for (Attempt attempt : lost) {
@@ -493,12 +492,12 @@
     Map<Boolean, Double> spare = new HashMap<>();
     List<Machine> idle = new ArrayList<>();
     for (Machine machine : cluster.machines()) {
-      Duration age = Duration.between(machine.since, now);
+      boots.observe(machine, now);
       switch (machine.state()) {
         case EXPECTED -> {
           if (!machine.listedRunning
               && machine.attempts.isEmpty()
-              && age.compareTo(times(machine.type.boot(), DEAD_BOOTS)) > 0) {
+              && boots.isLost(machine, now)) {
             log.info("machine {} never came up", machine);
             release(machine);
           }
@@ -536,14 +535,10 @@
   /** An idle machine is kept as long as having one ready again would take. */
   private Duration keepIdle(MachineType type) {
     double fetch = meanImageGb / Math.max(1e-3, type.fetchGbPerSecond());
-    Duration again = type.boot().plusMillis((long) (fetch * 1000));
+    Duration again = boots.usual(type).plusMillis((long) (fetch * 1000));
     return again.compareTo(operator.idleRelease()) > 0 ? again : operator.idleRelease();
   }
 
-  private static Duration times(Duration duration, double factor) {
-    return Duration.ofMillis((long) (duration.toMillis() * factor));
-  }
-
   // ---- renting
 
   /** A job has come in: it counts for the forecast. */
@@ -624,11 +619,9 @@
           continue;
         }
         if (machine.state() == Machine.State.EXPECTED || machine.state() == Machine.State.HEARD) {
-          Duration age = Duration.between(machine.since, now);
-          if (age.compareTo(times(type.boot(), LATE_BOOTS)) < 0) {
-            bootingSpot += machine.spot ? 1 : 0;
-            bootingOrdinary += machine.spot ? 0 : 1;
-          }
+          double counts = boots.weight(machine, now);
+          bootingSpot += machine.spot ? counts : 0;
+          bootingOrdinary += machine.spot ? 0 : counts;
         } else if (machine.takesWork()) {
           double free = Math.max(0, 1 - machine.used.shareOf(type.size()));
           spareSpot += machine.spot ? free : 0;
@@ -643,11 +636,12 @@
               - bootingSpot
               - (want.spotAllowed > 0 ? overOrdinary : 0);
       String zone = heaviest(want.zones);
+      double coming = boots.comingPart(type);
       if (wantOrdinary > 0.05) {
-        ask(type, zone, false, (int) Math.ceil(wantOrdinary), now);
+        ask(type, zone, false, (int) Math.ceil(wantOrdinary / coming), now);
       }
       if (wantSpot > 0.05) {
-        int count = (int) Math.ceil(wantSpot);
+        int count = (int) Math.ceil(wantSpot / coming);
         // Nothing waits yet when it is for the forecast only: then no dearer kind is taken.
         if (!ask(type, zone, true, count, now) && want.spotAllowed > 0.05 && wantOrdinary <= 0.05) {
           ask(type, zone, false, count, now);
@@ -795,7 +789,9 @@
       for (String name : names) {
         if (cluster.machine(name) == null && !released.containsKey(name)) {
           MachineType type = cluster.type(pool.type);
-          cluster.addMachine(new Machine(name, type, pool.zone, pool.spot, time.now()));
+          Machine machine = new Machine(name, type, pool.zone, pool.spot, time.now());
+          machine.rentedHere = true;
+          cluster.addMachine(machine);
         }
       }
     } catch (MalformedException e) {
--- /dev/null
+++ b/src/main/java/io/pineladder/fleet/Forecast.java
@@ -0,0 +1,30 @@
+package io.pineladder.fleet;
+
+import java.time.Duration;
+import java.time.Instant;
+
+/** Machines' worth of work arriving per second, as an exponential average. */
+final class Forecast {
+  private static final Duration MEMORY = Duration.ofSeconds(60);
+
+  private double rate;
+  private Instant at;
+
+  void add(double machines, Instant now) {
+    decay(now);
+    rate += machines / MEMORY.toSeconds();
+  }
+
+  double rate(Instant now) {
+    decay(now);
+    return rate;
+  }
+
+  private void decay(Instant now) {
+    if (at != null) {
+      double seconds = Duration.between(at, now).toMillis() / 1000.0;
+      rate *= Math.exp(-seconds / MEMORY.toSeconds());
+    }
+    at = now;
+  }
+}
--- a/src/main/java/io/pineladder/model/Machine.java
+++ b/src/main/java/io/pineladder/model/Machine.java
@@ -72,6 +72,9 @@
   /** Since when it has had no work, or null. */
   public Instant idleSince;
 
+  /** This leader rented it, so the time of its request is known exactly. */
+  public boolean rentedHere;
+
   /** It is known from placements that an earlier leader stored. */
   public boolean recorded;
 
