Idle machines go after 10 s while there is plenty of room; relays end with the leader

Done: where images are fetched sooner than machines boot and twice the room to have ready is left, an idle machine goes after idle_release_s, now 10 s; all others wait as before.

--- a/src/main/java/io/pineladder/Node.java
+++ b/src/main/java/io/pineladder/Node.java
@@ -117,7 +117,8 @@
 
     @Override
     public void resign(String reason) {
-      election.lose(reason);
+      // Whatever stopped this node may not stop the others.
+      election.yield(reason);
     }
 
     @Override
--- a/src/main/java/io/pineladder/fleet/BootTimes.java
+++ b/src/main/java/io/pineladder/fleet/BootTimes.java
@@ -28,7 +28,13 @@
   private static final double USUAL = 1.6;
 
   /** Longer than the slowest tenth of late by this is late. */
-  private static final double MARGIN = 1.25;
+  private static final double MARGIN = 1.1;
+
+  /** A machine that is late by this is not counted on any more. */
+  private static final double VERY = 1.5;
+
+  /** Before so many times the nominal time nothing is given up. */
+  private static final double LEAST_WAIT = 4;
 
   /** What is known of a type: each boot as a part of the nominal time, and whether it came. */
   private static final class Record {
@@ -116,12 +122,13 @@
   double weight(Machine machine, Instant now) {
     double parts = parts(machine, now);
     double late = slowest(machine.type);
-    return parts < late ? 1 : parts < 1.5 * late ? 0.5 : 0;
+    return parts < late ? 1 : parts < VERY * late ? 0.5 : 0;
   }
 
   /** Whether a machine has been waited for in vain for long enough. */
   boolean isLost(Machine machine, Instant now) {
-    return parts(machine, now) > Math.max(4, 2 * slowest(machine.type));
+    // It is charged as long as it is waited for.
+    return parts(machine, now) > Math.max(LEAST_WAIT, MARGIN * slowest(machine.type));
   }
 
   /** The part of the machines rented that came up in time; cautious before much was seen. */
--- a/src/main/java/io/pineladder/fleet/Fleet.java
+++ b/src/main/java/io/pineladder/fleet/Fleet.java
@@ -53,6 +53,9 @@
 
   private static final Duration TROUBLE_FOR = Duration.ofSeconds(2);
 
+  /** So many times the room to have ready is plenty: idle machines need not wait any longer. */
+  private static final double SURPLUS = 2;
+
   /** The part of the forecast kept ready for jobs that can wait for a machine to boot. */
   private static final double PATIENT_PART = 0.25;
 
@@ -513,8 +516,8 @@
           } else if (machine.takesWork()) {
             double free = 1 - machine.used.shareOf(machine.type.size());
             spare.merge(machine.spot, free, Double::sum);
-            Duration keep = quiet ? operator.idleRelease() : keepIdle(machine.type);
-            if (machine.idleSince != null && machine.idleSince.plus(keep).isBefore(now)) {
+            Duration least = operator.idleRelease();
+            if (machine.idleSince != null && machine.idleSince.plus(least).isBefore(now)) {
               idle.add(machine);
             }
           }
@@ -525,13 +528,23 @@
     idle.sort(Comparator.comparing(m -> m.idleSince));
     for (Machine machine : idle) {
       double left = spare.get(machine.spot) - 1;
-      if (quiet || left >= headroom(machine.spot, machine.type, now)) {
+      double ready = headroom(machine.spot, machine.type, now);
+      boolean surplus = copiesAreCheap(machine.type) && left >= SURPLUS * ready + 1;
+      Duration keep = keepIdle(machine.type);
+      boolean waited = machine.idleSince.plus(keep).isBefore(now);
+      if (quiet || surplus || (waited && left >= ready)) {
         spare.put(machine.spot, left);
         release(machine);
       }
     }
   }
 
+  /** Whether a usual image is fetched sooner than a machine boots, so that any room is as good. */
+  private boolean copiesAreCheap(MachineType type) {
+    double fetch = meanImageGb / Math.max(1e-3, type.fetchGbPerSecond());
+    return fetch * 1000 < type.boot().toMillis();
+  }
+
   /** An idle machine is kept as long as having one ready again would take. */
   private Duration keepIdle(MachineType type) {
     double fetch = meanImageGb / Math.max(1e-3, type.fetchGbPerSecond());
--- a/src/main/java/io/pineladder/front/Front.java
+++ b/src/main/java/io/pineladder/front/Front.java
@@ -53,6 +53,9 @@
   /** When each worker was last sent to the leader, or its report handed on. */
   private final Map<String, Instant> redirects = new LinkedHashMap<>();
 
+  /** The leader that those workers were sent to. */
+  private RecordWire.LeaderRecord redirectedTo;
+
   private final Metrics metrics;
   private final AdminApi admin;
   private Instant peerAt;
@@ -581,6 +584,12 @@
       return;
     }
     Instant now = node.time().now();
+    if (other && !known.equals(redirectedTo)) {
+      // That a worker did not reach an earlier leader says nothing of this one. Otherwise reports
+      // once handed on would be handed on for ever, and each new leader make way in its turn.
+      redirects.clear();
+      redirectedTo = known;
+    }
     Instant redirected = redirects.get(report.machine());
     if (other
         && redirected != null
