A new leader knows how large images are; no quick returns while boots are bad

Done: the mean comes from the jobs known at the start, the default of idle_release_s is 30 s again and a third of it counts while there is plenty of room and boots are as usual. Tests: aNewLeaderKeepsIdleMachinesWhereImagesAreSlowToFetch, BootTimesTest.

--- a/src/main/java/io/pineladder/fleet/BootTimes.java
+++ b/src/main/java/io/pineladder/fleet/BootTimes.java
@@ -36,6 +36,12 @@
   /** Before so many times the nominal time nothing is given up. */
   private static final double LEAST_WAIT = 4;
 
+  /** Boots that take so many times the nominal time on average are slow. */
+  private static final double SLOW = 1.75;
+
+  /** With fewer of the machines coming up, room is not easily had again. */
+  private static final double MOST = 0.8;
+
   /** What is known of a type: each boot as a part of the nominal time, and whether it came. */
   private static final class Record {
     final Deque<Double> took = new ArrayDeque<>();
@@ -96,7 +102,7 @@
   }
 
   private void tell(MachineType type, Record of) {
-    boolean slow = usual(of) > 2;
+    boolean slow = usual(of) >= SLOW;
     if (slow != of.slow) {
       of.slow = slow;
       log.info("machines of {} boot {}: {}", type.name(), slow ? "slowly" : "as usual", usual(type));
@@ -131,6 +137,11 @@
     return parts(machine, now) > Math.max(LEAST_WAIT, MARGIN * slowest(machine.type));
   }
 
+  /** Whether a machine rented now is likely to be up about when its type says. */
+  boolean areUsual(MachineType type) {
+    return usual(of(type)) < SLOW && comingPart(type) > MOST;
+  }
+
   /** The part of the machines rented that came up in time; cautious before much was seen. */
   double comingPart(MachineType type) {
     Record of = of(type);
--- a/src/main/java/io/pineladder/fleet/Fleet.java
+++ b/src/main/java/io/pineladder/fleet/Fleet.java
@@ -53,9 +53,12 @@
 
   private static final Duration TROUBLE_FOR = Duration.ofSeconds(2);
 
-  /** So many times the room to have ready is plenty: idle machines need not wait any longer. */
+  /** So many times the room to have ready is plenty: idle machines need not wait for long. */
   private static final double SURPLUS = 2;
 
+  /** An idle machine that is not needed even then waits for this part of the usual least time. */
+  private static final int SURPLUS_PART = 3;
+
   /** The part of the forecast kept ready for jobs that can wait for a machine to boot. */
   private static final double PATIENT_PART = 0.25;
 
@@ -154,6 +157,10 @@
   }
 
   public void start() {
+    // A new leader must not take images for small until the next job comes: it would return idle
+    // machines with images that take minutes to fetch.
+    meanImageGb =
+        cluster.jobs.values().stream().mapToDouble(j -> j.spec.imageGb()).average().orElse(0);
     tick();
   }
 
@@ -516,7 +523,7 @@
           } else if (machine.takesWork()) {
             double free = 1 - machine.used.shareOf(machine.type.size());
             spare.merge(machine.spot, free, Double::sum);
-            Duration least = operator.idleRelease();
+            Duration least = operator.idleRelease().dividedBy(SURPLUS_PART);
             if (machine.idleSince != null && machine.idleSince.plus(least).isBefore(now)) {
               idle.add(machine);
             }
@@ -529,20 +536,23 @@
     for (Machine machine : idle) {
       double left = spare.get(machine.spot) - 1;
       double ready = headroom(machine.spot, machine.type, now);
-      boolean surplus = copiesAreCheap(machine.type) && left >= SURPLUS * ready + 1;
-      Duration keep = keepIdle(machine.type);
+      boolean surplus = roomIsCheap(machine.type) && left >= SURPLUS * ready + 1;
+      Duration keep = quiet ? operator.idleRelease() : keepIdle(machine.type);
       boolean waited = machine.idleSince.plus(keep).isBefore(now);
-      if (quiet || surplus || (waited && left >= ready)) {
+      if (quiet ? waited : surplus || (waited && left >= ready)) {
         spare.put(machine.spot, left);
         release(machine);
       }
     }
   }
 
-  /** Whether a usual image is fetched sooner than a machine boots, so that any room is as good. */
-  private boolean copiesAreCheap(MachineType type) {
+  /**
+   * Whether room is easily had again: a usual image is fetched sooner than a machine boots, and
+   * machines boot as they should.
+   */
+  private boolean roomIsCheap(MachineType type) {
     double fetch = meanImageGb / Math.max(1e-3, type.fetchGbPerSecond());
-    return fetch * 1000 < type.boot().toMillis();
+    return meanImageGb > 0 && fetch * 1000 < type.boot().toMillis() && boots.areUsual(type);
   }
 
   /** An idle machine is kept as long as having one ready again would take. */
--- a/src/main/java/io/pineladder/model/OperatorSettings.java
+++ b/src/main/java/io/pineladder/model/OperatorSettings.java
@@ -10,5 +10,5 @@
           Duration.ofSeconds(1),
           Duration.ofSeconds(10),
           Duration.ofSeconds(1),
-          Duration.ofSeconds(10));
+          Duration.ofSeconds(30));
 }
--- a/src/test/java/io/pineladder/fleet/BootTimesTest.java
+++ b/src/test/java/io/pineladder/fleet/BootTimesTest.java
@@ -58,6 +58,7 @@
     assertFalse(boots.isLost(next, after(48)));
     assertTrue(boots.isLost(next, after(49)));
     assertEquals(Duration.ofSeconds(40), boots.usual(TYPE));
+    assertFalse(boots.areUsual(TYPE));
   }
 
   @Test
@@ -77,5 +78,6 @@
     boots.observe(old, after(300));
     comes(old, 301);
     assertEquals(TYPE.boot(), boots.usual(TYPE));
+    assertTrue(boots.areUsual(TYPE));
   }
 }
--- a/src/test/java/io/pineladder/workers/LeaderHarness.java
+++ b/src/test/java/io/pineladder/workers/LeaderHarness.java
@@ -38,13 +38,6 @@
       new MachineType(
           "g4", Resources.of(16, 4, 64), 50, 0.1, 4, 1, Duration.ofSeconds(10), List.of("a", "b"));
 
-  private static final OperatorSettings OPERATOR =
-      new OperatorSettings(
-          Duration.ofSeconds(1),
-          Duration.ofSeconds(10),
-          Duration.ofSeconds(1),
-          Duration.ofSeconds(30));
-
   /** A request that went out and waits for its reply. */
   record Sent(HttpCaller.Request request, Consumer<HttpCaller.Reply> onReply) {}
 
@@ -79,7 +72,7 @@
             cluster,
             this,
             TERM,
-            OPERATOR,
+            OperatorSettings.DEFAULTS,
             new Scheduler.Effects() {
               @Override
               public boolean mayAct() {
@@ -129,7 +122,7 @@
             http,
             this,
             TERM,
-            OPERATOR,
+            OperatorSettings.DEFAULTS,
             new Fleet.Effects() {
               @Override
               public boolean mayAct() {
--- a/src/test/java/io/pineladder/workers/WorkersTest.java
+++ b/src/test/java/io/pineladder/workers/WorkersTest.java
@@ -252,6 +252,33 @@
     }
   }
 
+  /**
+   * Found on the first laval: right after a takeover images were taken for small, and idle machines
+   * whose images take minutes to fetch were returned as if any other were as good.
+   */
+  @Test
+  void aNewLeaderKeepsIdleMachinesWhereImagesAreSlowToFetch() {
+    leader.accept(LeaderHarness.spec("req-000001", Shape.SERVICE, Rank.PRODUCTION, 1, "i"));
+    leader.fleet.start();
+    for (int second = 0; second < 40; second++) {
+      for (int i = 0; i < 6; i++) {
+        List<TaskReport> tasks =
+            second == 0
+                ? List.of()
+                : leader.cluster.machine("m-" + i).attempts.values().stream()
+                    .filter(a -> a.state() != Attempt.State.STORING)
+                    .map(a -> LeaderHarness.task(a, TaskState.RUNNING))
+                    .toList();
+        leader.report("m-" + i, 1 + second, tasks.toArray(TaskReport[]::new));
+      }
+      leader.runFor(Duration.ofMillis(640));
+    }
+    for (int i = 0; i < 6; i++) {
+      // 5 GB at 0.1 GB a second and 10 s of booting: having one ready again takes a minute.
+      assertEquals(Machine.State.CONFIRMED, leader.cluster.machine("m-" + i).state());
+    }
+  }
+
   /** Found by the bench's run of real processes: idle machines stayed rented after the last job. */
   @Test
   void withoutAnyJobIdleMachinesGoSoon() {
@@ -427,12 +454,7 @@
       leader.report("m-" + i, 1);
     }
     JobSpec cpus = LeaderHarness.spec("req-000001", Shape.ARRAY, Rank.LOW, 4, "i");
-    Job tiny =
-        leader.accept(
-            new JobSpec(
-                cpus.id(), cpus.jobClass(), cpus.team(), cpus.shape(), cpus.rank(), 4,
-                Resources.of(1, 0, 1), null, null, false, false, true, "i", 5, cpus.estimate(),
-                Duration.ZERO, Duration.ZERO, null));
+    Job tiny = leader.accept(of(cpus, Resources.of(1, 0, 1)));
     Job low = leader.accept(LeaderHarness.spec("req-000002", Shape.ARRAY, Rank.LOW, 16, "i"));
     assertTrue(low.pending.isEmpty());
     for (Attempt attempt : leader.attempts()) {
@@ -456,28 +478,33 @@
     for (Attempt attempt : leader.attempts()) {
       leader.scheduler.seen(attempt, Attempt.State.RUNNING);
     }
-    JobSpec like = LeaderHarness.spec("req-000002", Shape.GANG, Rank.HIGH, 4, "i");
-    leader.accept(gangOf(like, "req-000002", 4));
+    Resources whole = Resources.of(16, 4, 64);
+    leader.accept(of(LeaderHarness.spec("req-000002", Shape.GANG, Rank.HIGH, 4, "i"), whole));
     assertEquals(
         0, low.attempts.values().stream().filter(WorkersTest::isStopped).count(),
         "three machines are no room for four");
-    Job gang = leader.accept(gangOf(like, "req-000003", 2));
+    Job gang =
+        leader.accept(of(LeaderHarness.spec("req-000003", Shape.GANG, Rank.HIGH, 2, "i"), whole));
     assertEquals(8, low.attempts.values().stream().filter(WorkersTest::isStopped).count());
     for (int i = 0; i < 3; i++) {
       TaskReport[] tasks =
           leader.cluster.machine("m-" + i).attempts.values().stream()
-              .map(a -> a.isWanted() ? LeaderHarness.task(a, TaskState.RUNNING) : exited(a, Cause.STOPPED))
+              .map(
+                  a ->
+                      a.isWanted()
+                          ? LeaderHarness.task(a, TaskState.RUNNING)
+                          : exited(a, Cause.STOPPED))
               .toArray(TaskReport[]::new);
       leader.report("m-" + i, 2, tasks);
     }
     assertEquals(2, gang.attempts.size(), "the freed rooms are the gang's");
   }
 
-  /** A gang each of whose tasks takes a whole machine. */
-  private static JobSpec gangOf(JobSpec like, String id, int tasks) {
+  /** The same job with other tasks, which a gang must have together. */
+  private static JobSpec of(JobSpec like, Resources each) {
     return new JobSpec(
-        id, like.jobClass(), like.team(), Shape.GANG, like.rank(), tasks,
-        Resources.of(16, 4, 64), null, null, true, false, true, "i", 5, like.estimate(),
+        like.id(), like.jobClass(), like.team(), like.shape(), like.rank(), like.tasks(), each,
+        null, null, like.shape() == Shape.GANG, false, true, like.image(), 5, like.estimate(),
         Duration.ZERO, Duration.ZERO, null);
   }
 
@@ -491,13 +518,8 @@
     for (int i = 0; i < 40; i++) {
       leader.report("m-" + i, 1);
     }
-    JobSpec like = LeaderHarness.spec("req-000001", Shape.ARRAY, Rank.NORMAL, 4, "i");
-    Job huge =
-        leader.accept(
-            new JobSpec(
-                like.id(), like.jobClass(), like.team(), like.shape(), like.rank(), 1000,
-                Resources.of(0.25, 0, 0.5), null, null, false, false, true, "i", 5,
-                like.estimate(), Duration.ZERO, Duration.ZERO, null));
+    JobSpec many = LeaderHarness.spec("req-000001", Shape.ARRAY, Rank.NORMAL, 1000, "i");
+    Job huge = leader.accept(of(many, Resources.of(0.25, 0, 0.5)));
     leader.runFor(Duration.ofMillis(500));
     assertTrue(huge.attempts.size() <= 240, "at once: " + huge.attempts.size());
     Job small = leader.accept(LeaderHarness.spec("req-000002", Shape.ARRAY, Rank.LOW, 8, "i"));
