Work for idle time neither rents nor keeps ordinary machines; quick returns only after good boots

Done: an ordinary machine on which only such work that saves its progress runs counts as idle; when it is not needed the work saves and goes elsewhere.

--- a/src/main/java/io/pineladder/fleet/BootTimes.java
+++ b/src/main/java/io/pineladder/fleet/BootTimes.java
@@ -28,17 +28,20 @@
   private static final double USUAL = 1.6;
 
   /** Longer than the slowest tenth of late by this is late. */
-  private static final double MARGIN = 1.1;
+  private static final double MARGIN = 1.25;
 
   /** A machine that is late by this is not counted on any more. */
   private static final double VERY = 1.5;
 
   /** Before so many times the nominal time nothing is given up. */
-  private static final double LEAST_WAIT = 4;
+  private static final double LEAST_WAIT = 5;
 
   /** Boots that take so many times the nominal time on average are slow. */
   private static final double SLOW = 1.75;
 
+  /** Boots to have seen before they are called usual. */
+  private static final int SEEN = 4;
+
   /** With fewer of the machines coming up, room is not easily had again. */
   private static final double MOST = 0.8;
 
@@ -134,12 +137,16 @@
   /** Whether a machine has been waited for in vain for long enough. */
   boolean isLost(Machine machine, Instant now) {
     // It is charged as long as it is waited for.
-    return parts(machine, now) > Math.max(LEAST_WAIT, MARGIN * slowest(machine.type));
+    return parts(machine, now) > Math.max(LEAST_WAIT, slowest(machine.type));
   }
 
-  /** Whether a machine rented now is likely to be up about when its type says. */
+  /**
+   * Whether a machine rented now is likely to be up about when its type says, as far as has been
+   * seen: a new leader that has seen no boots yet must not count on good ones.
+   */
   boolean areUsual(MachineType type) {
-    return usual(of(type)) < SLOW && comingPart(type) > MOST;
+    Record of = of(type);
+    return of.took.size() >= SEEN && usual(of) < SLOW && comingPart(type) > MOST;
   }
 
   /** The part of the machines rented that came up in time; cautious before much was seen. */
--- a/src/main/java/io/pineladder/fleet/Fleet.java
+++ b/src/main/java/io/pineladder/fleet/Fleet.java
@@ -48,6 +48,9 @@
   /** A tick that comes so much late shows that this process stood still. */
   private static final Duration PAUSE = Duration.ofSeconds(2);
 
+  /** Work for idle time that has waited so long gets ordinary machines after all. */
+  private static final Duration IDLE_TIME_WAITS = Duration.ofMinutes(10);
+
   /** How long after a takeover workers are still on their way from node to node. */
   private static final Duration SETTLING = Duration.ofSeconds(15);
 
@@ -513,7 +516,7 @@
           }
         }
         case CONFIRMED -> {
-          if (!machine.attempts.isEmpty()) {
+          if (!isIdle(machine)) {
             machine.idleSince = null;
           } else if (machine.idleSince == null) {
             machine.idleSince = now;
@@ -521,8 +524,7 @@
           if (machine.draining && machine.attempts.isEmpty()) {
             release(machine);
           } else if (machine.takesWork()) {
-            double free = 1 - machine.used.shareOf(machine.type.size());
-            spare.merge(machine.spot, free, Double::sum);
+            spare.merge(machine.spot, free(machine), Double::sum);
             Duration least = operator.idleRelease().dividedBy(SURPLUS_PART);
             if (machine.idleSince != null && machine.idleSince.plus(least).isBefore(now)) {
               idle.add(machine);
@@ -541,11 +543,39 @@
       boolean waited = machine.idleSince.plus(keep).isBefore(now);
       if (quiet ? waited : surplus || (waited && left >= ready)) {
         spare.put(machine.spot, left);
-        release(machine);
+        empty(machine);
       }
     }
   }
 
+  /** Returns a machine that is not needed; work for idle time saves first and goes elsewhere. */
+  private void empty(Machine machine) {
+    if (machine.attempts.isEmpty()) {
+      release(machine);
+      return;
+    }
+    machine.draining = true;
+    cluster.refresh(machine);
+    List.copyOf(machine.attempts.values()).forEach(scheduler::displace);
+  }
+
+  /**
+   * Whether nothing is there that an ordinary machine is worth to: work for idle time fills it, but
+   * does not keep it. Found on colombo-ops, where a guest's kept a thousand rented.
+   */
+  private boolean isIdle(Machine machine) {
+    if (machine.attempts.isEmpty()) {
+      return true;
+    }
+    return !machine.spot
+        && machine.attempts.values().stream()
+            .allMatch(a -> a.job.spec.savesWork() && isForIdleTime(a.job));
+  }
+
+  private double free(Machine machine) {
+    return isIdle(machine) ? 1 : Math.max(0, 1 - machine.used.shareOf(machine.type.size()));
+  }
+
   /**
    * Whether room is easily had again: a usual image is fetched sooner than a machine boots, and
    * machines boot as they should.
@@ -618,6 +648,10 @@
   /** Machines wanted of a type, by what they may be. */
   private static final class Want {
     double spotAllowed;
+
+    /** The part of those that an ordinary machine is worth to. */
+    double pressing;
+
     double ordinary;
     final Map<String, Double> zones = new HashMap<>();
   }
@@ -646,7 +680,7 @@
           bootingSpot += machine.spot ? counts : 0;
           bootingOrdinary += machine.spot ? 0 : counts;
         } else if (machine.takesWork()) {
-          double free = Math.max(0, 1 - machine.used.shareOf(type.size()));
+          double free = free(machine);
           spareSpot += machine.spot ? free : 0;
           spareOrdinary += machine.spot ? 0 : free;
         }
@@ -666,8 +700,10 @@
       if (wantSpot > 0.05) {
         int count = (int) Math.ceil(wantSpot / coming);
         // Nothing waits yet when it is for the forecast only: then no dearer kind is taken.
-        if (!ask(type, zone, true, count, now) && want.spotAllowed > 0.05 && wantOrdinary <= 0.05) {
-          ask(type, zone, false, count, now);
+        boolean asked = ask(type, zone, true, count, now);
+        double pressing = Math.min(wantSpot, want.pressing);
+        if (!asked && pressing > 0.05 && wantOrdinary <= 0.05) {
+          ask(type, zone, false, (int) Math.ceil(pressing / coming), now);
         }
       }
     }
@@ -714,6 +750,7 @@
       boolean avoidsSpot = cluster.avoidsSpot(job, time.timeOfDay()) && !isRefused(type, false);
       if (spec.spotAllowed() && !avoidsSpot) {
         want.spotAllowed += machines;
+        want.pressing += isForIdleTime(job) ? 0 : machines;
       } else {
         want.ordinary += machines;
       }
@@ -724,6 +761,18 @@
     return wants;
   }
 
+  /**
+   * Work of the lowest rank of which nothing is expected: it fills what is idle and spot machines.
+   * Found on colombo-ops: a guest's work for idle time had every ordinary machine rented.
+   */
+  private boolean isForIdleTime(Job job) {
+    Instant today = time.timeOfDay();
+    return job.spec.rank() == Rank.LOW
+        && job.spec.deadline() == null
+        && cluster.hasNoObjective(job)
+        && job.acceptedAt.plus(IDLE_TIME_WAITS).isAfter(today);
+  }
+
   /** Whether the cloud has lately refused this kind in every zone. */
   private boolean isRefused(MachineType type, boolean spot) {
     Instant now = time.now();
--- a/src/main/java/io/pineladder/scheduling/Cluster.java
+++ b/src/main/java/io/pineladder/scheduling/Cluster.java
@@ -107,6 +107,11 @@
     return spotRisk.likelihood(machines, spec.estimate()) > LIKELY;
   }
 
+  /** Whether the operators expect nothing of the job's class. */
+  public boolean hasNoObjective(Job job) {
+    return objectives.expectNothingOf(job);
+  }
+
   public Team team(String name) {
     return teams.get(name);
   }
--- a/src/main/java/io/pineladder/scheduling/Objectives.java
+++ b/src/main/java/io/pineladder/scheduling/Objectives.java
@@ -38,6 +38,10 @@
     return allowance;
   }
 
+  boolean expectNothingOf(Job job) {
+    return settings.objectives().stream().noneMatch(o -> until(job.spec, o) != null);
+  }
+
   /**
    * Whether the job can keep an objective on its end if its tasks run through from now on, and not
    * if one of them is lost on the way and has to start anew.
