A job read before its own commit is heard of is held once; late cancellations return the machine

Two copies of the job in memory ran its task twice and started it after its cancellation. Done: on its commit a job that is there already is not added again. Also: where a cancelled job's unanswered start can no longer be made known and ended in time, as after a pause, the machine is returned, which is the only proof left. Test: aJobReadBeforeItsOwnCommitIsHeardOfIsThereOnce.

--- a/src/main/java/io/pineladder/Leader.java
+++ b/src/main/java/io/pineladder/Leader.java
@@ -183,6 +183,11 @@
               public void onMachine(Machine machine) {
                 log.debug("machine {} reports", machine);
               }
+
+              @Override
+              public void onUnprovable(Machine machine) {
+                time.after(Duration.ZERO, () -> fleet.release(machine));
+              }
             });
     this.fleet =
         new Fleet(
@@ -710,8 +715,12 @@
                   spec.shape(),
                   spec.jobClass(),
                   spec.team());
-              scheduler.add(job);
-              fleet.accepted(job);
+              // A poll may have read the record, and taken the job up, before this node heard of its
+              // own commit. Two copies of one job in memory would run its tasks twice.
+              if (!cluster.jobs.containsKey(id)) {
+                scheduler.add(job);
+                fleet.accepted(job);
+              }
               all.forEach(each -> each.accept(JobWire.Status.PENDING));
             },
             () -> {
--- a/src/main/java/io/pineladder/workers/Workers.java
+++ b/src/main/java/io/pineladder/workers/Workers.java
@@ -57,6 +57,9 @@
 
     /** A machine nobody expected reports. */
     void onMachine(Machine machine);
+
+    /** What a cancelled job has there can no longer be proven gone in time, but by its return. */
+    void onUnprovable(Machine machine);
   }
 
   public Workers(
@@ -422,6 +425,9 @@
           boolean again = attempt.doubtful && !direct;
           if (attempt.isWanted() ? attempt.sentSession == 0 || again : again) {
             if (!attempt.isWanted() && attempt.job.endStored && isLate(attempt)) {
+              // Too late to make its start known and ended: only the machine's return keeps a late
+              // copy of it from running. Found by the simulation, after a leader stood still.
+              listener.onUnprovable(machine);
               continue;
             }
             orders.start(job, attempt.task, attempt.number);
--- a/src/test/java/io/pineladder/sim/ClusterSimulationTest.java
+++ b/src/test/java/io/pineladder/sim/ClusterSimulationTest.java
@@ -305,6 +305,16 @@
     assertTrue(late.done, "served while the cut lasts");
   }
 
+  /**
+   * Found by the simulation once users asked more often: a poll read the record of a job whose
+   * creation the leader had sent but not heard of, and the leader then held the job twice.
+   */
+  @Test
+  void aJobReadBeforeItsOwnCommitIsHeardOfIsThereOnce() {
+    begin(3145);
+    theRulesHoldOnADay();
+  }
+
   /** Twelve days; more by hand with {@code -Dpineladder.days=1000 -Dpineladder.first=1}. */
   static LongStream seeds() {
     long first = Long.getLong("pineladder.first", 1);
@@ -315,6 +325,10 @@
   @MethodSource("seeds")
   void theRulesHoldUnderFaultsTogether(long seed) {
     begin(seed);
+    theRulesHoldOnADay();
+  }
+
+  private void theRulesHoldOnADay() {
     world.runFor(Duration.ofSeconds(4));
     world.lossy = 0.03;
     for (int step = 0; step < 60; step++) {
--- a/src/test/java/io/pineladder/workers/LeaderHarness.java
+++ b/src/test/java/io/pineladder/workers/LeaderHarness.java
@@ -164,6 +164,11 @@
 
               @Override
               public void onMachine(Machine machine) {}
+
+              @Override
+              public void onUnprovable(Machine machine) {
+                fleetLater[0].release(machine);
+              }
             });
     later[0] = workers;
   }
