Accepted jobs share pages of the store: a burst of submissions no longer costs a change each

Need: each acceptance was one change of the store and each end two; on the larger fleets a burst (the start, the end of an outage) met 35 changes a second and was refused for half a minute. Change: a leader packs the jobs it accepts into pages (store/JobPages). A job leaves its page in the very transaction that stores its final state, so a page's next value is made from the changes of one transaction. Nodes without a leader still store a job under a key of its own; they find paged jobs by an index that one request for the changes makes fresh (store/JobIndex). A job stored both ways is one job: the end asks that no copy is left, or takes it along. A description that is too long for a value of the store is refused with 422; before, the store called the leader's transaction malformed and the term ended.

--- a/src/main/java/io/pineladder/Leader.java
+++ b/src/main/java/io/pineladder/Leader.java
@@ -156,6 +156,11 @@
                 removals++;
                 cluster.removeJob(job);
               }
+
+              @Override
+              public void onStoredTwice(Job job, Runnable again) {
+                Leader.this.onStoredTwice(job, again);
+              }
             });
     scheduler.useRecords(records);
     BooleanSupplier mayAct = this::mayAct;
@@ -332,6 +337,7 @@
         List.of(
             new Step(Keys.INBOX, listing -> stored.inbox = listing),
             new Step(Keys.JOB, listing -> stored.jobs = listing),
+            new Step(Keys.ACCEPTED, listing -> stored.accepted = listing),
             new Step(Keys.DONE, listing -> stored.done = listing),
             new Step(Keys.PLACED, listing -> stored.placed = listing),
             new Step(Keys.IMAGES, listing -> stored.images = listing));
@@ -344,6 +350,7 @@
   private static final class Stored {
     StoreClient.Listing inbox;
     StoreClient.Listing jobs;
+    StoreClient.Listing accepted;
     StoreClient.Listing done;
     StoreClient.Listing placed;
     StoreClient.Listing images;
@@ -398,12 +405,24 @@
           return;
         }
       }
-      for (StoreWire.Entry entry : stored.jobs.entries()) {
-        committer.known(entry.key(), entry.version());
-        Job job = toJob(entry);
+      stored.accepted.entries().forEach(page -> records.knownJobs(page.key()));
+      for (Paged<JsonNode> record : readPages(stored.accepted, entry -> entry)) {
+        Job job = toJob(record.entry);
+        records.knownJob(record.page, job, record.entry);
         found.put(job.spec.id(), job);
         ordered.add(job);
       }
+      for (StoreWire.Entry entry : stored.jobs.entries()) {
+        committer.known(entry.key(), entry.version());
+        Job job = toJob(entry.value());
+        Job paged = found.putIfAbsent(job.spec.id(), job);
+        if (paged == null) {
+          ordered.add(job);
+        } else {
+          // A node that did not reach the leader of the time stored it again.
+          records.knownTwice(paged, true);
+        }
+      }
       restoreDone(stored.done, found);
       // The pages are in the order of their keys; what was cached of a machine is a guess anyway.
       for (Paged<RecordWire.StoredImages> images :
@@ -507,8 +526,8 @@
     }
   }
 
-  private static Job toJob(StoreWire.Entry entry) throws MalformedException {
-    RecordWire.StoredJob stored = RecordWire.parseJob(entry.value());
+  private static Job toJob(JsonNode record) throws MalformedException {
+    RecordWire.StoredJob stored = RecordWire.parseJob(record);
     Job job = new Job(stored.spec(), stored.acceptedAt(), stored.state());
     job.atFault = stored.atFault();
     return job;
@@ -579,11 +598,16 @@
       onDone.accept(new Lookup(cluster.jobs.get(id), null));
       return;
     }
+    if (accepting.containsKey(id)) {
+      // Whether it is stored in a page will show; a record of its own may be a second copy.
+      onDone.accept(null);
+      return;
+    }
     long before = removals;
     store.read(
         Keys.JOB + id,
         read -> {
-          if (state != State.LEADING || !read.certain()) {
+          if (state != State.LEADING || !read.certain() || accepting.containsKey(id)) {
             onDone.accept(null);
             return;
           }
@@ -602,7 +626,7 @@
             return;
           }
           try {
-            Job job = toJob(read.entry());
+            Job job = toJob(read.entry().value());
             committer.known(read.entry().key(), read.entry().version());
             scheduler.add(job);
             fleet.accepted(job);
@@ -615,6 +639,27 @@
         });
   }
 
+  /** Looks for the copy of a job's record that another node has stored, so that it goes too. */
+  private void onStoredTwice(Job job, Runnable again) {
+    String key = Keys.JOB + job.spec.id();
+    store.read(
+        key,
+        read -> {
+          if (state != State.LEADING) {
+            return;
+          }
+          if (!read.certain()) {
+            time.after(RETRY, () -> onStoredTwice(job, again));
+            return;
+          }
+          if (read.found()) {
+            committer.known(key, read.entry().version());
+          }
+          records.knownTwice(job, read.found());
+          again.run();
+        });
+  }
+
   /** What a look into the store gave: a live job, a final state, or neither. */
   private record Lookup(Job job, JobWire.Status ended) {}
 
@@ -702,41 +747,40 @@
     first.add(onDone);
     accepting.put(id, first);
     Job job = new Job(spec, time.timeOfDay(), Job.State.ACTIVE);
-    committer.submit(
-        Mutation.create(
-            records.newJob(job),
-            List.of(Keys.END + id),
-            () -> {
-              List<Consumer<JobWire.Status>> all = accepting.remove(id);
-              log.debug(
-                  "job {} accepted: {} x {} of {} for {}",
-                  id,
-                  spec.tasks(),
-                  spec.shape(),
-                  spec.jobClass(),
-                  spec.team());
-              // A poll may have read the record, and taken the job up, before this node heard of its
-              // own commit. Two copies of one job in memory would run its tasks twice.
-              if (!cluster.jobs.containsKey(id)) {
-                scheduler.add(job);
-                fleet.accepted(job);
-              }
-              all.forEach(each -> each.accept(JobWire.Status.PENDING));
-            },
-            () -> {
-              List<Consumer<JobWire.Status>> all = accepting.remove(id);
-              adopt(
-                  id,
-                  lookup -> {
-                    JobWire.Status status =
-                        lookup == null
-                            ? null
-                            : lookup.job() != null
-                                ? viewOf(lookup.job()).status()
-                                : lookup.ended();
-                    all.forEach(each -> each.accept(status));
-                  });
-            }));
+    records.accept(job, () -> accepted(job), () -> acceptedElsewhere(id));
+  }
+
+  private void accepted(Job job) {
+    String id = job.spec.id();
+    List<Consumer<JobWire.Status>> all = accepting.remove(id);
+    log.debug(
+        "job {} accepted: {} x {} of {} for {}",
+        id,
+        job.spec.tasks(),
+        job.spec.shape(),
+        job.spec.jobClass(),
+        job.spec.team());
+    if (cluster.jobs.containsKey(id)) {
+      // Two copies of one job in memory would run its tasks twice; adopt() keeps this from being.
+      host.resign("job " + id + " was taken up while it was being accepted");
+      return;
+    }
+    scheduler.add(job);
+    fleet.accepted(job);
+    all.forEach(each -> each.accept(JobWire.Status.PENDING));
+  }
+
+  private void acceptedElsewhere(String id) {
+    List<Consumer<JobWire.Status>> all = accepting.remove(id);
+    adopt(
+        id,
+        lookup -> {
+          JobWire.Status status =
+              lookup == null
+                  ? null
+                  : lookup.job() != null ? viewOf(lookup.job()).status() : lookup.ended();
+          all.forEach(each -> each.accept(status));
+        });
   }
 
   /** A job's state, from memory or a fresh read; {@code null} when no such job exists. */
@@ -746,6 +790,12 @@
       tell(job, onDone);
       return;
     }
+    List<Consumer<JobWire.Status>> waiting = accepting.get(id);
+    if (waiting != null) {
+      // Its record may be there already: another node may have read it, and told its user so.
+      waiting.add(status -> onDone.accept(new View(status, 0, 0)));
+      return;
+    }
     adopt(
         id,
         lookup -> {
@@ -764,6 +814,10 @@
   /** Cancels a job; the answer follows the commit. */
   public void cancel(String id, Consumer<View> onDone) {
     Job job = cluster.jobs.get(id);
+    if (job == null && accepting.containsKey(id)) {
+      onDone.accept(View.UNKNOWN);
+      return;
+    }
     if (job == null) {
       adopt(
           id,
--- a/src/main/java/io/pineladder/Node.java
+++ b/src/main/java/io/pineladder/Node.java
@@ -9,6 +9,7 @@
 import io.pineladder.net.HttpCaller;
 import io.pineladder.net.HttpCaller.Request;
 import io.pineladder.net.Timeline;
+import io.pineladder.store.JobIndex;
 import io.pineladder.store.Keys;
 import io.pineladder.store.StoreClient;
 import io.pineladder.wire.CloudWire;
@@ -42,6 +43,7 @@
   private final HttpCaller http;
   private final StoreClient store;
   private final Election election;
+  private final JobIndex accepted;
 
   /** Final states never change, so any copy of them may be told. */
   private final Cache<String, JobWire.Status> finals =
@@ -59,9 +61,10 @@
     this.settings = settings;
     this.time = time;
     this.http = http;
-    this.store = 
+    this.store =
         new StoreClient(
             http, time, settings.storeAddress(), settings.store(), settings.peers().size() + 1);
+    this.accepted = new JobIndex(store, time);
     this.election = new Election(store, time, settings, nonce, new Part());
   }
 
@@ -168,6 +171,11 @@
     return store;
   }
 
+  /** The jobs that leaders accepted, as this node can read them without one. */
+  public JobIndex accepted() {
+    return accepted;
+  }
+
   public Election election() {
     return election;
   }
--- a/src/main/java/io/pineladder/front/Front.java
+++ b/src/main/java/io/pineladder/front/Front.java
@@ -13,6 +13,7 @@
 import io.pineladder.net.HttpAnswer;
 import io.pineladder.net.HttpCaller.Request;
 import io.pineladder.store.Keys;
+import io.pineladder.store.Records;
 import io.pineladder.wire.JobWire;
 import io.pineladder.wire.Json;
 import io.pineladder.wire.MalformedException;
@@ -427,6 +428,10 @@
 
   /** Why a job can never run, or null. */
   private String neverRuns(JobSpec spec) {
+    // Sent to the store it would be refused as malformed, and the leader with it.
+    if (!Records.fits(spec, node.settings().store().valueBytes())) {
+      return "the description is too long to be stored";
+    }
     Team team = null;
     for (Team each : node.settings().teams()) {
       if (each.name().equals(spec.team())) {
@@ -500,50 +505,74 @@
 
   /** Answers from a fresh read of the store; a cancel gets an answer only when the job is over. */
   private void readAlone(String id, boolean cancel, Consumer<HttpAnswer> answer) {
-    // A job moves from the first key to the second in one transaction, so this order misses none.
+    // A job goes from its own key or its page to its final state in one transaction, so this order
+    // misses none.
     node.store().readForUser(
         Keys.JOB + id,
         read -> {
           if (!read.certain()) {
             answer.accept(later("no leader"));
-            return;
-          }
-          if (read.found()) {
+          } else if (read.found()) {
             tellStored(id, cancel, read.entry(), answer);
-            return;
+          } else {
+            readAccepted(id, cancel, answer);
+          }
+        });
+  }
+
+  private void readAccepted(String id, boolean cancel, Consumer<HttpAnswer> answer) {
+    node.accepted()
+        .refresh(
+            fresh -> {
+              if (!fresh) {
+                answer.accept(later("no leader"));
+                return;
+              }
+              Job.State found = node.accepted().find(id);
+              if (found != null) {
+                tellState(id, cancel, found, answer);
+              } else {
+                readEnd(id, answer);
+              }
+            });
+  }
+
+  private void readEnd(String id, Consumer<HttpAnswer> answer) {
+    node.store().readForUser(
+        Keys.END + id,
+        end -> {
+          if (!end.certain()) {
+            answer.accept(later("no leader"));
+          } else if (!end.found()) {
+            answer.accept(error(404, "no such job"));
+          } else {
+            tellEnd(id, end.entry(), answer);
           }
-          node.store().readForUser(
-              Keys.END + id,
-              end -> {
-                if (!end.certain()) {
-                  answer.accept(later("no leader"));
-                } else if (!end.found()) {
-                  answer.accept(error(404, "no such job"));
-                } else {
-                  tellEnd(id, end.entry(), answer);
-                }
-              });
         });
   }
 
   private void tellStored(
       String id, boolean cancel, StoreWire.Entry entry, Consumer<HttpAnswer> answer) {
     try {
-      RecordWire.StoredJob job = RecordWire.parseJob(entry.value());
-      JobWire.Status status = Leader.toStatus(job.state());
-      if (status.isFinal()) {
-        node.learnFinal(id, status);
-        answer.accept(ok(JobWire.view(id, status)));
-      } else if (cancel) {
-        answer.accept(later("no leader"));
-      } else {
-        answer.accept(ok(JobWire.view(id, status, 0, 0)));
-      }
+      tellState(id, cancel, RecordWire.parseJob(entry.value()).state(), answer);
     } catch (MalformedException e) {
       answer.accept(later("the stored job cannot be read"));
     }
   }
 
+  private void tellState(
+      String id, boolean cancel, Job.State state, Consumer<HttpAnswer> answer) {
+    JobWire.Status status = Leader.toStatus(state);
+    if (status.isFinal()) {
+      node.learnFinal(id, status);
+      answer.accept(ok(JobWire.view(id, status)));
+    } else if (cancel) {
+      answer.accept(later("no leader"));
+    } else {
+      answer.accept(ok(JobWire.view(id, status, 0, 0)));
+    }
+  }
+
   private void tellEnd(String id, StoreWire.Entry entry, Consumer<HttpAnswer> answer) {
     try {
       JobWire.Status status = Leader.toStatus(RecordWire.parseEnd(entry.value()));
--- a/src/main/java/io/pineladder/store/Committer.java
+++ b/src/main/java/io/pineladder/store/Committer.java
@@ -15,6 +15,7 @@
 import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -64,6 +65,10 @@
   private static final class Batch {
     final List<Mutation> mutations = new ArrayList<>();
     final Map<String, JsonNode> values = new HashMap<>();
+
+    /** Pages of jobs that it changes, with what its mutations change there. */
+    final Map<JobPages.Page, List<JobPages.Edit>> pages = new LinkedHashMap<>();
+
     byte[] body;
 
     /** A copy of it was sent and not answered. */
@@ -137,12 +142,18 @@
   private Integer leastWaiting() {
     for (Deque<Mutation> queue : queues.values()) {
       if (!queue.isEmpty()) {
-        return queue.peekFirst().writes().size();
+        return cost(queue.peekFirst(), Map.of());
       }
     }
     return null;
   }
 
+  /** How many keys the mutation changes that the transaction does not change already. */
+  private static int cost(Mutation mutation, Map<JobPages.Page, List<JobPages.Edit>> pages) {
+    long more = mutation.edits().stream().filter(e -> !pages.containsKey(e.page)).count();
+    return mutation.writes().size() + (int) more;
+  }
+
   private Batch gather(int ops) {
     Batch made = new Batch();
     StoreWire.Transaction transaction =
@@ -158,7 +169,7 @@
           queue.pollFirst();
           continue;
         }
-        int wants = mutation.writes().size();
+        int wants = cost(mutation, made.pages);
         boolean repeats = mutation.writes().stream().anyMatch(w -> keys.contains(w.key()));
         if (wants > left || repeats || wants + mutation.absent().size() > conditions) {
           // Nothing of lower priority may overtake it, or it could starve.
@@ -171,6 +182,9 @@
           values.put(write.key(), value);
           size += value == null ? 0 : Json.bytes(value).length;
         }
+        for (JobPages.Edit edit : mutation.edits()) {
+          size += made.pages.containsKey(edit.page) ? 0 : edit.page.bytes();
+        }
         if (!made.mutations.isEmpty() && bytes + size > MAX_BYTES) {
           return finish(made, transaction);
         }
@@ -180,15 +194,16 @@
         conditions -= wants + mutation.absent().size();
         made.mutations.add(mutation);
         made.values.putAll(values);
+        for (JobPages.Edit edit : mutation.edits()) {
+          edit.fix();
+          made.pages.computeIfAbsent(edit.page, p -> new ArrayList<>()).add(edit);
+        }
         for (String key : mutation.absent()) {
           transaction.require(key, 0);
         }
         for (Mutation.Write write : mutation.writes()) {
           keys.add(write.key());
-          // A creation asks for no such key even if one has been read meanwhile: another node may
-          // have accepted the same job, and overwriting it would make it two.
-          long known = mutation.isCreation() ? 0 : versions.getOrDefault(write.key(), 0L);
-          transaction.require(write.key(), known);
+          transaction.require(write.key(), versions.getOrDefault(write.key(), 0L));
           JsonNode value = values.get(write.key());
           if (value == null) {
             transaction.delete(write.key());
@@ -201,7 +216,14 @@
     return made.mutations.isEmpty() ? null : finish(made, transaction);
   }
 
-  private static Batch finish(Batch made, StoreWire.Transaction transaction) {
+  private Batch finish(Batch made, StoreWire.Transaction transaction) {
+    made.pages.forEach(
+        (page, edits) -> {
+          JsonNode value = page.render(edits);
+          made.values.put(page.key, value);
+          transaction.require(page.key, versions.getOrDefault(page.key, 0L));
+          transaction.put(page.key, value);
+        });
     made.body = transaction.bytes();
     return made;
   }
@@ -277,6 +299,7 @@
           }
         });
     moveTo(State.WAITING);
+    over.pages.forEach((page, edits) -> page.committed(edits));
     for (Mutation mutation : over.mutations) {
       mutation.onCommitted().run();
     }
@@ -290,14 +313,15 @@
     List<Mutation> again = new ArrayList<>();
     List<Mutation> existing = new ArrayList<>();
     for (Mutation mutation : over.mutations) {
-      boolean hit =
+      boolean changed =
           mutation.writes().stream().anyMatch(w -> failed.contains(w.key()))
-              || mutation.absent().stream().anyMatch(failed::contains);
-      if (hit && !mutation.isCreation()) {
+              || mutation.edits().stream().anyMatch(e -> failed.contains(e.page.key));
+      if (changed) {
         fenced("a record changed under its owner: " + failed);
         return;
       }
-      (hit ? existing : again).add(mutation);
+      boolean exists = mutation.absent().stream().anyMatch(failed::contains);
+      (exists ? existing : again).add(mutation);
     }
     requeue(again);
     moveTo(State.WAITING);
@@ -306,28 +330,18 @@
   }
 
   /**
-   * A copy without a reply came before this refusal. Only this leader writes its own records, so
-   * one of them tells whether that copy was executed; creations can also have met another node's.
+   * A copy without a reply came before this refusal. Only this leader writes its own records, and
+   * every transaction writes one, so any of them tells whether that copy was executed.
    */
   private void settle() {
     moveTo(State.SETTLING);
-    List<String> keys = new ArrayList<>();
     String own = null;
-    for (Mutation mutation : batch.mutations) {
-      for (Mutation.Write write : mutation.writes()) {
-        keys.add(write.key());
-        boolean put = batch.values.get(write.key()) != null;
-        if (!mutation.isCreation() && (own == null || put)) {
-          own = write.key();
-        }
-      }
-    }
-    if (own != null) {
-      String key = own;
-      store.read(key, read -> onOwnRead(key, read));
-    } else {
-      settleCreations(keys, 0, new ArrayList<>());
+    for (Map.Entry<String, JsonNode> change : batch.values.entrySet()) {
+      // A deletion leaves no version to compare, unless there is nothing else.
+      own = own == null || change.getValue() != null ? change.getKey() : own;
     }
+    String key = own;
+    store.read(key, read -> onOwnRead(key, read));
   }
 
   private void onOwnRead(String key, StoreClient.Read read) {
@@ -341,15 +355,11 @@
     long version = read.found() ? read.entry().version() : 0;
     if (version != versions.getOrDefault(key, 0L)) {
       confirmOwn(read.revision());
-    } else {
-      List<String> creations = new ArrayList<>();
-      for (Mutation mutation : batch.mutations) {
-        if (mutation.isCreation()) {
-          creations.add(mutation.writes().get(0).key());
-        }
-      }
-      settleCreations(creations, 0, new ArrayList<>());
+      return;
     }
+    // Not executed: put together anew, the next refusal names what stands in the way.
+    batch.ambiguous = false;
+    refused(List.of());
   }
 
   /**
@@ -373,30 +383,6 @@
         });
   }
 
-  private void settleCreations(List<String> keys, int from, List<String> found) {
-    if (state == State.CLOSED) {
-      return;
-    }
-    if (from == keys.size()) {
-      // A creation whose key is free met a final record, or will simply be tried again.
-      batch.ambiguous = false;
-      refused(found);
-      return;
-    }
-    store.read(
-        keys.get(from),
-        read -> {
-          if (!read.certain()) {
-            time.after(retry, () -> settleCreations(keys, from, found));
-            return;
-          }
-          if (read.found()) {
-            found.add(keys.get(from));
-          }
-          settleCreations(keys, from + 1, found);
-        });
-  }
-
   private void fenced(String reason) {
     moveTo(State.CLOSED);
     onFenced.accept(reason);
--- /dev/null
+++ b/src/main/java/io/pineladder/store/JobIndex.java
@@ -0,0 +1,161 @@
+package io.pineladder.store;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.pineladder.model.Job;
+import io.pineladder.net.Timeline;
+import io.pineladder.wire.MalformedException;
+import io.pineladder.wire.RecordWire;
+import io.pineladder.wire.StoreWire;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Where the jobs stand that leaders accepted into pages, for a node that answers users without a
+ * leader. The pages are read as a whole when the first user asks; from then on one request for the
+ * changes since makes all answers fresh that are asked for while the one before is under way.
+ */
+public final class JobIndex {
+  private static final Logger log = LoggerFactory.getLogger(JobIndex.class);
+
+  /** Not asked for so long, it is given up, for its memory. */
+  private static final Duration UNUSED = Duration.ofSeconds(60);
+
+  /** Where the index stands. */
+  private enum State {
+    /** Nothing is known. */
+    EMPTY,
+    /** The pages, or the changes since, are being read. */
+    READING,
+    /** Everything up to a revision is known. */
+    KNOWN
+  }
+
+  private final StoreClient store;
+  private final Timeline time;
+  private final Map<String, Map<String, Job.State>> pages = new HashMap<>();
+  private State state = State.EMPTY;
+  private long revision;
+  private Instant usedAt;
+
+  /** Those whose answer the read under way began too early for. */
+  private List<Consumer<Boolean>> next = new ArrayList<>();
+
+  public JobIndex(StoreClient store, Timeline time) {
+    this.store = store;
+    this.time = time;
+  }
+
+  /**
+   * Makes the index fresh.
+   *
+   * @param onDone told whether {@link #find} now answers as of a moment after this call
+   */
+  public void refresh(Consumer<Boolean> onDone) {
+    usedAt = time.now();
+    next.add(onDone);
+    if (state != State.READING) {
+      read();
+    }
+  }
+
+  /** The job's state as last read, or null when no page holds it. */
+  public Job.State find(String id) {
+    for (Map<String, Job.State> page : pages.values()) {
+      Job.State found = page.get(id);
+      if (found != null) {
+        return found;
+      }
+    }
+    return null;
+  }
+
+  private void moveTo(State to) {
+    if (to == State.EMPTY) {
+      pages.clear();
+    }
+    state = to;
+  }
+
+  private void read() {
+    List<Consumer<Boolean>> asked = next;
+    next = new ArrayList<>();
+    boolean whole = state == State.EMPTY;
+    moveTo(State.READING);
+    if (whole) {
+      store.listForUser(
+          Keys.ACCEPTED,
+          listing -> {
+            if (listing == null) {
+              finish(State.EMPTY, asked);
+              return;
+            }
+            revision = listing.revision();
+            finish(take(listing.entries()) ? State.KNOWN : State.EMPTY, asked);
+          });
+      return;
+    }
+    store.changesForUser(
+        Keys.ACCEPTED,
+        revision,
+        reply -> {
+          try {
+            if (reply.is(200)) {
+              StoreWire.Changes changes = StoreWire.parseChanges(reply.body());
+              revision = changes.revision();
+              finish(take(changes.entries()) ? State.KNOWN : State.EMPTY, asked);
+              return;
+            }
+          } catch (MalformedException e) {
+            log.warn("the changes of accepted jobs are malformed: {}", e.getMessage());
+          }
+          // 410: what is known is too old to be brought up to date.
+          finish(reply.is(410) ? State.EMPTY : State.KNOWN, asked, false);
+        });
+  }
+
+  private void finish(State to, List<Consumer<Boolean>> asked) {
+    finish(to, asked, to == State.KNOWN);
+  }
+
+  private void finish(State to, List<Consumer<Boolean>> asked, boolean fresh) {
+    moveTo(to);
+    asked.forEach(each -> each.accept(fresh));
+    if (!next.isEmpty() && state != State.READING) {
+      read();
+    } else if (state == State.KNOWN) {
+      time.after(UNUSED, this::expire);
+    }
+  }
+
+  private void expire() {
+    if (state == State.KNOWN && !usedAt.plus(UNUSED).isAfter(time.now())) {
+      moveTo(State.EMPTY);
+    }
+  }
+
+  private boolean take(List<StoreWire.Entry> entries) {
+    try {
+      for (StoreWire.Entry entry : entries) {
+        Map<String, Job.State> jobs = new HashMap<>();
+        if (entry.value() != null) {
+          for (JsonNode record : RecordWire.entries(entry.value())) {
+            RecordWire.StoredJob job = RecordWire.parseJob(record);
+            jobs.put(job.spec().id(), job.state());
+          }
+        }
+        pages.put(entry.key(), jobs);
+      }
+      return true;
+    } catch (MalformedException e) {
+      log.warn("a page of accepted jobs cannot be read: {}", e.getMessage());
+      return false;
+    }
+  }
+}
--- a/src/main/java/io/pineladder/store/Keys.java
+++ b/src/main/java/io/pineladder/store/Keys.java
@@ -7,7 +7,10 @@
 
   public static final String LEADER_PREFIX = "lead/";
 
-  /** Jobs that are not over, or whose tasks may still be somewhere. */
+  /** Jobs that a leader accepted and that are not over, or not gone yet; many in one value. */
+  public static final String ACCEPTED = "accepted/";
+
+  /** The same, of jobs that were accepted without a leader: a value each. */
   public static final String JOB = "job/";
 
   /** Completions, many jobs' in one value. */
--- a/src/main/java/io/pineladder/store/Mutation.java
+++ b/src/main/java/io/pineladder/store/Mutation.java
@@ -12,6 +12,7 @@
 public record Mutation(
     Priority priority,
     List<Write> writes,
+    List<JobPages.Edit> edits,
     List<String> absent,
     BooleanSupplier wanted,
     Runnable onCommitted,
@@ -31,26 +32,21 @@
 
   /** Changes to records that only the leader writes. */
   public static Mutation of(Priority priority, List<Write> writes, Runnable onCommitted) {
-    return new Mutation(priority, writes, List.of(), () -> true, onCommitted, null);
-  }
-
-  /** The same, to be dropped if {@code wanted} says no when its turn comes. */
-  public static Mutation onlyIf(
-      BooleanSupplier wanted, Priority priority, List<Write> writes, Runnable onCommitted) {
-    return new Mutation(priority, writes, List.of(), wanted, onCommitted, null);
+    return new Mutation(priority, writes, List.of(), List.of(), () -> true, onCommitted, null);
   }
 
   /**
-   * The creation of a record that other nodes may create too: {@code onExists} is called instead
-   * when it, or one of {@code absent}, is there already.
+   * Changes to jobs' records together with other writes: {@code onExists} is called instead of
+   * {@code onCommitted} when one of {@code absent}, which other nodes may create, is there already.
    */
-  public static Mutation create(
-      Write write, List<String> absent, Runnable onCommitted, Runnable onExists) {
+  static Mutation editing(
+      Priority priority,
+      List<Write> writes,
+      JobPages.Edit edit,
+      List<String> absent,
+      Runnable onCommitted,
+      Runnable onExists) {
     return new Mutation(
-        Priority.ACCEPT, List.of(write), absent, () -> true, onCommitted, onExists);
-  }
-
-  boolean isCreation() {
-    return onExists != null;
+        priority, writes, List.of(edit), absent, () -> true, onCommitted, onExists);
   }
 }
--- a/src/main/java/io/pineladder/store/Records.java
+++ b/src/main/java/io/pineladder/store/Records.java
@@ -4,23 +4,29 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.pineladder.model.Attempt;
 import io.pineladder.model.Job;
+import io.pineladder.model.JobSpec;
 import io.pineladder.model.Machine;
 import io.pineladder.net.Timeline;
 import io.pineladder.store.Mutation.Priority;
 import io.pineladder.store.Mutation.Write;
 import io.pineladder.wire.RecordWire;
 import java.time.Duration;
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.BitSet;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 
 /**
- * Keeps the durable records in step with the leader's memory. A job has a record of its own, which
- * any node can find and create; placements, completions and cached images are packed into pages.
+ * Keeps the durable records in step with the leader's memory. Jobs, placements, completions and
+ * cached images are packed into pages, which only leaders write; a job that a node accepted without
+ * a leader has a record of its own.
  */
 public final class Records {
   /** The longest range of completions in JSON, with its commas. */
@@ -42,12 +48,24 @@
     /** The job's final state is stored. */
     void onEndStored(Job job);
 
-    /** The job's own record is gone; only its final state is left. */
+    /** The job's record is gone; only its final state is left. */
     void onRemoved(Job job);
+
+    /**
+     * Another node has stored the job too, while it could not reach this leader; its copy is to go
+     * with the end. {@code again} goes on once {@link #knownTwice} has been told, or it is not so.
+     */
+    void onStoredTwice(Job job, Runnable again);
   }
 
   private final Consumer<Mutation> commit;
   private final Listener listener;
+  private final int valueBytes;
+  private final JobPages jobs;
+
+  /** Jobs in a page that have a record of their own as well. */
+  private final Set<Job> twice = new HashSet<>();
+
   private final int chunkTasks;
   private final Pages<Attempt> placements;
   private final Pages<Chunk> completions;
@@ -71,6 +89,8 @@
       int valueBytes, Timeline time, Consumer<Mutation> commit, Listener listener) {
     this.commit = commit;
     this.listener = listener;
+    this.valueBytes = valueBytes;
+    this.jobs = new JobPages(valueBytes);
     this.chunkTasks = chunkTasks(valueBytes);
     this.placements =
         new Pages<>(
@@ -216,38 +236,87 @@
     return job.atFault ? value.put("at_fault", true) : value;
   }
 
+  /** Whether a job's record can be stored: the user chooses how long its description is. */
+  public static boolean fits(JobSpec spec, int valueBytes) {
+    return JobPages.fits(RecordWire.job(spec, Instant.EPOCH, Job.State.ACTIVE), valueBytes);
+  }
+
+  /**
+   * Stores a new job; {@code onExists} is called instead of {@code onStored} when another node has
+   * accepted it, or it is over.
+   */
+  public void accept(Job job, Runnable onStored, Runnable onExists) {
+    String id = job.spec.id();
+    commit.accept(
+        Mutation.editing(
+            Priority.ACCEPT,
+            List.of(),
+            jobs.add(job, () -> jobValue(job)),
+            List.of(Keys.JOB + id, Keys.END + id),
+            onStored,
+            () -> {
+              jobs.forget(job);
+              onExists.run();
+            }));
+  }
+
+  /** A page of jobs read at the start of a term. */
+  public void knownJobs(String page) {
+    jobs.known(page);
+  }
+
+  /** A job in a page read at the start of a term. */
+  public void knownJob(String page, Job job, JsonNode record) {
+    jobs.known(jobs.known(page), job, record);
+  }
+
+  /** The job has a record of its own as well as one in a page. */
+  public void knownTwice(Job job, boolean is) {
+    if (is) {
+      twice.add(job);
+    } else {
+      twice.remove(job);
+    }
+  }
+
   /** The job was found to be at fault, or not to be: the next leader need not find out anew. */
   public void verdict(Job job) {
+    boolean paged = jobs.homeOf(job) != null;
     commit.accept(
-        Mutation.onlyIf(
-            () -> !job.ending,
+        new Mutation(
             Priority.TIDY,
-            List.of(new Write(Keys.JOB + job.spec.id(), () -> jobValue(job))),
-            () -> {}));
+            paged ? List.of() : List.of(ownRecord(job)),
+            paged ? List.of(jobs.replace(job, () -> jobValue(job))) : List.of(),
+            List.of(),
+            () -> !job.ending,
+            () -> {},
+            null));
   }
 
-  public Write newJob(Job job) {
+  private static Write ownRecord(Job job) {
     return new Write(Keys.JOB + job.spec.id(), () -> jobValue(job));
   }
 
   /** The job is over. While tasks of it may be somewhere its record stays, with the final state. */
   public void end(Job job) {
     job.ending = true;
-    String key = Keys.JOB + job.spec.id();
     if (job.attempts.isEmpty()) {
       remove(job);
       return;
     }
-    commit.accept(
-        Mutation.of(
-            Priority.END,
-            List.of(new Write(key, () -> jobValue(job))),
-            () -> {
-              endStored(job);
-              if (job.attempts.isEmpty()) {
-                remove(job);
-              }
-            }));
+    Runnable onStored =
+        () -> {
+          endStored(job);
+          if (job.attempts.isEmpty()) {
+            remove(job);
+          }
+        };
+    if (jobs.homeOf(job) == null) {
+      commit.accept(Mutation.of(Priority.END, List.of(ownRecord(job)), onStored));
+    } else {
+      // The final state has its own key at once: nodes without a leader look for it there.
+      endPaged(job, () -> jobs.replace(job, () -> jobValue(job)), onStored);
+    }
   }
 
   /** Nothing of an ended job is anywhere any more: only its final state is kept. */
@@ -256,16 +325,52 @@
       return;
     }
     job.removing = true;
+    Runnable onStored =
+        () -> {
+          jobs.forget(job);
+          twice.remove(job);
+          endStored(job);
+          listener.onRemoved(job);
+        };
+    if (jobs.homeOf(job) == null) {
+      commit.accept(
+          Mutation.of(
+              Priority.END, List.of(finalState(job), noOwnRecord(job)), onStored));
+    } else if (job.endStored) {
+      commit.accept(
+          Mutation.editing(
+              Priority.TIDY, List.of(), jobs.remove(job), List.of(), onStored, null));
+    } else {
+      endPaged(job, () -> jobs.remove(job), onStored);
+    }
+  }
+
+  /**
+   * Stores the final state of a job in a page, and sees to it that no record of its own is left: a
+   * node that reached the store and not this leader may have stored the job again, and the copy
+   * would bring it back to life. Once the final state is there nobody creates another.
+   */
+  private void endPaged(Job job, Supplier<JobPages.Edit> edit, Runnable onStored) {
+    boolean copy = twice.contains(job);
     commit.accept(
-        Mutation.of(
+        Mutation.editing(
             Priority.END,
-            List.of(
-                new Write(Keys.END + job.spec.id(), () -> RecordWire.end(job.state())),
-                new Write(Keys.JOB + job.spec.id(), () -> null)),
+            copy ? List.of(finalState(job), noOwnRecord(job)) : List.of(finalState(job)),
+            edit.get(),
+            copy ? List.of() : List.of(Keys.JOB + job.spec.id()),
             () -> {
-              endStored(job);
-              listener.onRemoved(job);
-            }));
+              twice.remove(job);
+              onStored.run();
+            },
+            () -> listener.onStoredTwice(job, () -> endPaged(job, edit, onStored))));
+  }
+
+  private static Write finalState(Job job) {
+    return new Write(Keys.END + job.spec.id(), () -> RecordWire.end(job.state()));
+  }
+
+  private static Write noOwnRecord(Job job) {
+    return new Write(Keys.JOB + job.spec.id(), () -> null);
   }
 
   private void endStored(Job job) {
--- a/src/main/java/io/pineladder/store/StoreClient.java
+++ b/src/main/java/io/pineladder/store/StoreClient.java
@@ -118,6 +118,48 @@
         userReads, 1, get(StoreWire.keyPath(key)), reply -> onRead.accept(toRead(reply)));
   }
 
+  /** Reads all keys with a prefix for users, at once or not at all; null when that failed. */
+  void listForUser(String prefix, Consumer<Listing> onDone) {
+    listForUser(prefix, null, new ArrayList<>(), -1, onDone);
+  }
+
+  private void listForUser(
+      String prefix,
+      String after,
+      List<StoreWire.Entry> found,
+      long firstRevision,
+      Consumer<Listing> onDone) {
+    sendForUser(
+        userReads,
+        1,
+        get(StoreWire.listPath(prefix, after)),
+        reply -> {
+          try {
+            if (reply.is(200)) {
+              StoreWire.Page page = StoreWire.parsePage(reply.body());
+              found.addAll(page.entries());
+              long revision = firstRevision < 0 ? page.revision() : firstRevision;
+              if (page.more() && !page.entries().isEmpty()) {
+                String last = page.entries().get(page.entries().size() - 1).key();
+                listForUser(prefix, last, found, revision, onDone);
+              } else {
+                onDone.accept(new Listing(found, revision));
+              }
+              return;
+            }
+          } catch (MalformedException e) {
+            // As any other answer that is no page.
+          }
+          onDone.accept(null);
+        });
+  }
+
+  /** Asks for the changes under a prefix up to now, for users, at once or not at all. */
+  void changesForUser(String prefix, long after, Consumer<Reply> onReply) {
+    sendForUser(
+        userReads, 1, get(StoreWire.watchPath(prefix, after, Duration.ZERO)), onReply);
+  }
+
   private void sendForUser(
       RateBudget budget, int cost, Request request, Consumer<Reply> onReply) {
     Instant now = time.now();
--- a/src/test/java/io/pineladder/sim/ClusterSimulationTest.java
+++ b/src/test/java/io/pineladder/sim/ClusterSimulationTest.java
@@ -219,8 +219,9 @@
     }
     assertTrue(rules.starts > 0);
     assertEquals(0, store.count("inbox/"));
-    int open = (int) rules.jobs.values().stream().filter(j -> !j.isOver()).count();
-    assertEquals(open, store.count("job/"));
+    List<String> open =
+        rules.jobs.values().stream().filter(j -> !j.isOver()).map(j -> j.id).sorted().toList();
+    assertEquals(open, List.copyOf(store.jobs()));
   }
 
   @Test
--- a/src/test/java/io/pineladder/sim/StoreStandIn.java
+++ b/src/test/java/io/pineladder/sim/StoreStandIn.java
@@ -13,7 +13,9 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import java.util.function.Consumer;
 
 /** The state service, from its protocol: keys, transactions, leases, watches, outages. */
@@ -54,6 +56,20 @@
     return (int) keys.keySet().stream().filter(k -> k.startsWith(prefix)).count();
   }
 
+  /** The ids of all jobs that a leader would take up, in pages or with a record of their own. */
+  Set<String> jobs() {
+    Set<String> found = new TreeSet<>();
+    keys.forEach(
+        (key, value) -> {
+          if (key.startsWith("job/")) {
+            found.add(key.substring("job/".length()));
+          } else if (key.startsWith("accepted/")) {
+            value.value.get("entries").forEach(e -> found.add(e.at("/spec/ref").asText()));
+          }
+        });
+    return found;
+  }
+
   /** After an outage every lease has its full time again. */
   void endOutage() {
     outage = false;
--- a/src/test/java/io/pineladder/store/PagesTest.java
+++ b/src/test/java/io/pineladder/store/PagesTest.java
@@ -218,6 +218,9 @@
 
               @Override
               public void onRemoved(Job removed) {}
+
+              @Override
+              public void onStoredTwice(Job job, Runnable again) {}
             });
     RandomGenerator random = RandomGeneratorFactory.of("L64X128MixRandom").create(7);
     Set<Attempt> done = new LinkedHashSet<>();
--- a/src/test/java/io/pineladder/workers/LeaderHarness.java
+++ b/src/test/java/io/pineladder/workers/LeaderHarness.java
@@ -112,6 +112,9 @@
               public void onRemoved(Job job) {
                 cluster.removeJob(job);
               }
+
+              @Override
+              public void onStoredTwice(Job job, Runnable again) {}
             });
     scheduler.useRecords(records);
     fleet =
