One owner for the process's sockets, with a bound for each part; connects that hang are given up

Change: net/Sockets owns them all. Each part (arriving, users, reports, peers, services, orders) has a share kept for it and a most; at its bound it closes its longest idle one if stale, else an accepted connection is answered and closed, and a call waits for one of its part. What left without a word is swept away. A connect whose call is over is cancelled (net/Connector). 64 probes at a time, those not asked lately first. The limit comes from [deployment.resources] max_sockets, which was not read before.

--- a/src/main/java/io/pineladder/cli/Main.java
+++ b/src/main/java/io/pineladder/cli/Main.java
@@ -5,15 +5,13 @@
 import io.pineladder.front.Front;
 import io.pineladder.model.Settings;
 import io.pineladder.net.HttpCaller;
-import io.pineladder.net.HttpHandlerAsync;
+import io.pineladder.net.Sockets;
 import io.pineladder.net.UndertowCaller;
 import io.pineladder.net.XnioRuntime;
 import io.pineladder.wire.SettingsReader;
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.HexFormat;
-import java.util.LinkedHashMap;
-import java.util.Map;
 import java.util.random.RandomGenerator;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -147,18 +145,37 @@
     }
   }
 
+  /** What a connection to the front is for, by the path that is asked for. */
+  private static Sockets.Part frontPart(String path) {
+    return switch (Metrics.Operation.of("POST", path)) {
+      case REPORT -> Sockets.Part.REPORTS;
+      case READY -> Sockets.Part.ARRIVING;
+      default -> Sockets.Part.USERS;
+    };
+  }
+
+  /** What a connection to an address is for. */
+  private static Sockets.Part part(Settings settings, String address) {
+    if (address.equals(settings.storeAddress()) || address.equals(settings.cloudAddress())) {
+      return Sockets.Part.SERVICES;
+    }
+    boolean peer = settings.peers().stream().anyMatch(p -> p.address().equals(address));
+    return peer ? Sockets.Part.PEERS : Sockets.Part.ORDERS;
+  }
+
   /** Starts a controller; everything happens on the runtime's thread from then on. */
   static XnioRuntime start(Settings settings) throws IOException {
-    XnioRuntime runtime = new XnioRuntime();
-    HttpCaller http = new UndertowCaller(runtime);
+    XnioRuntime runtime = new XnioRuntime(settings.maxSockets(), settings.workers().report());
+    HttpCaller http = new UndertowCaller(runtime, address -> part(settings, address));
     byte[] nonce = new byte[12];
     RandomGenerator.of("SecureRandom").nextBytes(nonce);
     Node node = new Node(settings, runtime, http, HexFormat.of().formatHex(nonce));
     Front front = new Front(node, new Metrics());
-    Map<String, HttpHandlerAsync> listeners = new LinkedHashMap<>();
-    listeners.put(settings.frontAddress(), front::handle);
-    listeners.put(settings.clusterAddress(), front::handleCluster);
-    runtime.serve(listeners);
+    runtime.serve(
+        new XnioRuntime.Listener(settings.frontAddress(), front::handle, Main::frontPart));
+    runtime.serve(
+        new XnioRuntime.Listener(
+            settings.clusterAddress(), front::handleCluster, path -> Sockets.Part.PEERS));
     runtime.execute(
         () -> {
           node.start();
--- a/src/main/java/io/pineladder/cli/Training.java
+++ b/src/main/java/io/pineladder/cli/Training.java
@@ -4,6 +4,7 @@
 import io.pineladder.model.Settings;
 import io.pineladder.net.HttpAnswer;
 import io.pineladder.net.HttpCaller.Request;
+import io.pineladder.net.Sockets;
 import io.pineladder.net.UndertowCaller;
 import io.pineladder.net.XnioRuntime;
 import io.pineladder.wire.Json;
@@ -13,7 +14,6 @@
 import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
-import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -35,11 +35,14 @@
       String cluster = freeAddress();
       String outside = freeAddress();
       Settings settings = SettingsReader.parse(toml(front, cluster, outside));
-      XnioRuntime surroundings = new XnioRuntime();
-      surroundings.serve(Map.of(outside, Training::surroundings));
+      XnioRuntime surroundings =
+          new XnioRuntime(settings.maxSockets(), settings.workers().report());
+      surroundings.serve(
+          new XnioRuntime.Listener(
+              outside, Training::surroundings, path -> Sockets.Part.SERVICES));
       Main.start(settings);
       CountDownLatch over = new CountDownLatch(1);
-      UndertowCaller caller = new UndertowCaller(surroundings);
+      UndertowCaller caller = new UndertowCaller(surroundings, a -> Sockets.Part.USERS);
       surroundings.execute(() -> submit(surroundings, caller, front, over));
       return over.await(MOST_SECONDS, TimeUnit.SECONDS) ? Main.EXIT_OK : Main.EXIT_FAILURE;
     } catch (IOException | SettingsReader.BadSettingsException e) {
--- a/src/main/java/io/pineladder/model/Machine.java
+++ b/src/main/java/io/pineladder/model/Machine.java
@@ -84,6 +84,9 @@
   /** The last direct order got no answer: orders go with report responses until one is heard. */
   public boolean unanswered;
 
+  /** When it was last asked whether it is there, being overdue; null for never. */
+  public Instant probedAt;
+
   /** Reported tasks that nothing is known of hold an unknown amount of it. */
   public boolean strangers;
 
--- a/src/main/java/io/pineladder/model/Settings.java
+++ b/src/main/java/io/pineladder/model/Settings.java
@@ -17,7 +17,8 @@
     List<Objective> objectives,
     WorkerTimes workers,
     StoreLimits store,
-    CloudLimits cloud) {
+    CloudLimits cloud,
+    int maxSockets) {
 
   /** Another controller. */
   public record Peer(String member, String zone, String address) {}
--- /dev/null
+++ b/src/main/java/io/pineladder/net/Connector.java
@@ -0,0 +1,62 @@
+package io.pineladder.net;
+
+import io.undertow.client.ClientCallback;
+import io.undertow.client.ClientConnection;
+import io.undertow.client.UndertowClient;
+import io.undertow.connector.ByteBufferPool;
+import java.net.SocketAddress;
+import java.net.URI;
+import java.util.concurrent.TimeUnit;
+import org.xnio.ChannelListener;
+import org.xnio.IoFuture;
+import org.xnio.OptionMap;
+import org.xnio.StreamConnection;
+import org.xnio.XnioIoThread;
+
+/**
+ * Makes connections that can be given up. Undertow's client keeps to itself the connection that it is
+ * making, and the system goes on trying for minutes: to machines that are cut off that used up all
+ * sockets of the process. So the client is given this stand-in for the I/O thread, which does what
+ * the real one does and takes hold of what is made.
+ */
+final class Connector extends XnioIoThread {
+  private final XnioIoThread real;
+  private IoFuture<StreamConnection> made;
+
+  Connector(XnioIoThread real) {
+    super(real.getWorker(), real.getNumber());
+    this.real = real;
+  }
+
+  /** Begins a connection; cancelling the future closes it, until it has been handed over. */
+  IoFuture<StreamConnection> connect(
+      URI address, ByteBufferPool buffers, ClientCallback<ClientConnection> onMade) {
+    made = null;
+    UndertowClient.getInstance().connect(onMade, address, this, buffers, OptionMap.EMPTY);
+    return made;
+  }
+
+  @Override
+  public IoFuture<StreamConnection> openStreamConnection(
+      SocketAddress destination,
+      ChannelListener<? super StreamConnection> openListener,
+      OptionMap options) {
+    made = real.openStreamConnection(destination, openListener, options);
+    return made;
+  }
+
+  @Override
+  public void execute(Runnable command) {
+    real.execute(command);
+  }
+
+  @Override
+  public Key executeAfter(Runnable command, long delay, TimeUnit unit) {
+    return real.executeAfter(command, delay, unit);
+  }
+
+  @Override
+  public Key executeAtInterval(Runnable command, long interval, TimeUnit unit) {
+    return real.executeAtInterval(command, interval, unit);
+  }
+}
--- a/src/main/java/io/pineladder/net/UndertowCaller.java
+++ b/src/main/java/io/pineladder/net/UndertowCaller.java
@@ -4,34 +4,38 @@
 import io.undertow.client.ClientConnection;
 import io.undertow.client.ClientExchange;
 import io.undertow.client.ClientRequest;
-import io.undertow.client.UndertowClient;
 import io.undertow.connector.ByteBufferPool;
 import io.undertow.server.DefaultByteBufferPool;
 import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
-import java.net.InetSocketAddress;
 import java.net.URI;
 import java.nio.ByteBuffer;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import org.xnio.ChannelListener;
+import org.xnio.IoFuture;
 import org.xnio.IoUtils;
-import org.xnio.OptionMap;
+import org.xnio.StreamConnection;
 import org.xnio.XnioExecutor;
 import org.xnio.channels.StreamSinkChannel;
 import org.xnio.channels.StreamSourceChannel;
 
-/** The HTTP client: a few idle connections kept for each address, one request on each at a time. */
+/**
+ * The HTTP client: a few idle connections kept for each address, one request on each at a time. A
+ * call that finds no socket of its part free waits for one, as long as its time lasts.
+ */
 public final class UndertowCaller implements HttpCaller {
   private static final int IDLE_PER_ADDRESS = 3;
 
@@ -41,16 +45,33 @@
   private static final Duration IDLE_FOR = Duration.ofSeconds(20);
 
   private final XnioRuntime runtime;
+  private final Function<String, Sockets.Part> parts;
+  private final Connector connector;
   private final ByteBufferPool buffers = new DefaultByteBufferPool(false, 8 * 1024);
   private final Map<String, Deque<Idle>> idle = new HashMap<>();
 
   /** All idle connections, the longest idle first. */
   private final Set<Idle> byAge = new LinkedHashSet<>();
 
-  private record Idle(String address, ClientConnection connection, Instant since) {}
+  /** Calls without a socket, by part. */
+  private final Map<Sockets.Part, Deque<Call>> waiting = new EnumMap<>(Sockets.Part.class);
 
-  public UndertowCaller(XnioRuntime runtime) {
+  private record Made(ClientConnection connection, Sockets.Socket socket) {}
+
+  private record Idle(String address, Made made, Instant since) {}
+
+  /**
+   * A client on the runtime's thread.
+   *
+   * @param parts tells which part of the sockets a connection to an address belongs to
+   */
+  public UndertowCaller(XnioRuntime runtime, Function<String, Sockets.Part> parts) {
     this.runtime = runtime;
+    this.parts = parts;
+    this.connector = new Connector(runtime.thread());
+    for (Sockets.Part part : Sockets.Part.values()) {
+      waiting.put(part, new ArrayDeque<>());
+    }
   }
 
   @Override
@@ -58,15 +79,16 @@
     new Call(request, onReply).begin();
   }
 
-  private ClientConnection takeIdle(String address) {
+  private Made takeIdle(String address) {
     Deque<Idle> free = idle.get(address);
     while (free != null && !free.isEmpty()) {
       Idle kept = free.pollLast();
       byAge.remove(kept);
-      if (kept.connection.isOpen() && kept.since.plus(IDLE_FOR).isAfter(runtime.now())) {
-        return kept.connection;
+      if (kept.made.connection.isOpen() && kept.since.plus(IDLE_FOR).isAfter(runtime.now())) {
+        kept.made.socket.busy();
+        return kept.made;
       }
-      IoUtils.safeClose(kept.connection);
+      IoUtils.safeClose(kept.made.connection);
     }
     if (free != null) {
       idle.remove(address);
@@ -74,13 +96,15 @@
     return null;
   }
 
-  private void giveBack(String address, ClientConnection connection) {
+  private void giveBack(String address, Made made) {
     Deque<Idle> free = idle.computeIfAbsent(address, a -> new ArrayDeque<>(2));
-    if (!connection.isOpen() || free.size() >= IDLE_PER_ADDRESS) {
-      IoUtils.safeClose(connection);
+    boolean wanted = waiting.get(made.socket.part()).isEmpty();
+    if (!made.connection.isOpen() || free.size() >= IDLE_PER_ADDRESS || !wanted) {
+      IoUtils.safeClose(made.connection);
       return;
     }
-    Idle kept = new Idle(address, connection, runtime.now());
+    made.socket.idle();
+    Idle kept = new Idle(address, made, runtime.now());
     free.addLast(kept);
     byAge.add(kept);
     if (byAge.size() > IDLE_IN_ALL) {
@@ -94,13 +118,32 @@
     if (free.remove(kept) && free.isEmpty()) {
       idle.remove(kept.address);
     }
-    IoUtils.safeClose(kept.connection);
+    IoUtils.safeClose(kept.made.connection);
+  }
+
+  /** A socket is closed: the call that has waited longest for one of its part gets the room. */
+  private void released(Sockets.Socket socket) {
+    socket.closed();
+    Deque<Call> queue = waiting.get(socket.part());
+    if (!queue.isEmpty()) {
+      runtime.execute(() -> next(queue));
+    }
+  }
+
+  private void next(Deque<Call> queue) {
+    Call call = queue.peekFirst();
+    while (call != null && (call.state == Call.State.DONE || call.connect())) {
+      queue.pollFirst();
+      call = queue.peekFirst();
+    }
   }
 
   /** One request under way. */
   private final class Call {
     /** Where a call stands; {@code DONE} is reached once only. */
     private enum State {
+      /** No socket is free. */
+      WAITING,
       CONNECTING,
       SENT,
       DONE
@@ -108,8 +151,10 @@
 
     private final Request request;
     private final Consumer<Reply> onReply;
-    private State state = State.CONNECTING;
-    private ClientConnection connection;
+    private State state = State.WAITING;
+    private Made made;
+    private Sockets.Socket socket;
+    private IoFuture<StreamConnection> connecting;
     private XnioExecutor.Key timer;
 
     Call(Request request, Consumer<Reply> onReply) {
@@ -125,33 +170,49 @@
                   () -> XnioRuntime.guarded(this::timeOut),
                   Math.max(1, request.timeout().toMillis()),
                   TimeUnit.MILLISECONDS);
-      ClientConnection kept = takeIdle(request.address());
+      Made kept = takeIdle(request.address());
       if (kept != null) {
+        state = State.CONNECTING;
         runtime.execute(() -> send(kept));
         return;
       }
-      int colon = request.address().lastIndexOf(':');
-      InetSocketAddress address =
-          new InetSocketAddress(
-              request.address().substring(0, colon),
-              Integer.parseInt(request.address().substring(colon + 1)));
-      UndertowClient.getInstance()
-          .connect(
+      Deque<Call> queue = waiting.get(parts.apply(request.address()));
+      if (!queue.isEmpty() || !connect()) {
+        queue.addLast(this);
+      }
+    }
+
+    /** Begins to connect; false when there is no socket for it. */
+    boolean connect() {
+      socket = runtime.sockets().open(parts.apply(request.address()), this::close);
+      if (socket == null) {
+        return false;
+      }
+      state = State.CONNECTING;
+      connecting =
+          connector.connect(
+              URI.create("http://" + request.address()),
+              buffers,
               new ClientCallback<>() {
                 @Override
-                public void completed(ClientConnection made) {
-                  XnioRuntime.guarded(() -> send(made));
+                public void completed(ClientConnection connection) {
+                  Made now = new Made(connection, socket);
+                  connection.addCloseListener(closed -> released(now.socket));
+                  XnioRuntime.guarded(() -> send(now));
                 }
 
                 @Override
                 public void failed(IOException e) {
+                  released(socket);
                   XnioRuntime.guarded(() -> finish(Reply.NOT_SENT));
                 }
-              },
-              URI.create("http://" + address.getHostString() + ":" + address.getPort()),
-              runtime.thread(),
-              buffers,
-              OptionMap.EMPTY);
+              });
+      return true;
+    }
+
+    /** Called by the socket's owner when it must go. */
+    private void close() {
+      IoUtils.safeClose(made == null ? null : made.connection);
     }
 
     private void timeOut() {
@@ -167,19 +228,22 @@
       if (timer != null) {
         timer.remove();
       }
-      if (connection != null && reply.outcome() != Outcome.ANSWERED) {
-        IoUtils.safeClose(connection);
+      if (made != null && reply.outcome() != Outcome.ANSWERED) {
+        IoUtils.safeClose(made.connection);
+      } else if (made == null && connecting != null && reply.outcome() != Outcome.ANSWERED) {
+        connecting.cancel();
+        released(socket);
       }
       XnioRuntime.guarded(() -> onReply.accept(reply));
     }
 
-    private void send(ClientConnection made) {
+    private void send(Made on) {
       if (state == State.DONE) {
         // Nothing was written on it: the call was given up while the connection was being made.
-        IoUtils.safeClose(made);
+        IoUtils.safeClose(on.connection);
         return;
       }
-      connection = made;
+      made = on;
       state = State.SENT;
       ClientRequest out =
           new ClientRequest()
@@ -192,7 +256,7 @@
         out.getRequestHeaders().put(Headers.CONTENT_LENGTH, body.length);
       }
       try {
-        made.sendRequest(out, onExchange(body));
+        made.connection.sendRequest(out, onExchange(body));
       } catch (RuntimeException e) {
         // The client throws when its peer has closed the connection just now. Whether any of the
         // request left is not known; ending the process for it would cost far more than a retry.
@@ -294,7 +358,7 @@
           if (read < 0) {
             if (state != State.DONE) {
               // Let the client finish its own end of the exchange before the connection is reused.
-              runtime.execute(() -> giveBack(request.address(), connection));
+              runtime.execute(() -> giveBack(request.address(), made));
             }
             finish(Reply.answered(status, into.toByteArray()));
             return true;
--- a/src/main/java/io/pineladder/net/XnioRuntime.java
+++ b/src/main/java/io/pineladder/net/XnioRuntime.java
@@ -1,24 +1,36 @@
 package io.pineladder.net;
 
-import io.undertow.Undertow;
 import io.undertow.UndertowOptions;
+import io.undertow.server.DefaultByteBufferPool;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
+import io.undertow.server.protocol.http.HttpOpenListener;
+import io.undertow.server.protocol.http.HttpServerConnection;
 import io.undertow.util.Headers;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.time.Clock;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayList;
+import java.util.IdentityHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.xnio.ChannelListener;
+import org.xnio.ChannelListeners;
+import org.xnio.IoUtils;
 import org.xnio.OptionMap;
 import org.xnio.Options;
+import org.xnio.StreamConnection;
 import org.xnio.Xnio;
 import org.xnio.XnioIoThread;
 import org.xnio.XnioWorker;
+import org.xnio.channels.AcceptingChannel;
 
 /** The one XNIO thread, on which everything runs: servers, the client, timers, the core. */
 public final class XnioRuntime implements Timeline {
@@ -26,14 +38,25 @@
   /** Larger bodies than a user may send; reports of full machines stay below it. */
   private static final int MAX_BODY = 1 << 20;
 
+  private static final Duration SWEEP = Duration.ofSeconds(1);
+
   private final XnioWorker worker;
   private final XnioIoThread thread;
   private final Instant origin = Instant.EPOCH;
   private final long originNanos = System.nanoTime();
   private final Clock wall = Clock.systemUTC();
-  private Undertow server;
+  private final Sockets sockets;
+  private final Map<StreamConnection, Sockets.Socket> accepted = new IdentityHashMap<>();
+  private final List<AcceptingChannel<StreamConnection>> servers = new ArrayList<>();
 
-  public XnioRuntime() throws IOException {
+  /**
+   * A runtime.
+   *
+   * @param maxSockets how many sockets the process may have
+   * @param report how often a worker reports
+   */
+  public XnioRuntime(int maxSockets, Duration report) throws IOException {
+    sockets = new Sockets(maxSockets, report, this);
     worker =
         Xnio.getInstance(XnioRuntime.class.getClassLoader())
             .createWorker(
@@ -44,10 +67,17 @@
                     .set(Options.TCP_NODELAY, true)
                     .getMap());
     thread = worker.getIoThread();
+    after(SWEEP, this::sweep);
+  }
+
+  private void sweep() {
+    sockets.sweep();
+    after(SWEEP, this::sweep);
   }
 
-  XnioWorker worker() {
-    return worker;
+  /** The process's sockets. */
+  public Sockets sockets() {
+    return sockets;
   }
 
   XnioIoThread thread() {
@@ -87,50 +117,103 @@
     }
   }
 
-  /** Starts one HTTP listener for each address. */
-  public void serve(Map<String, HttpHandlerAsync> listeners) {
-    Undertow.Builder builder =
-        Undertow.builder()
-            .setWorker(worker)
-            .setBufferSize(8 * 1024)
-            .setDirectBuffers(false)
-            .setSocketOption(Options.TCP_NODELAY, true)
-            .setSocketOption(Options.REUSE_ADDRESSES, true)
-            .setSocketOption(Options.BACKLOG, 512)
-            .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, (long) MAX_BODY)
-            .setServerOption(UndertowOptions.ALWAYS_SET_DATE, false)
-            .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, 120_000)
-            .setServerOption(UndertowOptions.ENABLE_STATISTICS, false);
-    for (Map.Entry<String, HttpHandlerAsync> entry : listeners.entrySet()) {
-      int colon = entry.getKey().lastIndexOf(':');
-      HttpHandler root = adapt(entry.getValue());
-      builder.addHttpListener(
-          Integer.parseInt(entry.getKey().substring(colon + 1)),
-          entry.getKey().substring(0, colon),
-          root);
+  /** A listener: its address, what serves it, and what its connections are for, by method and path. */
+  public record Listener(
+      String address, HttpHandlerAsync handler, Function<String, Sockets.Part> parts) {}
+
+  /** Starts an HTTP listener. */
+  public void serve(Listener listener) throws IOException {
+    int colon = listener.address.lastIndexOf(':');
+    HttpOpenListener http =
+        new HttpOpenListener(
+            new DefaultByteBufferPool(false, 8 * 1024),
+            OptionMap.builder()
+                .set(UndertowOptions.MAX_ENTITY_SIZE, (long) MAX_BODY)
+                .set(UndertowOptions.ALWAYS_SET_DATE, false)
+                .set(UndertowOptions.NO_REQUEST_TIMEOUT, 120_000)
+                .set(UndertowOptions.ENABLE_STATISTICS, false)
+                .getMap());
+    http.setRootHandler(adapt(listener));
+    AcceptingChannel<StreamConnection> server =
+        worker.createStreamConnectionServer(
+            new InetSocketAddress(
+                listener.address.substring(0, colon),
+                Integer.parseInt(listener.address.substring(colon + 1))),
+            ChannelListeners.openListenerAdapter(connection -> accept(connection, http)),
+            OptionMap.builder()
+                .set(Options.TCP_NODELAY, true)
+                .set(Options.REUSE_ADDRESSES, true)
+                .set(Options.BACKLOG, 512)
+                .getMap());
+    server.resumeAccepts();
+    servers.add(server);
+  }
+
+  private void accept(StreamConnection connection, HttpOpenListener http) {
+    Sockets.Socket socket =
+        sockets.open(Sockets.Part.ARRIVING, () -> IoUtils.safeClose(connection));
+    if (socket == null) {
+      IoUtils.safeClose(connection);
+      return;
+    }
+    socket.idle();
+    accepted.put(connection, socket);
+    // It may answer the first request at once, so whose socket it is must be known by now.
+    http.handleEvent(connection);
+    ChannelListener<? super StreamConnection> theirs = connection.getCloseListener();
+    connection.setCloseListener(
+        closed -> {
+          forget(connection);
+          ChannelListeners.invokeChannelListener(closed, theirs);
+        });
+    if (!connection.isOpen()) {
+      forget(connection);
     }
-    server = builder.build();
-    server.start();
   }
 
-  public void stop() {
-    if (server != null) {
-      server.stop();
+  private void forget(StreamConnection connection) {
+    Sockets.Socket socket = accepted.remove(connection);
+    if (socket != null) {
+      socket.closed();
     }
+  }
+
+  public void stop() {
+    servers.forEach(IoUtils::safeClose);
     worker.shutdownNow();
   }
 
-  private static HttpHandler adapt(HttpHandlerAsync handler) {
-    return exchange ->
-        exchange
-            .getRequestReceiver()
-            .receiveFullBytes(
-                (ex, body) -> guarded(() -> dispatch(handler, ex, body)),
-                (ex, failure) -> {
-                  // A body over the limit cannot be read to its end, so the connection closes.
-                  ex.setPersistent(false);
-                  send(ex, new HttpAnswer(400, new byte[0]));
-                });
+  private HttpHandler adapt(Listener listener) {
+    return exchange -> {
+      occupy(listener, exchange);
+      exchange
+          .getRequestReceiver()
+          .receiveFullBytes(
+              (ex, body) -> guarded(() -> dispatch(listener.handler, ex, body)),
+              (ex, failure) -> {
+                // A body over the limit cannot be read to its end, so the connection closes.
+                ex.setPersistent(false);
+                send(ex, new HttpAnswer(400, new byte[0]));
+              });
+    };
+  }
+
+  /** Counts the connection to its part; one that finds no room there gets its answer and is closed. */
+  private void occupy(Listener listener, HttpServerExchange exchange) {
+    StreamConnection connection = ((HttpServerConnection) exchange.getConnection()).getChannel();
+    Sockets.Socket socket = accepted.get(connection);
+    if (socket == null) {
+      return;
+    }
+    socket.busy();
+    if (!socket.moveTo(listener.parts.apply(exchange.getRequestURI()))) {
+      exchange.setPersistent(false);
+    }
+    exchange.addExchangeCompleteListener(
+        (ex, next) -> {
+          socket.idle();
+          next.proceed();
+        });
   }
 
   private static void dispatch(HttpHandlerAsync handler, HttpServerExchange exchange, byte[] body) {
--- a/src/main/java/io/pineladder/wire/SettingsReader.java
+++ b/src/main/java/io/pineladder/wire/SettingsReader.java
@@ -19,6 +19,9 @@
       Pattern.compile("\\d{1,3}(\\.\\d{1,3}){3}:([1-9]\\d{0,4}|0)");
   private static final double MAX = 1e9;
 
+  /** What a process is taken to be allowed where the platform does not say. */
+  private static final int USUAL_SOCKETS = 1000;
+
   private final List<String> faults = new ArrayList<>();
 
   private SettingsReader() {}
@@ -108,7 +111,10 @@
             state.number("write_rps", 1, MAX),
             (int) (state.number("value_kb", 1, 1e5) * 1024),
             (int) state.number("txn_ops", 3, MAX)),
-        new Settings.CloudLimits(cloud.number("rps", 0.01, MAX), cloud.seconds("list_lag_s", 0)));
+        new Settings.CloudLimits(cloud.number("rps", 0.01, MAX), cloud.seconds("list_lag_s", 0)),
+        deployment.has("resources")
+            ? (int) deployment.table("resources").number("max_sockets", 64, MAX)
+            : USUAL_SOCKETS);
   }
 
   /** One table of the file, with its place for messages. */
--- a/src/main/java/io/pineladder/workers/Workers.java
+++ b/src/main/java/io/pineladder/workers/Workers.java
@@ -33,6 +33,12 @@
   private static final Logger log = LoggerFactory.getLogger(Workers.class);
   private static final Duration DIRECT_TIMEOUT = Duration.ofSeconds(2);
 
+  /** Probes under way: when hundreds are silent, asking all at once used up the sockets. */
+  private static final int MOST_PROBES = 64;
+
+  /** One that has been asked lets others be asked first. */
+  private static final Duration PROBE_AGAIN = Duration.ofSeconds(6);
+
   private final Cluster cluster;
   private final Scheduler scheduler;
   private final HttpCaller http;
@@ -45,6 +51,7 @@
   /** How many reports have been dealt with. */
   private long reports;
 
+  private int probes;
   private boolean flushSet;
 
   /** What the rest of the leader learns from here. */
@@ -353,9 +360,17 @@
    * reach us, or be on its way from node to node.
    */
   public void probe(Machine machine) {
-    if (machine.address == null || machine.ordering || !mayAct.getAsBoolean()) {
+    Instant now = time.now();
+    boolean asked = machine.probedAt != null && machine.probedAt.plus(PROBE_AGAIN).isAfter(now);
+    if (asked
+        || probes >= MOST_PROBES
+        || machine.address == null
+        || machine.ordering
+        || !mayAct.getAsBoolean()) {
       return;
     }
+    probes++;
+    machine.probedAt = now;
     machine.ordering = true;
     http.call(
         Request.post(
@@ -363,7 +378,10 @@
             "/do",
             WorkerWire.command(term, Math.max(1, machine.session), new Orders()),
             DIRECT_TIMEOUT),
-        reply -> onDirectReply(machine, List.of(), reply));
+        reply -> {
+          probes--;
+          onDirectReply(machine, List.of(), reply);
+        });
   }
 
   private void onDirectReply(Machine machine, List<Attempt> started, Reply reply) {
--- a/src/test/java/io/pineladder/front/FrontHttpTest.java
+++ b/src/test/java/io/pineladder/front/FrontHttpTest.java
@@ -6,7 +6,7 @@
 import io.pineladder.Node;
 import io.pineladder.admin.Metrics;
 import io.pineladder.model.Settings;
-import io.pineladder.net.HttpHandlerAsync;
+import io.pineladder.net.Sockets;
 import io.pineladder.net.UndertowCaller;
 import io.pineladder.net.XnioRuntime;
 import io.pineladder.wire.SettingsReader;
@@ -15,11 +15,11 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.URI;
+import java.time.Duration;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
-import java.util.LinkedHashMap;
-import java.util.Map;
+import java.time.Duration;
 import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.Test;
@@ -39,6 +39,8 @@
     }
   }
 
+  private static final int MOST_SOCKETS = 100;
+
   @BeforeAll
   static void start() throws IOException, SettingsReader.BadSettingsException {
     front = freeAddress();
@@ -50,13 +52,17 @@
                 .replace("10.0.0.1:8080", front)
                 .replace("10.0.0.1:8081", cluster)
                 .replaceAll("10\\.[02]\\.0\\.\\d:\\d+", nowhere));
-    runtime = new XnioRuntime();
-    Node node = new Node(settings, runtime, new UndertowCaller(runtime), "nonce");
+    runtime = new XnioRuntime(MOST_SOCKETS, Duration.ofSeconds(1));
+    UndertowCaller http = new UndertowCaller(runtime, address -> Sockets.Part.SERVICES);
+    Node node = new Node(settings, runtime, http, "nonce");
     Front made = new Front(node, new Metrics());
-    Map<String, HttpHandlerAsync> listeners = new LinkedHashMap<>();
-    listeners.put(front, made::handle);
-    listeners.put(cluster, made::handleCluster);
-    runtime.serve(listeners);
+    runtime.serve(
+        new XnioRuntime.Listener(
+            front,
+            made::handle,
+            path -> path.equals("/v1/report") ? Sockets.Part.REPORTS : Sockets.Part.USERS));
+    runtime.serve(
+        new XnioRuntime.Listener(cluster, made::handleCluster, path -> Sockets.Part.PEERS));
   }
 
   @AfterAll
