A controller that comes back ends the lease its process before left behind

Change: a node that finds the leader's key written by its own controller under another nonce deletes the lease. That process is gone: the two have the same addresses.

--- a/src/main/java/io/pineladder/leadership/Election.java
+++ b/src/main/java/io/pineladder/leadership/Election.java
@@ -167,6 +167,11 @@
             if (reply.is(200)) {
               StoreWire.Entry entry = StoreWire.parseEntry(reply.body());
               learn(entry);
+              long left = StoreWire.parseAttached(reply.body());
+              if (isOfBefore(known) && left != 0) {
+                endLeaseOfBefore(of, left);
+                return;
+              }
               watch(of, entry.version());
               return;
             }
@@ -186,6 +191,28 @@
         });
   }
 
+  /** Whether the leader is this controller's process of before, which ended without a word. */
+  private boolean isOfBefore(LeaderRecord leader) {
+    return leader.member().equals(self.member()) && !leader.nonce().equals(self.nonce());
+  }
+
+  /**
+   * Ends the lease that the process before this one held. After an outage of the state service it
+   * has its full time again although nobody is left to use it, and that time is what workers' leases
+   * lack then. Two processes of one controller cannot run at once, since they have the same
+   * addresses; were it so, the older one's transactions and orders would be refused all the same.
+   */
+  private void endLeaseOfBefore(int of, long left) {
+    log.info("the lease {} of this controller's process before is ended", left);
+    store.urgent(
+        store.delete("/holds/" + left),
+        reply -> {
+          if (of == round) {
+            time.after(reply.isAnswered() ? Duration.ZERO : RETRY, () -> look(of));
+          }
+        });
+  }
+
   private void learn(StoreWire.Entry entry) throws MalformedException {
     known = entry == null ? null : RecordWire.parseLeader(entry.value());
     knownVersion = entry == null ? 0 : entry.version();
--- a/src/main/java/io/pineladder/wire/StoreWire.java
+++ b/src/main/java/io/pineladder/wire/StoreWire.java
@@ -76,6 +76,11 @@
     return new Entry(in.text("path"), in.node("v"), in.whole("stamp", 0, ANY));
   }
 
+  /** The lease that a key is attached to; 0 when there is none. */
+  public static long parseAttached(byte[] body) throws MalformedException {
+    return Json.parseObject(body).path("hold").asLong(0);
+  }
+
   /** The revision in a response. */
   public static long parseRevision(byte[] body) throws MalformedException {
     return new Fields(Json.parseObject(body)).whole("epoch", 0, ANY);
