Machines silent by the hundred are no cut zone while others of the zone are heard

In a real cut all fall silent at once: when the first is missed, no other has been heard since. Change: a zone counts as cut only if also fewer than a fifth of its machines were heard lately.

--- a/src/main/java/io/pineladder/fleet/Fleet.java
+++ b/src/main/java/io/pineladder/fleet/Fleet.java
@@ -330,17 +330,32 @@
     return report.plus(report.dividedBy(4)).plusSeconds(6);
   }
 
+  /** How the machines of one zone are heard. */
+  private static final class ZoneSilence {
+    int up;
+    int overdue;
+    int heardLately;
+
+    boolean isCut() {
+      return overdue >= 3 && overdue * 3 > up && heardLately * 5 < up;
+    }
+  }
+
   /**
    * Machines that have stopped reporting are cut off by returning them, which is the proof that
-   * their tasks are gone. When most of a zone is silent the fault is likely between us and them, and
-   * their workers may keep their tasks as long as their lease runs; then they get that time.
+   * their tasks are gone. When nearly all of a zone is silent the fault is likely between us and
+   * them, and a node in the zone may keep their workers' leases; then they get that time. Hundreds of
+   * machines that are silent while others of their zone are heard are no such cut: their leases end,
+   * and the longer they are waited for the later their tasks start elsewhere.
    */
   private void findSilent(Instant now) {
     Duration allowed = silence();
     // A whole zone falls silent one report after the other: what counts for a cut is who is late,
     // or the first ones would be given up before the last ones are missed.
     Duration overdue = allowed.minusSeconds(4);
-    Map<String, int[]> zones = new HashMap<>();
+    // In a zone that is cut all fall silent at once, so when the first is missed none was heard since.
+    Duration lately = overdue.minus(cluster.settings.workers().report());
+    Map<String, ZoneSilence> zones = new HashMap<>();
     List<Machine> silent = new ArrayList<>();
     int up = 0;
     for (Machine machine : cluster.machines()) {
@@ -349,10 +364,11 @@
         continue;
       }
       up++;
-      int[] counts = zones.computeIfAbsent(machine.zone, z -> new int[2]);
-      counts[0]++;
+      ZoneSilence zone = zones.computeIfAbsent(machine.zone, z -> new ZoneSilence());
+      zone.up++;
+      zone.heardLately += machine.heardAt != null && machine.heardAt.plus(lately).isAfter(now) ? 1 : 0;
       if (since.plus(overdue).isBefore(now)) {
-        counts[1]++;
+        zone.overdue++;
         if (now.getEpochSecond() % 2 == 0) {
           effects.probe(machine);
         }
@@ -376,8 +392,7 @@
     // A node inside a zone that is cut off keeps its workers' leases.
     Duration lease = cluster.settings.workers().lease().multipliedBy(2);
     for (Machine machine : silent) {
-      int[] counts = zones.get(machine.zone);
-      boolean cut = counts[1] >= 3 && counts[1] * 3 > counts[0];
+      boolean cut = zones.get(machine.zone).isCut();
       boolean urgent = isUrgent(machine, now);
       if (!cut || urgent || silentSince(machine).plus(lease).isBefore(now)) {
         release(machine);
