--- /dev/null
+++ b/src/test/java/io/pineladder/sim/RecoverySimulationTest.java
@@ -0,0 +1,152 @@
+package io.pineladder.sim;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.pineladder.net.HttpCaller;
+import io.pineladder.wire.Json;
+import java.time.Duration;
+import org.junit.jupiter.api.Test;
+
+/** What bursts, outages and takeovers cost, and what users are told meanwhile. */
+class RecoverySimulationTest extends SimulatedCluster {
+  private String host(int index) {
+    return "10.0.0." + (index + 1);
+  }
+
+  /** Asks one node, and runs until it has answered. */
+  private HttpCaller.Reply ask(String host, String method, String path, byte[] body) {
+    HttpCaller.Reply[] got = new HttpCaller.Reply[1];
+    world
+        .caller("user", () -> true)
+        .call(
+            new HttpCaller.Request(host + ":8080", method, path, body, Duration.ofSeconds(5)),
+            reply -> got[0] = reply);
+    for (int i = 0; i < 600 && got[0] == null; i++) {
+      world.runFor(Duration.ofMillis(10));
+    }
+    return got[0];
+  }
+
+  private static String status(HttpCaller.Reply reply) throws Exception {
+    return Json.parseObject(reply.body()).get("status").asText();
+  }
+
+  /** Seen on the larger fleets: each acceptance was a change of the store, of which it takes 35 a second. */
+  @Test
+  void aBurstOfSubmissionsCostsFewChangesOfTheStore() {
+    begin(11);
+    world.runFor(Duration.ofSeconds(5));
+    String leader = host(leader());
+    int[] accepted = new int[1];
+    for (int i = 0; i < 500; i++) {
+      byte[] body = Json.bytes(job("array", 1, "nobody-runs-it").put("owner", "red"));
+      world
+          .caller("user", () -> true)
+          .call(
+              HttpCaller.Request.post(leader + ":8080", "/v1/jobs", body, Duration.ofSeconds(5)),
+              reply -> accepted[0] += reply.is(201) ? 1 : 0);
+    }
+    world.runFor(Duration.ofMillis(1_500));
+    assertEquals(500, accepted[0]);
+    int changes = store.changes.get("accepted/") + store.changes.getOrDefault("job/", 0);
+    assertTrue(changes <= 100, changes + " changes for 500 acceptances");
+  }
+
+  /**
+   * Seen on the larger fleets: all controllers ended in an outage of the store, and when it was back
+   * the dead leader's lease had its full time again, in which workers' leases ran out.
+   */
+  @Test
+  void afterAnOutageNobodyWaitsForALeaseThatNobodyHolds() {
+    begin(12);
+    world.runFor(Duration.ofSeconds(5));
+    store.outage = true;
+    world.runFor(Duration.ofSeconds(2));
+    controllers.forEach(each -> kill(each, 6_000));
+    world.runFor(Duration.ofSeconds(12));
+    store.endOutage();
+    world.runFor(Duration.ofMillis(1_500));
+    Rules.Known job = submit(job("array", 2, "red"));
+    world.runFor(Duration.ofMillis(900));
+    assertTrue(job.accepted, "a leader accepts within 2.4 s of the store's return");
+    settle(Duration.ofSeconds(120));
+  }
+
+  /** A node that reaches the store and not the leader finds what the leader accepted into a page. */
+  @Test
+  void aNodeWithoutLeaderAnswersForJobsInPages() throws Exception {
+    begin(13);
+    world.runFor(Duration.ofSeconds(5));
+    ObjectNode spec = job("service", 1, "red");
+    Rules.Known job = new Rules.Known(spec.get("ref").asText(), spec);
+    rules.jobs.put(job.id, job);
+    int leader = leader();
+    assertEquals(
+        201, ask(host(leader), "POST", "/v1/jobs", Json.bytes(spec)).status(), "stored in a page");
+    assertEquals(0, store.count("job/"));
+    String alone = host((leader + 1) % 3);
+    world.cut(alone, host(leader));
+    world.cut(alone, host((leader + 2) % 3));
+    world.runFor(Duration.ofSeconds(6));
+    HttpCaller.Reply known = ask(alone, "GET", "/v1/jobs/" + job.id, null);
+    assertEquals(200, known.status());
+    assertEquals("pending", status(known));
+    assertEquals(404, ask(alone, "GET", "/v1/jobs/req-999999", null).status());
+    job.cancelAsked = true;
+    HttpCaller.Reply cancelled =
+        ask(host(leader), "POST", "/v1/jobs/" + job.id + "/cancel", null);
+    assertEquals("aborted", status(cancelled));
+    // The index that it has read by now must not tell what has been overtaken.
+    assertEquals("aborted", status(ask(alone, "GET", "/v1/jobs/" + job.id, null)));
+  }
+
+  /** A job that another node stores again, while it cannot reach the leader, ends once and for all. */
+  @Test
+  void aJobStoredTwiceEndsWithItsCopy() throws Exception {
+    begin(14);
+    world.runFor(Duration.ofSeconds(5));
+    ObjectNode spec = job("service", 1, "red");
+    Rules.Known job = new Rules.Known(spec.get("ref").asText(), spec);
+    rules.jobs.put(job.id, job);
+    int leader = leader();
+    assertEquals(201, ask(host(leader), "POST", "/v1/jobs", Json.bytes(spec)).status());
+    job.accepted = true;
+    String alone = host((leader + 1) % 3);
+    world.cut(alone, host(leader));
+    world.cut(alone, host((leader + 2) % 3));
+    world.runFor(Duration.ofSeconds(6));
+    // The user's repeat: its first answer was lost.
+    assertEquals(201, ask(alone, "POST", "/v1/jobs", Json.bytes(spec)).status());
+    assertEquals(1, store.count("job/"));
+    world.runFor(Duration.ofSeconds(3));
+    job.cancelAsked = true;
+    HttpCaller.Reply cancelled =
+        ask(host(leader), "POST", "/v1/jobs/" + job.id + "/cancel", null);
+    assertEquals("aborted", status(cancelled));
+    rules.told(job, "aborted");
+    controllers.forEach(each -> kill(each, 6_000));
+    world.heal(alone, host(leader));
+    world.heal(alone, host((leader + 2) % 3));
+    world.runFor(Duration.ofSeconds(30));
+    assertTrue(store.jobs().isEmpty(), store.jobs() + " would be taken up again");
+    assertEquals("aborted", status(ask(alone, "GET", "/v1/jobs/" + job.id, null)));
+  }
+
+  /** Sent to the store it was refused as malformed, and each repeat of it ended the leader's term. */
+  @Test
+  void aDescriptionThatCannotBeStoredIsRefusedAndEndsNoTerm() throws Exception {
+    begin(15);
+    world.runFor(Duration.ofSeconds(5));
+    ObjectNode spec = job("array", 1, "red");
+    var types = spec.putArray("hulls").add("g4");
+    for (int i = 0; i < 500; i++) {
+      types.add("a-machine-type-of-a-long-name-" + i);
+    }
+    String nonce = store.value("lead/holder").get("nonce").asText();
+    assertEquals(422, ask(host(leader()), "POST", "/v1/jobs", Json.bytes(spec)).status());
+    world.runFor(Duration.ofSeconds(5));
+    assertEquals(nonce, store.value("lead/holder").get("nonce").asText());
+  }
+}
--- /dev/null
+++ b/src/test/java/io/pineladder/sim/SimulatedCluster.java
@@ -0,0 +1,301 @@
+package io.pineladder.sim;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.pineladder.Node;
+import io.pineladder.admin.Metrics;
+import io.pineladder.front.Front;
+import io.pineladder.model.Settings;
+import io.pineladder.net.HttpCaller;
+import io.pineladder.net.Timeline;
+import io.pineladder.wire.Json;
+import io.pineladder.wire.MalformedException;
+import io.pineladder.wire.SettingsReader;
+import io.pineladder.wire.SettingsReaderTest;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Several controllers in virtual time among stand-ins that crash, cut, delay and deliver late. */
+abstract class SimulatedCluster {
+  static final List<String> FRONTS =
+      List.of("10.0.0.1:8080", "10.0.0.2:8080", "10.0.0.3:8080");
+  static final String STORE = "10.2.0.1:2379";
+
+  /** One controller, from one start to the next. */
+  static final class Controller {
+    final int index;
+    boolean[] alive = new boolean[1];
+
+    Controller(int index) {
+      this.index = index;
+    }
+  }
+
+  final List<Controller> controllers = new ArrayList<>();
+  World world;
+  StoreStandIn store;
+  FleetStandIn fleet;
+  Rules rules;
+  int jobs;
+  int unanswered;
+
+  void begin(long seed) {
+    world = new World(seed);
+    rules = new Rules(world);
+    store = new StoreStandIn(world, 12, 8192);
+    fleet = new FleetStandIn(world, rules, FRONTS);
+    world.serve(STORE, store);
+    world.serve(FleetStandIn.ADDRESS, fleet);
+    for (int i = 0; i < 3; i++) {
+      controllers.add(new Controller(i));
+      start(controllers.get(i));
+    }
+    watch();
+  }
+
+  void watch() {
+    rules.watchCancelled();
+    world.after(500, this::watch);
+  }
+
+  Settings settings(int index) {
+    String host = "10.0.0." + (index + 1);
+    StringBuilder toml = new StringBuilder(SettingsReaderTest.GOOD);
+    String text =
+        toml.toString()
+            .replace("member = \"rung-0\"\narea", "member = \"rung-" + index + "\"\narea")
+            .replace("front = \"10.0.0.1:", "front = \"" + host + ":")
+            .replace("cluster_listen = \"10.0.0.1:", "cluster_listen = \"" + host + ":");
+    int other = 0;
+    for (int i = 1; i <= 2; i++) {
+      if (other == index) {
+        other++;
+      }
+      text =
+          text.replace(
+              "member = \"rung-" + i + "\"\narea = \"" + (i == 1 ? "b" : "a")
+                  + "\"\naddress = \"10.0.0." + (i + 1) + ":8081\"",
+              "member = \"RUNG-" + other + "\"\narea = \"a\"\naddress = \"10.0.0."
+                  + (other + 1) + ":8081\"");
+      other++;
+    }
+    try {
+      return SettingsReader.parse(text.replace("RUNG-", "rung-"));
+    } catch (SettingsReader.BadSettingsException e) {
+      throw new AssertionError(e);
+    }
+  }
+
+  void start(Controller controller) {
+    boolean[] alive = {true};
+    controller.alive = alive;
+    Settings settings = settings(controller.index);
+    double rate = 1 + (world.random.nextDouble() - 0.5) * 0.001;
+    String host = "10.0.0." + (controller.index + 1);
+    Timeline time = world.timeline(host, () -> alive[0], rate);
+    HttpCaller http = world.caller(host, () -> alive[0]);
+    Node node = new Node(settings, time, http, "nonce-" + world.random.nextLong());
+    Front front = new Front(node, new Metrics());
+    world.serve(settings.frontAddress(), front::handle);
+    world.serve(settings.clusterAddress(), front::handleCluster);
+    node.start();
+    front.start();
+  }
+
+  void kill(Controller controller, long backMillis) {
+    if (!controller.alive[0]) {
+      return;
+    }
+    controller.alive[0] = false;
+    world.stop(FRONTS.get(controller.index));
+    world.stop("10.0.0." + (controller.index + 1) + ":8081");
+    world.after(backMillis, () -> start(controller));
+  }
+
+  // ---- users
+
+  ObjectNode job(String shape, int tasks, String owner) {
+    ObjectNode spec =
+        Json.object()
+            .put("ref", String.format("req-%06d", ++jobs))
+            .put("jobclass", shape.equals("service") ? "serve" : "work")
+            .put("owner", owner)
+            .put("shape", shape)
+            .put("rank", shape.equals("service") ? "prod" : jobs % 3 == 0 ? "low" : "standard")
+            .put("pieces", tasks)
+            .put("vcpus", 2.0)
+            .put("cards", 1.0)
+            .put("memory_gb", 4.0)
+            .put("bundle", "img-" + jobs % 3)
+            .put("image_gb", 2.0)
+            .put("together", jobs % 5 == 0)
+            .put("spread", jobs % 5 == 1)
+            .put("loaners", !shape.equals("service") && jobs % 2 == 0)
+            .put("guess_s", shape.equals("service") ? 0 : 5 + jobs % 20)
+            .put("mark_every_s", 0.0)
+            .put("stow_s", 0.0);
+    return spec;
+  }
+
+  Rules.Known submit(ObjectNode spec) {
+    Rules.Known job = new Rules.Known(spec.get("ref").asText(), spec);
+    rules.jobs.put(job.id, job);
+    send(job, "POST", "/v1/jobs", Json.bytes(spec));
+    return job;
+  }
+
+  void cancel(Rules.Known job) {
+    job.cancelAsked = true;
+    send(job, "POST", "/v1/jobs/" + job.id + "/cancel", null);
+  }
+
+  void send(Rules.Known job, String method, String path, byte[] body) {
+    HttpCaller user = world.caller("user", () -> true);
+    String node = FRONTS.get(world.random.nextInt(3));
+    boolean poll = method.equals("GET");
+    boolean wasOver = job.isOver();
+    user.call(
+        new HttpCaller.Request(node, method, path, body, Duration.ofSeconds(poll ? 2 : 5)),
+        reply -> {
+          boolean good = reply.is(200) || reply.is(201);
+          if (reply.isAnswered()) {
+            rules.answered(job, reply.status());
+          }
+          if (good) {
+            try {
+              String status = Json.parseObject(reply.body()).get("status").asText();
+              // What was asked before the job was over may be answered as it was then.
+              if (wasOver == job.isOver() || status.equals("done") || status.equals("aborted")) {
+                rules.told(job, status);
+              }
+            } catch (MalformedException e) {
+              throw new AssertionError(e);
+            }
+          } else {
+            unanswered++;
+          }
+          if (path.equals("/v1/jobs")) {
+            if (good) {
+              job.accepted = true;
+              world.after(2_000, () -> poll(job));
+            } else {
+              world.after(1_000, () -> send(job, method, path, body));
+            }
+          } else if (!poll && !good) {
+            world.after(1_000, () -> send(job, method, path, body));
+          }
+        });
+  }
+
+  void poll(Rules.Known job) {
+    send(job, "GET", "/v1/jobs/" + job.id, null);
+    world.after(job.isOver() ? 20_000 : 5_000, () -> poll(job));
+  }
+
+  ObjectNode randomJob() {
+    return switch (world.random.nextInt(4)) {
+      case 0 -> job("service", 1 + world.random.nextInt(2), "red");
+      case 1 -> job("group", 2 + world.random.nextInt(3), "red");
+      default -> job("array", 1 + world.random.nextInt(6), "blue");
+    };
+  }
+
+  /** Gives everything time to settle, then asks that all work is done and nothing is left over. */
+  void settle(Duration time) {
+    world.lossy = 0;
+    world.runFor(time);
+    for (Rules.Known job : rules.jobs.values()) {
+      boolean service = job.spec.get("shape").asText().equals("service");
+      assertTrue(job.accepted, job.id + " was not accepted");
+      assertTrue(
+          service || job.broken || job.isOver(), job.id + " did not end: " + job.completed);
+    }
+    assertTrue(rules.starts > 0);
+    assertEquals(0, store.count("inbox/"));
+    List<String> open =
+        rules.jobs.values().stream().filter(j -> !j.isOver()).map(j -> j.id).sorted().toList();
+    assertEquals(open, List.copyOf(store.jobs()));
+  }
+
+  int leader() {
+    String member = store.value("lead/holder").get("member").asText();
+    return Integer.parseInt(member.substring(member.length() - 1));
+  }
+
+  void trouble(int kind) {
+    Controller some = controllers.get(world.random.nextInt(3));
+    String host = "10.0.0." + (some.index + 1);
+    long millis = 2_000 + world.random.nextInt(30_000);
+    switch (kind) {
+      case 0 -> kill(some, 6_000);
+      case 1 -> {
+        world.cut(host, "10.2.0.1");
+        world.after(millis, () -> world.heal(host, "10.2.0.1"));
+      }
+      case 2 -> {
+        store.outage = true;
+        world.after(millis, store::endOutage);
+      }
+      case 3 -> {
+        fleet.outage = true;
+        world.after(millis, () -> fleet.outage = false);
+      }
+      case 4 -> {
+        // One zone's workers are cut from one controller.
+        for (FleetStandIn.Worker worker : fleet.up()) {
+          if (worker.zone.equals("a")) {
+            String there = World.host(worker.address);
+            world.cut(host, there);
+            world.after(millis, () -> world.heal(host, there));
+          }
+        }
+      }
+      case 5 -> {
+        for (FleetStandIn.Worker worker : fleet.up()) {
+          if (world.random.nextInt(4) == 0) {
+            for (int i = 1; i <= 3; i++) {
+              String node = "10.0.0." + i;
+              String there = World.host(worker.address);
+              world.cut(node, there);
+              world.after(millis, () -> world.heal(node, there));
+            }
+          }
+        }
+      }
+      case 6 -> {
+        for (Controller each : controllers) {
+          kill(each, 6_000 + each.index * 500L);
+        }
+      }
+      case 7 -> {
+        List<FleetStandIn.Worker> up = fleet.up();
+        if (!up.isEmpty()) {
+          FleetStandIn.Worker taken = up.get(world.random.nextInt(up.size()));
+          fleet.machines.remove(taken.name);
+          taken.end();
+        }
+      }
+      case 8, 9 -> world.freeze(host, millis);
+      case 10 -> {
+        fleet.badBoots = true;
+        world.after(millis, () -> fleet.badBoots = false);
+      }
+      case 11 -> {
+        // Everybody asks about everything, again and again.
+        for (int i = 0; i < 8; i++) {
+          world.after(i * 500L, () -> rules.jobs.values().stream().toList().forEach(this::ask));
+        }
+      }
+      default -> {}
+    }
+  }
+
+  void ask(Rules.Known job) {
+    if (job.accepted) {
+      send(job, "GET", "/v1/jobs/" + job.id, null);
+    }
+  }
+}
--- a/src/test/java/io/pineladder/sim/StoreStandIn.java
+++ b/src/test/java/io/pineladder/sim/StoreStandIn.java
@@ -40,6 +40,12 @@
   private long leaseIds;
   boolean outage;
 
+  /** Puts and deletes so far, by the first part of their keys. */
+  final Map<String, Integer> changes = new HashMap<>();
+
+  /** Requests so far, refused ones included. */
+  int requests;
+
   StoreStandIn(World world, int txnOps, int valueBytes) {
     this.world = world;
     this.txnOps = txnOps;
@@ -121,6 +127,7 @@
 
   @Override
   public void handle(String method, String path, byte[] body, Consumer<HttpAnswer> answer) {
+    requests++;
     if (outage) {
       answer.accept(answer(503, Json.object().put("error", "outage")));
       return;
@@ -173,6 +180,9 @@
 
   private static ObjectNode entry(String key, Value value) {
     ObjectNode out = Json.object().put("path", key).put("stamp", value.version);
+    if (value.lease != 0) {
+      out.put("hold", value.lease);
+    }
     out.set("v", value.value);
     return out;
   }
@@ -220,6 +230,8 @@
     }
     revision++;
     for (JsonNode change : changes) {
+      String changed = change.path("write").asText() + change.path("remove").asText();
+      this.changes.merge(changed.substring(0, changed.indexOf('/') + 1), 1, Integer::sum);
       if (change.has("remove")) {
         remove(change.get("remove").asText());
         continue;
--- a/src/test/java/io/pineladder/workers/LeaderHarness.java
+++ b/src/test/java/io/pineladder/workers/LeaderHarness.java
@@ -226,10 +226,14 @@
 
   /** A report of one machine in zone a, in its first session, with our token. */
   byte[] report(String machine, long sequence, TaskReport... tasks) {
+    return report("a", machine, sequence, tasks);
+  }
+
+  byte[] report(String zone, String machine, long sequence, TaskReport... tasks) {
     WorkerWire.Orders orders =
         workers.onReport(
             new Report(
-                machine, "10.1.0.1:9000", "g4", "a", false, 1, sequence, TERM, null,
+                machine, "10.1.0.1:9000", "g4", zone, false, 1, sequence, TERM, null,
                 List.of(tasks)));
     runFor(Duration.ofMillis(60));
     return WorkerWire.reportResponse(TERM, orders);
--- a/src/test/java/io/pineladder/workers/WorkersTest.java
+++ b/src/test/java/io/pineladder/workers/WorkersTest.java
@@ -170,20 +170,29 @@
     assertNull(leader.cluster.machine("m-1"));
   }
 
-  /** Found on laval: a cut zone's machines were given up one by one, each as if it were alone. */
-  @Test
-  void aZoneThatFallsSilentIsNotGivenUpWhileItsLeasesMayHold() {
+  /**
+   * Ten machines, of which the first six fall silent.
+   *
+   * @param others the zone of the other four
+   */
+  private void sixFallSilent(String others, Duration watched) {
     leader.fleet.start();
     for (int i = 0; i < 10; i++) {
-      leader.report("m-" + i, 1);
+      leader.report(i < 6 ? "a" : others, "m-" + i, 1);
       leader.runFor(Duration.ofMillis(300));
     }
-    for (int second = 0; second < 25; second++) {
+    for (int second = 0; second < watched.toSeconds(); second++) {
       leader.runFor(Duration.ofSeconds(1));
       for (int i = 6; i < 10; i++) {
-        leader.report("m-" + i, 2 + second);
+        leader.report(others, "m-" + i, 2 + second);
       }
     }
+  }
+
+  /** Found on laval: a cut zone's machines were given up one by one, each as if it were alone. */
+  @Test
+  void aZoneThatFallsSilentIsNotGivenUpWhileItsLeasesMayHold() {
+    sixFallSilent("b", Duration.ofSeconds(25));
     for (int i = 0; i < 6; i++) {
       assertEquals(Machine.State.SILENT, leader.cluster.machine("m-" + i).state());
     }
@@ -191,6 +200,32 @@
     assertTrue(leader.resigned.isEmpty());
   }
 
+  /**
+   * Found on laval-fleet: machines cut off by the hundred were taken for a cut zone and waited for
+   * twice as long as their tasks could live, though others of the zone were heard all the time.
+   */
+  @Test
+  void machinesSilentAmongOthersOfTheirZoneAreGivenUp() {
+    sixFallSilent("a", Duration.ofSeconds(14));
+    for (int i = 0; i < 6; i++) {
+      assertEquals(Machine.State.RELEASING, leader.cluster.machine("m-" + i).state());
+    }
+  }
+
+  /** Hung machines go on within their lease: where images are slow to come they are worth the wait. */
+  @Test
+  void manySilentAtOnceAreWaitedForAsLongAsTheirTasksLiveWhereOthersTakeLong() {
+    leader.accept(LeaderHarness.spec("req-1", Shape.SERVICE, Rank.LOW, 1, "i"));
+    sixFallSilent("a", Duration.ofSeconds(14));
+    for (int i = 0; i < 6; i++) {
+      assertEquals(Machine.State.SILENT, leader.cluster.machine("m-" + i).state());
+    }
+    leader.runFor(Duration.ofSeconds(8));
+    for (int i = 0; i < 6; i++) {
+      assertEquals(Machine.State.RELEASING, leader.cluster.machine("m-" + i).state());
+    }
+  }
+
   /** A leader that no worker reaches makes way, but only if it has heard one in its term. */
   @Test
   void aLeaderThatLosesAllWorkersResignsAndOneThatNeverHadAnyDoesNot() {
