Many machines silent at once are waited for while their tasks live, where others take long

Need: machines that hang come back within their lease with all that is on them. Where having another ready takes more than three times the extra wait (images that take a minute to fetch), they get that time; where it takes little they are given up as before.

--- a/src/main/java/io/pineladder/fleet/Fleet.java
+++ b/src/main/java/io/pineladder/fleet/Fleet.java
@@ -62,6 +62,9 @@
   /** An idle machine that is not needed even then waits for this part of the usual least time. */
   private static final int SURPLUS_PART = 3;
 
+  /** Machines that may come back are waited for a third of the time that another takes. */
+  private static final int WAIT_PART = 3;
+
   /** The part of the forecast kept ready for jobs that can wait for a machine to boot. */
   private static final double PATIENT_PART = 0.25;
 
@@ -339,6 +342,11 @@
     boolean isCut() {
       return overdue >= 3 && overdue * 3 > up && heardLately * 5 < up;
     }
+
+    /** Many at once are cut off or hang rather than have stopped one by one. */
+    boolean isManyAtOnce() {
+      return overdue >= 3 && overdue * 20 > up;
+    }
   }
 
   /**
@@ -389,12 +397,16 @@
       effects.resign("no worker is heard");
       return;
     }
-    // A node inside a zone that is cut off keeps its workers' leases.
-    Duration lease = cluster.settings.workers().lease().multipliedBy(2);
+    Duration lease = cluster.settings.workers().lease();
     for (Machine machine : silent) {
-      boolean cut = zones.get(machine.zone).isCut();
-      boolean urgent = isUrgent(machine, now);
-      if (!cut || urgent || silentSince(machine).plus(lease).isBefore(now)) {
+      ZoneSilence zone = zones.get(machine.zone);
+      Duration patience =
+          zone.isCut()
+              ? lease.multipliedBy(2)
+              : zone.isManyAtOnce() && isWorthWaiting(machine, lease.minus(allowed))
+                  ? lease
+                  : Duration.ZERO;
+      if (isUrgent(machine, now) || silentSince(machine).plus(patience).isBefore(now)) {
         release(machine);
       }
     }
@@ -423,6 +435,21 @@
     }
   }
 
+  /**
+   * Whether a machine that may come back with its tasks is worth waiting for so much longer: having
+   * another ready, with an image like most, takes several times as long.
+   */
+  private boolean isWorthWaiting(Machine machine, Duration longer) {
+    Duration ready = machine.type.boot().plus(fetchTime(machine.type));
+    return longer.multipliedBy(WAIT_PART).compareTo(ready) < 0;
+  }
+
+  /** How long a machine of the type fetches an image like most. */
+  private Duration fetchTime(MachineType type) {
+    return Duration.ofMillis(
+        (long) (meanImageGb / Math.max(1e-3, type.fetchGbPerSecond()) * 1000));
+  }
+
   /** A cancelled job's task is still there and its time is running out. */
   private boolean isUrgent(Machine machine, Instant now) {
     Duration half = cluster.settings.workers().cancel().dividedBy(2);
@@ -596,14 +623,14 @@
    * machines boot as they should.
    */
   private boolean roomIsCheap(MachineType type) {
-    double fetch = meanImageGb / Math.max(1e-3, type.fetchGbPerSecond());
-    return meanImageGb > 0 && fetch * 1000 < type.boot().toMillis() && boots.areUsual(type);
+    return meanImageGb > 0
+        && fetchTime(type).compareTo(type.boot()) < 0
+        && boots.areUsual(type);
   }
 
   /** An idle machine is kept as long as having one ready again would take. */
   private Duration keepIdle(MachineType type) {
-    double fetch = meanImageGb / Math.max(1e-3, type.fetchGbPerSecond());
-    Duration again = boots.usual(type).plusMillis((long) (fetch * 1000));
+    Duration again = boots.usual(type).plus(fetchTime(type));
     return again.compareTo(operator.idleRelease()) > 0 ? again : operator.idleRelease();
   }
 
