--- a/src/main/java/io/pineladder/fleet/Fleet.java
+++ b/src/main/java/io/pineladder/fleet/Fleet.java
@@ -62,6 +62,9 @@
   /** An idle machine that is not needed even then waits for this part of the usual least time. */
   private static final int SURPLUS_PART = 3;
 
+  /** Machines asked for at once: when hundreds are lost together, fifty a second are too few. */
+  private static final int MOST_ASKED = 200;
+
   /** Machines that may come back are waited for a third of the time that another takes. */
   private static final int WAIT_PART = 3;
 
@@ -845,13 +848,18 @@
         open.add(pool);
       }
     }
-    int left = Math.min(count, CloudWire.MOST_RENTED);
+    int left = Math.min(count, MOST_ASKED);
     boolean asked = false;
-    for (int i = 0; i < open.size() && left > 0; i++) {
-      int part = (int) Math.ceil((double) left / (open.size() - i));
-      Rental rental = new Rental("c-" + term + "-" + ++requests, open.get(i), part);
-      if (send(rental)) {
+    for (int i = 0; i < open.size(); i++) {
+      int ofPool = (int) Math.ceil((double) left / (open.size() - i));
+      while (ofPool > 0) {
+        int part = Math.min(ofPool, CloudWire.MOST_RENTED);
+        Rental rental = new Rental("c-" + term + "-" + ++requests, open.get(i), part);
+        if (!send(rental)) {
+          break;
+        }
         rentals.add(rental);
+        ofPool -= part;
         left -= part;
         asked = true;
       }
