Probes of silent machines follow one another instead of 64 every other second

Cause: while peers refuse each other hundreds of machines report to nodes that cannot hand their reports on. Change: as soon as a probe is answered the next goes out, 100 under way at most.

--- a/src/main/java/io/pineladder/workers/Workers.java
+++ b/src/main/java/io/pineladder/workers/Workers.java
@@ -21,6 +21,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.Iterator;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
@@ -33,11 +34,14 @@
   private static final Logger log = LoggerFactory.getLogger(Workers.class);
   private static final Duration DIRECT_TIMEOUT = Duration.ofSeconds(2);
 
-  /** Probes under way: when hundreds are silent, asking all at once used up the sockets. */
-  private static final int MOST_PROBES = 64;
+  /**
+   * Probes under way: when hundreds are silent, asking all at once used up the sockets. Those that
+   * live answer within milliseconds, so the rest have their turn soon.
+   */
+  private static final int MOST_PROBES = 100;
 
-  /** One that has been asked lets others be asked first. */
-  private static final Duration PROBE_AGAIN = Duration.ofSeconds(6);
+  /** One that has been asked is not asked again sooner. */
+  private static final Duration PROBE_AGAIN = Duration.ofSeconds(4);
 
   private final Cluster cluster;
   private final Scheduler scheduler;
@@ -51,6 +55,7 @@
   /** How many reports have been dealt with. */
   private long reports;
 
+  private final Set<Machine> toProbe = new LinkedHashSet<>();
   private int probes;
   private boolean flushSet;
 
@@ -360,15 +365,25 @@
    * reach us, or be on its way from node to node.
    */
   public void probe(Machine machine) {
-    Instant now = time.now();
-    boolean asked = machine.probedAt != null && machine.probedAt.plus(PROBE_AGAIN).isAfter(now);
-    if (asked
-        || probes >= MOST_PROBES
-        || machine.address == null
-        || machine.ordering
-        || !mayAct.getAsBoolean()) {
-      return;
+    toProbe.add(machine);
+    nextProbes();
+  }
+
+  private void nextProbes() {
+    Iterator<Machine> next = toProbe.iterator();
+    while (probes < MOST_PROBES && next.hasNext() && mayAct.getAsBoolean()) {
+      Machine machine = next.next();
+      next.remove();
+      Instant now = time.now();
+      boolean asked = machine.probedAt != null && machine.probedAt.plus(PROBE_AGAIN).isAfter(now);
+      boolean there = machine.state() != Machine.State.GONE && machine.address != null;
+      if (!asked && there && !machine.ordering) {
+        sendProbe(machine, now);
+      }
     }
+  }
+
+  private void sendProbe(Machine machine, Instant now) {
     probes++;
     machine.probedAt = now;
     machine.ordering = true;
@@ -381,6 +396,7 @@
         reply -> {
           probes--;
           onDirectReply(machine, List.of(), reply);
+          nextProbes();
         });
   }
 
