Controllers know of each other who is up, reached and stored by (package membership)

Need: what a node made of its peers was two failed pings to the leader; where to hand a submission, where to send a worker and whom to believe in a cut each had a rule of its own. Change: beats once a second over the peer interface, each with its sender's store health, term and whom it heard. A state machine for each peer (unknown, up, suspect, apart, down) with suspicion before verdict, and doubt of oneself first: a node that hears nobody, or stood still, calls nobody down. Used for where a request is handed on, for relays and for keeping leases. A worker is first sent to the leader even when this node does not reach it: only one that comes back has its lease kept here, without orders. While peers refused each other workers were kept from a leader that they could reach.

--- a/src/main/java/io/pineladder/Node.java
+++ b/src/main/java/io/pineladder/Node.java
@@ -3,6 +3,7 @@
 import com.github.benmanes.caffeine.cache.Cache;
 import com.github.benmanes.caffeine.cache.Caffeine;
 import io.pineladder.leadership.Election;
+import io.pineladder.membership.Membership;
 import io.pineladder.model.MachineType;
 import io.pineladder.model.OperatorSettings;
 import io.pineladder.model.Settings;
@@ -12,6 +13,7 @@
 import io.pineladder.store.JobIndex;
 import io.pineladder.store.Keys;
 import io.pineladder.store.StoreClient;
+import io.pineladder.wire.BeatWire;
 import io.pineladder.wire.CloudWire;
 import io.pineladder.wire.JobWire;
 import io.pineladder.wire.MalformedException;
@@ -20,6 +22,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
+import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -44,6 +47,7 @@
   private final StoreClient store;
   private final Election election;
   private final JobIndex accepted;
+  private final Membership membership;
 
   /** Final states never change, so any copy of them may be told. */
   private final Cache<String, JobWire.Status> finals =
@@ -65,16 +69,28 @@
         new StoreClient(
             http, time, settings.storeAddress(), settings.store(), settings.peers().size() + 1);
     this.accepted = new JobIndex(store, time);
+    this.membership = new Membership(settings, nonce, time, this::sendBeat, this::own);
     this.election = new Election(store, time, settings, nonce, new Part());
   }
 
   public void start() {
     log.info("controller {} starts in zone {}", settings.member(), settings.zone());
     election.start();
+    membership.start();
     readConf();
     tick();
   }
 
+  private void sendBeat(String address, byte[] beat, Consumer<byte[]> onAnswer) {
+    http.call(
+        Request.post(address, BeatWire.PATH, beat, Membership.TIMEOUT),
+        reply -> onAnswer.accept(reply.is(200) ? reply.body() : null));
+  }
+
+  private Membership.Own own() {
+    return new Membership.Own(store.isHealthy(), election.isValid() ? election.term() : 0);
+  }
+
   /** Ends all activity, as a killed process would. */
   public void stop() {
     stopped = true;
@@ -171,6 +187,10 @@
     return store;
   }
 
+  public Membership membership() {
+    return membership;
+  }
+
   /** The jobs that leaders accepted, as this node can read them without one. */
   public JobIndex accepted() {
     return accepted;
--- a/src/main/java/io/pineladder/cli/Main.java
+++ b/src/main/java/io/pineladder/cli/Main.java
@@ -176,11 +176,7 @@
     runtime.serve(
         new XnioRuntime.Listener(
             settings.clusterAddress(), front::handleCluster, path -> Sockets.Part.PEERS));
-    runtime.execute(
-        () -> {
-          node.start();
-          front.start();
-        });
+    runtime.execute(node::start);
     return runtime;
   }
 }
--- a/src/main/java/io/pineladder/front/Front.java
+++ b/src/main/java/io/pineladder/front/Front.java
@@ -14,6 +14,7 @@
 import io.pineladder.net.HttpCaller.Request;
 import io.pineladder.store.Keys;
 import io.pineladder.store.Records;
+import io.pineladder.wire.BeatWire;
 import io.pineladder.wire.JobWire;
 import io.pineladder.wire.Json;
 import io.pineladder.wire.MalformedException;
@@ -41,7 +42,6 @@
 
   private static final Duration COMMIT_TIMEOUT = Duration.ofMillis(2500);
   private static final Duration CONTACT = Duration.ofSeconds(6);
-  private static final Duration PING = Duration.ofSeconds(2);
   private static final byte[] EMPTY = new byte[0];
 
   /** A worker back so soon after it was sent to the leader has not reached it. */
@@ -59,16 +59,7 @@
 
   private final Metrics metrics;
   private final AdminApi admin;
-  private Instant peerAt;
   private Instant leaderFailedAt;
-
-  /** The leader that the last pings did not reach, though the store says that it leads; or null. */
-  private RecordWire.LeaderRecord unreachable;
-
-  /** When a ping that the leader answered was sent. */
-  private Instant leaderAt;
-
-  private int failedPings;
   private boolean ready;
 
   public Front(Node node, Metrics metrics) {
@@ -77,10 +68,6 @@
     this.admin = new AdminApi(node, metrics);
   }
 
-  public void start() {
-    ping();
-  }
-
   // ---- paths
 
   /** What users, workers and the load balancer ask. */
@@ -187,9 +174,9 @@
     }
     if (!node.store().isHealthy()) {
       // Cut off from the store this node may know an old leader only; its peers may know better.
-      for (Settings.Peer peer : node.settings().peers()) {
-        if (!ways.contains(peer.address())) {
-          ways.add(peer.address());
+      for (String peer : node.membership().likely()) {
+        if (!ways.contains(peer)) {
+          ways.add(peer);
         }
       }
     }
@@ -201,7 +188,7 @@
     boolean other = known != null && !known.member().equals(node.settings().member());
     boolean failed =
         leaderFailedAt != null && leaderFailedAt.plusMillis(1000).isAfter(node.time().now());
-    return other && !failed && !known.equals(unreachable);
+    return other && !failed && !node.membership().isUnreachable(known.member());
   }
 
   private void forwardTo(
@@ -224,7 +211,6 @@
         reply -> {
           try {
             if (reply.is(200)) {
-              peerAt = node.time().now();
               PeerWire.Answer got = PeerWire.parseAnswer(reply.body());
               if (got.decided()) {
                 answer.accept(got.answer());
@@ -251,7 +237,6 @@
       answer.accept(error(400, e.getMessage()));
       return;
     }
-    peerAt = node.time().now();
     RecordWire.LeaderRecord known = node.election().known();
     String name = known == null ? null : known.member();
     Consumer<HttpAnswer> decided =
@@ -308,10 +293,6 @@
   /** Serves a user's request as the leader. */
   private void lead(
       Leader leader, String method, String path, byte[] body, Consumer<HttpAnswer> answer) {
-    if (path.equals("/ready")) {
-      answer.accept(ok(EMPTY));
-      return;
-    }
     if (path.startsWith(AdminApi.PREFIX)) {
       admin.lead(leader, method, path, body, answer);
       return;
@@ -605,13 +586,6 @@
     }
     RecordWire.LeaderRecord known = node.election().known();
     boolean other = known != null && !known.member().equals(node.settings().member());
-    if (other && keepsAlive(known) && report.token() <= node.election().knownVersion()) {
-      answer.accept(
-          ok(
-              WorkerWire.reportResponse(
-                  node.election().knownVersion(), new WorkerWire.Orders())));
-      return;
-    }
     Instant now = node.time().now();
     if (other && !known.equals(redirectedTo)) {
       // That a worker did not reach an earlier leader says nothing of this one. Otherwise reports
@@ -620,12 +594,19 @@
       redirectedTo = known;
     }
     Instant redirected = redirects.get(report.machine());
-    if (other
-        && redirected != null
-        && redirected.plus(BOUNCE).isAfter(now)
-        && !known.equals(unreachable)) {
-      relay(known, report, body, answer);
-      return;
+    if (other && redirected != null && redirected.plus(BOUNCE).isAfter(now)) {
+      // It was sent to the leader, and is back.
+      if (!node.membership().isUnreachable(known.member())) {
+        relay(known, report, body, answer);
+        return;
+      }
+      if (keepsAlive(known) && report.token() <= node.election().knownVersion()) {
+        answer.accept(
+            ok(
+                WorkerWire.reportResponse(
+                    node.election().knownVersion(), new WorkerWire.Orders())));
+        return;
+      }
     }
     if (other) {
       redirects.put(report.machine(), now);
@@ -663,8 +644,8 @@
    */
   private boolean keepsAlive(RecordWire.LeaderRecord known) {
     Duration longest = Election.longestKeepAlive(node.settings().workers());
-    return known.equals(unreachable)
-        && node.store().isHealthy()
+    Instant leaderAt = node.membership().answeredAt(known.member());
+    return node.store().isHealthy()
         && leaderAt != null
         && node.time().now().isBefore(leaderAt.plus(longest));
   }
@@ -681,7 +662,9 @@
    */
   private boolean isReady() {
     boolean now =
-        node.actingLeader() != null || isRecent(node.store().answeredAt()) || isRecent(peerAt);
+        node.actingLeader() != null
+            || isRecent(node.store().answeredAt())
+            || isRecent(node.membership().heardAnyAt());
     if (now != ready) {
       log.info("ready: {}", now);
       ready = now;
@@ -689,36 +672,15 @@
     return now;
   }
 
-  private void ping() {
-    byte[] body = PeerWire.write(new PeerWire.Forward("GET", "/ready", EMPTY, 0));
-    Instant asked = node.time().now();
-    RecordWire.LeaderRecord known = node.election().known();
-    boolean other = known != null && !known.member().equals(node.settings().member());
-    boolean cutOff = !isRecent(node.store().answeredAt());
-    for (Settings.Peer peer : node.settings().peers()) {
-      boolean leads = other && peer.address().equals(known.address());
-      if (!leads && !cutOff) {
-        continue;
-      }
-      node.http().call(
-          Request.post(peer.address(), PeerWire.PATH, body, FORWARD_TIMEOUT),
-          reply -> {
-            if (reply.is(200)) {
-              peerAt = node.time().now();
-            }
-            if (leads) {
-              failedPings = reply.is(200) ? 0 : failedPings + 1;
-              leaderAt = reply.is(200) ? asked : leaderAt;
-              unreachable = failedPings >= 2 ? known : null;
-            }
-          });
-    }
-    node.time().after(PING, this::ping);
-  }
-
   /** What arrives on the cluster listener. */
   public void handleCluster(String method, String path, byte[] body, Consumer<HttpAnswer> answer) {
-    if (path.equals(PeerWire.PATH)) {
+    if (path.equals(BeatWire.PATH)) {
+      try {
+        answer.accept(ok(node.membership().handle(body)));
+      } catch (MalformedException e) {
+        answer.accept(error(400, e.getMessage()));
+      }
+    } else if (path.equals(PeerWire.PATH)) {
       handlePeer(body, answer);
     } else if (admin.isLeadersMatter(method, path)) {
       serve(method, path, body, answer, () -> answer.accept(later("no leader")));
--- a/src/test/java/io/pineladder/sim/SimulatedCluster.java
+++ b/src/test/java/io/pineladder/sim/SimulatedCluster.java
@@ -102,7 +102,6 @@
     world.serve(settings.frontAddress(), front::handle);
     world.serve(settings.clusterAddress(), front::handleCluster);
     node.start();
-    front.start();
   }
 
   void kill(Controller controller, long backMillis) {
