Membership against a plain model under loss, freezes and cuts; late beats count for what they are

Found by the model: a beat that a cut held back counted as heard when it came, and one answered beat between missed ones led to a verdict on a single miss. Beats are numbered now and tell the newest number their sender has of the receiver, so each shows how old it is at most; a verdict needs two misses in a row.

--- a/src/main/java/io/pineladder/membership/Membership.java
+++ b/src/main/java/io/pineladder/membership/Membership.java
@@ -4,6 +4,7 @@
 import io.pineladder.net.Timeline;
 import io.pineladder.wire.BeatWire;
 import io.pineladder.wire.BeatWire.Beat;
+import io.pineladder.wire.BeatWire.Heard;
 import io.pineladder.wire.MalformedException;
 import java.time.Duration;
 import java.time.Instant;
@@ -23,6 +24,10 @@
  * their sender heard the rest. Suspicion comes before a verdict, and doubt of oneself before both: a
  * node that hears nobody, or that stood still itself, calls nobody down.
  *
+ * <p>A message may be minutes late, so that one comes says nothing. Beats are numbered, and each tells
+ * the number of the newest one that its sender has: it was made after that one was sent, and so is no
+ * older. What counts as heard is that.
+ *
  * <p>Nothing that a rule rests on is decided here. The lease says who leads, and proofs from workers
  * say where tasks are; this says where to turn first.
  */
@@ -49,9 +54,14 @@
 
   static final Duration DWELL = Duration.ofSeconds(2);
 
+  private static final Duration NEVER = Duration.ofDays(1);
+
   /** A tick that comes so much late shows that this process stood still. */
   static final Duration PAUSE = Duration.ofSeconds(1);
 
+  /** Beats whose time is remembered; some six are made in a second. */
+  private static final int REMEMBERED = 256;
+
   /** How a peer stands. */
   public enum State {
     /** Nothing was heard of it since this process began. */
@@ -90,8 +100,17 @@
     final Settings.Peer at;
     State state = State.UNKNOWN;
     Instant changedAt;
+    /** Not earlier than this it made a beat that was heard; null for never. */
     Instant heardAt;
 
+    /** When a beat newer than all before came in, however old it may have been; null for never. */
+    Instant arrivedAt;
+
+    /** Its process and the number of the newest beat heard of it. */
+    String nonce;
+
+    long sequence;
+
     /** When the latest beat that it answered was sent. */
     Instant answeredAt;
 
@@ -99,7 +118,7 @@
     int answers;
     int changes;
 
-    /** What it told last. */
+    /** What it told in the newest beat. */
     Beat told;
 
     Peer(Settings.Peer at, Instant now) {
@@ -124,6 +143,11 @@
 
   private Instant tickedAt;
 
+  /** When each of the latest beats was made, by its number. */
+  private final Instant[] made = new Instant[REMEMBERED];
+
+  private long sequence;
+
   public Membership(
       Settings settings, String nonce, Timeline time, Sender sender, Supplier<Own> own) {
     this.self = settings.member();
@@ -157,7 +181,7 @@
               missed(peer);
             } else {
               peer.answeredAt = now;
-              onBeat(answer);
+              onBeat(answer, now);
             }
           });
     }
@@ -168,14 +192,24 @@
 
   private Beat beat() {
     Instant now = time.now();
-    Map<String, Duration> heard = new LinkedHashMap<>();
+    Map<String, Heard> heard = new LinkedHashMap<>();
     for (Peer peer : peers.values()) {
-      if (peer.heardAt != null) {
-        heard.put(peer.at.member(), Duration.between(peer.heardAt, now));
+      if (peer.nonce != null) {
+        Duration ago =
+            peer.heardAt == null ? NEVER : Duration.between(peer.heardAt, now);
+        heard.put(peer.at.member(), new Heard(ago, peer.nonce, peer.sequence));
       }
     }
+    made[(int) (++sequence % REMEMBERED)] = now;
     Own mineNow = own.get();
-    return new Beat(self, nonce, mineNow.storeOk(), mineNow.term(), heard);
+    return new Beat(self, nonce, sequence, mineNow.storeOk(), mineNow.term(), heard);
+  }
+
+  /** When this process made its beat of that number; null if that is too long ago, or never was. */
+  private Instant madeAt(Heard of) {
+    boolean mine = of != null && of.nonce().equals(nonce);
+    boolean remembered = mine && of.sequence() <= sequence && of.sequence() > sequence - REMEMBERED;
+    return remembered ? made[(int) (of.sequence() % REMEMBERED)] : null;
   }
 
   /** What came while this process stood still is yet to be read: everybody starts anew. */
@@ -194,13 +228,13 @@
 
   /** A beat has come in; the answer to it. */
   public byte[] handle(byte[] body) throws MalformedException {
-    take(BeatWire.parse(body), false);
+    take(BeatWire.parse(body), null);
     return BeatWire.write(beat());
   }
 
-  private void onBeat(byte[] body) {
+  private void onBeat(byte[] body, Instant sent) {
     try {
-      take(BeatWire.parse(body), true);
+      take(BeatWire.parse(body), sent);
     } catch (MalformedException e) {
       log.warn("a peer answered a beat with something else: {}", e.getMessage());
     }
@@ -209,18 +243,29 @@
   /**
    * Takes in what a peer tells.
    *
-   * @param answers whether it answered this node; what merely comes from it does not show that it
-   *     can be reached
+   * @param asked when the beat was sent that this answers, or null: what merely comes from a peer
+   *     does not show that it can be reached
    */
-  private void take(Beat beat, boolean answers) {
+  private void take(Beat beat, Instant asked) {
     Peer peer = peers.get(beat.member());
     if (peer == null) {
       return;
     }
-    met = true;
-    peer.heardAt = time.now();
-    peer.told = beat;
-    if (answers) {
+    boolean newer = !beat.nonce().equals(peer.nonce) || beat.sequence() > peer.sequence;
+    if (newer) {
+      peer.arrivedAt = time.now();
+    }
+    Instant proven = asked != null ? asked : madeAt(beat.heard().get(self));
+    if (newer && (proven != null || peer.nonce == null)) {
+      peer.nonce = beat.nonce();
+      peer.sequence = beat.sequence();
+    }
+    if (proven != null && (peer.heardAt == null || proven.isAfter(peer.heardAt))) {
+      met = true;
+      peer.heardAt = proven;
+      peer.told = beat;
+    }
+    if (asked != null) {
       peer.misses = 0;
       peer.answers++;
     }
@@ -254,7 +299,7 @@
       case SUSPECT, APART, DOWN -> {
         if (peer.answers >= RETURNS && !stays) {
           moveTo(peer, State.UP);
-        } else if (peer.misses > 0 && !stays) {
+        } else if (peer.misses >= MISSES && !stays) {
           conclude(peer, now);
         }
       }
@@ -269,14 +314,14 @@
       moveTo(peer, State.APART);
     } else if (suspectedLong && mine == Self.SURE && !isSure(peer, now)) {
       moveTo(peer, State.SUSPECT);
-    } else if (suspectedLong && mine == Self.SURE) {
+    } else if (suspectedLong && mine == Self.SURE && !isFresh(peer.arrivedAt, now)) {
       moveTo(peer, State.DOWN);
     }
   }
 
   /** Whether another node, or this one by what comes in, still hears from it. */
   private boolean isHeardBySomebody(Peer peer, Instant now) {
-    if (peer.heardAt != null && peer.heardAt.plus(FRESH).isAfter(now)) {
+    if (isFresh(peer.heardAt, now)) {
       return true;
     }
     for (Peer other : peers.values()) {
@@ -291,31 +336,31 @@
   /** Whether some other node that is up confirms that it does not hear the peer either. */
   private boolean isSure(Peer peer, Instant now) {
     for (Peer other : peers.values()) {
-      if (other != peer && other.state == State.UP && isFresh(other, now)) {
+      if (other != peer && other.state == State.UP && isFresh(other.heardAt, now)) {
         return true;
       }
     }
     return false;
   }
 
-  private static boolean isFresh(Peer peer, Instant now) {
-    return peer.told != null && peer.heardAt.plus(FRESH).isAfter(now);
+  private static boolean isFresh(Instant at, Instant now) {
+    return at != null && at.plus(FRESH).isAfter(now);
   }
 
   /** How long ago {@code other} heard the peer, by what it told lately; or null. */
   private static Duration heardAgo(Peer other, Peer peer, Instant now) {
-    if (!isFresh(other, now)) {
+    if (!isFresh(other.heardAt, now)) {
       return null;
     }
-    Duration then = other.told.heard().get(peer.at.member());
-    return then == null ? null : then.plus(Duration.between(other.heardAt, now));
+    Heard then = other.told.heard().get(peer.at.member());
+    return then == null ? null : then.ago().plus(Duration.between(other.heardAt, now));
   }
 
   private void reviewSelf() {
     Instant now = time.now();
     boolean hears = false;
     for (Peer peer : peers.values()) {
-      hears |= peer.heardAt != null && peer.heardAt.plus(FRESH).isAfter(now);
+      hears |= isFresh(peer.heardAt, now);
     }
     Self next = soberFrom.isAfter(now) || (met && !hears) ? Self.DOUBTFUL : Self.SURE;
     if (next != mine) {
--- a/src/main/java/io/pineladder/wire/BeatWire.java
+++ b/src/main/java/io/pineladder/wire/BeatWire.java
@@ -18,28 +18,46 @@
 
   private BeatWire() {}
 
+  /**
+   * What a controller has of a peer.
+   *
+   * @param ago how long ago, at most, the peer made the newest beat that was heard
+   * @param nonce the peer's process
+   * @param sequence the number of that beat, which shows the peer how old this is at most
+   */
+  public record Heard(Duration ago, String nonce, long sequence) {}
+
   /**
    * One controller's view.
    *
    * @param nonce tells its processes apart
+   * @param sequence counts the beats of the process
    * @param storeOk whether the state service answers it
    * @param term the term that it leads in with a valid lease; 0 when it does not lead
-   * @param heard how long ago it heard each of its peers, by name
+   * @param heard what it has of each of its peers, by name
    */
   public record Beat(
-      String member, String nonce, boolean storeOk, long term, Map<String, Duration> heard) {}
+      String member,
+      String nonce,
+      long sequence,
+      boolean storeOk,
+      long term,
+      Map<String, Heard> heard) {}
 
   public static byte[] write(Beat beat) {
     try (MessageBufferPacker out = MessagePack.newDefaultBufferPacker()) {
       out.packInt(VERSION);
       out.packString(beat.member());
       out.packString(beat.nonce());
+      out.packLong(beat.sequence());
       out.packBoolean(beat.storeOk());
       out.packLong(beat.term());
       out.packMapHeader(beat.heard().size());
-      for (Map.Entry<String, Duration> each : beat.heard().entrySet()) {
+      for (Map.Entry<String, Heard> each : beat.heard().entrySet()) {
         out.packString(each.getKey());
-        out.packLong(each.getValue().toMillis());
+        out.packLong(each.getValue().ago().toMillis());
+        out.packString(each.getValue().nonce());
+        out.packLong(each.getValue().sequence());
       }
       return out.toByteArray();
     } catch (IOException e) {
@@ -54,22 +72,24 @@
       }
       String member = in.unpackString();
       String nonce = in.unpackString();
+      long sequence = in.unpackLong();
       boolean storeOk = in.unpackBoolean();
       long term = in.unpackLong();
       int count = in.unpackMapHeader();
       if (count > MOST_PEERS) {
         throw new MalformedException("too many peers");
       }
-      Map<String, Duration> heard = new LinkedHashMap<>();
+      Map<String, Heard> heard = new LinkedHashMap<>();
       for (int i = 0; i < count; i++) {
         String peer = in.unpackString();
         long millis = in.unpackLong();
         if (millis < 0) {
           throw new MalformedException("heard in the future");
         }
-        heard.put(peer, Duration.ofMillis(millis));
+        heard.put(
+            peer, new Heard(Duration.ofMillis(millis), in.unpackString(), in.unpackLong()));
       }
-      return new Beat(member, nonce, storeOk, term, heard);
+      return new Beat(member, nonce, sequence, storeOk, term, heard);
     } catch (IOException | RuntimeException e) {
       throw new MalformedException("not a beat");
     }
--- a/src/test/java/io/pineladder/sim/World.java
+++ b/src/test/java/io/pineladder/sim/World.java
@@ -75,6 +75,11 @@
     cuts.add(other + " " + one);
   }
 
+  /** Keeps {@code one} from reaching the other, as a packet filter does; not the other way round. */
+  void refuse(String one, String other) {
+    cuts.add(one + " " + other);
+  }
+
   /** The host's process stands still; what comes for it meanwhile waits, timers too. */
   void freeze(String host, long millis) {
     frozen.merge(host, nowMillis + millis, Math::max);
