Takeovers are measured phase by phase (package recovery); peers and sockets show in the status

Need: what a takeover costs was read off logs by hand. Change: seconds from the last sign of the old leader to the election, and from there to the store read, the first report, the first answer to a user, the first placement and nine tenths of the fleet heard; one log line a takeover, histograms and the latest ten under /admin/v1/takeovers. /admin/v1/status shows each peer's state and the sockets by part.

--- a/src/main/java/io/pineladder/Leader.java
+++ b/src/main/java/io/pineladder/Leader.java
@@ -11,6 +11,7 @@
 import io.pineladder.model.Settings;
 import io.pineladder.net.HttpCaller;
 import io.pineladder.net.Timeline;
+import io.pineladder.recovery.Takeovers;
 import io.pineladder.scheduling.Cluster;
 import io.pineladder.scheduling.Scheduler;
 import io.pineladder.store.Committer;
@@ -28,8 +29,10 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
@@ -78,6 +81,7 @@
   private final Timeline time;
   private final long term;
   private final Host host;
+  private final Takeovers.Takeover takeover;
   private final Cluster cluster;
   private final Committer committer;
   private final Records records;
@@ -93,6 +97,9 @@
   /** How many jobs have left the memory for good; a read that saw one before is too old then. */
   private long removals;
 
+  /** Machines recorded by earlier leaders that this one has heard. */
+  private final Set<Machine> heardAgain = new HashSet<>();
+
   /** Submissions being stored, with those who wait for the answer. */
   private final Map<String, List<Consumer<JobWire.Status>>> accepting = new HashMap<>();
 
@@ -103,6 +110,7 @@
       Timeline time,
       long term,
       OperatorSettings operator,
+      Takeovers.Takeover takeover,
       Host host) {
     this.settings = settings;
     this.store = store;
@@ -110,6 +118,7 @@
     this.term = term;
     this.begunAt = time.now();
     this.host = host;
+    this.takeover = takeover;
     this.cluster = new Cluster(settings);
     cluster.setTypes(host.types());
     this.committer = new Committer(store, time, term, host::resign);
@@ -143,6 +152,7 @@
             new Records.Listener() {
               @Override
               public void onPlacementStored(Attempt attempt) {
+                takeover.passed(Takeovers.Phase.FIRST_PLACEMENT);
                 scheduler.onPlacementStored(attempt);
               }
 
@@ -269,6 +279,7 @@
 
   void close() {
     moveTo(State.OVER);
+    takeover.close();
     committer.close();
     fleet.close();
   }
@@ -444,6 +455,8 @@
           return byTime != 0 ? byTime : a.spec.id().compareTo(b.spec.id());
         });
     moveTo(State.LEADING);
+    takeover.passed(Takeovers.Phase.STORE_READ);
+    takeover.awaits(cluster.machines().size());
     for (Job job : ordered) {
       scheduler.add(job);
       if (job.isActive() && job.done.cardinality() == job.spec.tasks()) {
@@ -844,8 +857,19 @@
     scheduler.cancel(job);
   }
 
+  /** A request of a user was answered here. */
+  public void answered() {
+    takeover.passed(Takeovers.Phase.FIRST_ANSWER);
+  }
+
   // ---- workers
 
+  private void countHeard(Machine machine) {
+    if (machine.state() == Machine.State.CONFIRMED && heardAgain.add(machine)) {
+      takeover.heard();
+    }
+  }
+
   /**
    * Answers a report, or returns null when the worker must go elsewhere.
    *
@@ -869,6 +893,12 @@
     if (machine != null) {
       machine.relayed = relayed;
     }
+    if (orders != null) {
+      takeover.passed(Takeovers.Phase.FIRST_REPORT);
+      if (takeover.awaitsMore() && machine != null && machine.recorded) {
+        countHeard(machine);
+      }
+    }
     return orders == null ? null : WorkerWire.reportResponse(term, orders);
   }
 }
--- a/src/main/java/io/pineladder/Node.java
+++ b/src/main/java/io/pineladder/Node.java
@@ -10,6 +10,7 @@
 import io.pineladder.net.HttpCaller;
 import io.pineladder.net.HttpCaller.Request;
 import io.pineladder.net.Timeline;
+import io.pineladder.recovery.Takeovers;
 import io.pineladder.store.JobIndex;
 import io.pineladder.store.Keys;
 import io.pineladder.store.StoreClient;
@@ -48,6 +49,7 @@
   private final Election election;
   private final JobIndex accepted;
   private final Membership membership;
+  private final Takeovers takeovers;
 
   /** Final states never change, so any copy of them may be told. */
   private final Cache<String, JobWire.Status> finals =
@@ -69,6 +71,7 @@
         new StoreClient(
             http, time, settings.storeAddress(), settings.store(), settings.peers().size() + 1);
     this.accepted = new JobIndex(store, time);
+    this.takeovers = new Takeovers(time);
     this.membership = new Membership(settings, nonce, time, this::sendBeat, this::own);
     this.election = new Election(store, time, settings, nonce, new Part());
   }
@@ -102,7 +105,9 @@
   private final class Part implements Election.Listener {
     @Override
     public void onElected(long term) {
-      leader = new Leader(settings, store, http, time, term, operator, new LeaderHost());
+      Takeovers.Takeover takeover = takeovers.begin(term, membership.ledAt());
+      leader =
+          new Leader(settings, store, http, time, term, operator, takeover, new LeaderHost());
       leader.load();
       fetchTypes();
     }
@@ -187,6 +192,10 @@
     return store;
   }
 
+  public Takeovers takeovers() {
+    return takeovers;
+  }
+
   public Membership membership() {
     return membership;
   }
--- a/src/main/java/io/pineladder/admin/AdminApi.java
+++ b/src/main/java/io/pineladder/admin/AdminApi.java
@@ -4,15 +4,18 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.pineladder.Leader;
 import io.pineladder.Node;
+import io.pineladder.membership.Membership;
 import io.pineladder.model.Machine;
 import io.pineladder.model.OperatorSettings;
 import io.pineladder.net.HttpAnswer;
+import io.pineladder.recovery.Takeovers;
 import io.pineladder.wire.Json;
 import io.pineladder.wire.MalformedException;
 import io.pineladder.wire.RecordWire;
 import java.time.Duration;
 import java.util.Locale;
 import java.util.function.Consumer;
+import org.HdrHistogram.Histogram;
 
 /**
  * The administration API, on the cluster listener: what a controller knows, and the settings that
@@ -54,6 +57,7 @@
         switch (path) {
           case PREFIX + "status",
               PREFIX + "metrics",
+              PREFIX + "takeovers",
               PREFIX + "settings",
               PREFIX + "queue",
               PREFIX + "machines" -> true;
@@ -70,6 +74,7 @@
               switch (path) {
                 case PREFIX + "status" -> status();
                 case PREFIX + "metrics" -> metrics.read();
+                case PREFIX + "takeovers" -> takeovers();
                 default -> RecordWire.operator(node.operator());
               }));
     }
@@ -78,14 +83,46 @@
   private ObjectNode status() {
     var known = node.election().known();
     Leader leader = node.termHolder();
-    return Json.object()
-        .put("member", node.settings().member())
+    ObjectNode out = Json.object();
+    out.put("member", node.settings().member())
         .put("zone", node.settings().zone())
         .put("leadership", node.election().state().name().toLowerCase(Locale.ROOT))
         .put("leader", known == null ? null : known.member())
         .put("term", leader == null ? node.election().knownVersion() : leader.term())
         .put("store_healthy", node.store().isHealthy())
-        .put("machine_types", node.types().size());
+        .put("machine_types", node.types().size())
+        .put("doubts_itself", node.membership().self() == Membership.Self.DOUBTFUL);
+    ArrayNode peers = out.putArray("peers");
+    for (Membership.View peer : node.membership().view()) {
+      peers
+          .addObject()
+          .put("member", peer.member())
+          .put("state", peer.state().name().toLowerCase(Locale.ROOT))
+          .put("unheard_s", peer.unheard() == null ? null : peer.unheard().toMillis() / 1e3)
+          .put("store_healthy", peer.storeOk())
+          .put("term", peer.term())
+          .put("changes", peer.changes());
+    }
+    out.set("sockets", metrics.sockets());
+    return out;
+  }
+
+  /** How long takeovers took here, by phase, and the latest ones. */
+  private ObjectNode takeovers() {
+    ObjectNode out = Json.object();
+    ObjectNode phases = out.putObject("phases_s");
+    for (Takeovers.Phase phase : Takeovers.Phase.values()) {
+      Histogram histogram = node.takeovers().histogram(phase);
+      if (histogram != null) {
+        Metrics.percentiles(phases.putObject(phase.word()), histogram, 1e3);
+      }
+    }
+    ArrayNode latest = out.putArray("latest");
+    for (Takeovers.Taken taken : node.takeovers().latest()) {
+      ObjectNode one = latest.addObject().put("term", taken.term());
+      taken.phases().forEach((phase, took) -> one.put(phase.word(), took.toMillis() / 1e3));
+    }
+    return out;
   }
 
   /** What only the leader can answer. */
--- a/src/main/java/io/pineladder/admin/Metrics.java
+++ b/src/main/java/io/pineladder/admin/Metrics.java
@@ -6,9 +6,11 @@
 import io.micrometer.core.instrument.MeterRegistry;
 import io.micrometer.core.instrument.Tag;
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import io.pineladder.net.Sockets;
 import io.pineladder.wire.Json;
 import java.time.Duration;
 import java.util.EnumMap;
+import java.util.Locale;
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
@@ -44,6 +46,10 @@
   }
 
   private MeterRegistry registry;
+
+  /** The process's sockets; null where it has no network of its own. */
+  private Sockets sockets;
+
   private final Map<Operation, Map<Integer, Counter>> counters = new EnumMap<>(Operation.class);
   private final Map<Operation, Histogram> latencies = new EnumMap<>(Operation.class);
 
@@ -55,6 +61,29 @@
     return registry;
   }
 
+  /** Has the sockets shown with the other figures. */
+  public void watch(Sockets of) {
+    sockets = of;
+  }
+
+  /** The sockets by part; empty where there are none to show. */
+  ObjectNode sockets() {
+    ObjectNode out = Json.object();
+    if (sockets != null) {
+      sockets
+          .usage()
+          .forEach(
+              (part, usage) ->
+                  out.putObject(part.name().toLowerCase(Locale.ROOT))
+                      .put("open", usage.open())
+                      .put("idle", usage.idle())
+                      .put("peak", usage.peak())
+                      .put("most", usage.most())
+                      .put("refused", usage.refused()));
+    }
+    return out;
+  }
+
   /** One request was answered. */
   public void answered(Operation operation, int status, Duration took) {
     counters
@@ -86,15 +115,20 @@
       }
       meter.measure().forEach(measured -> meters.put(name.toString(), measured.getValue()));
     }
+    out.set("sockets", sockets());
     ObjectNode all = out.putObject("latency_s");
     latencies.forEach(
         (operation, histogram) -> {
-          ObjectNode one = all.putObject(operation.name().toLowerCase());
-          one.put("count", histogram.getTotalCount());
-          for (double percentile : PERCENTILES) {
-            one.put("p" + (int) percentile, histogram.getValueAtPercentile(percentile) / 1e6);
-          }
+          percentiles(all.putObject(operation.name().toLowerCase()), histogram, 1e6);
         });
     return out;
   }
+
+  /** Writes a histogram's count and percentiles, in seconds. */
+  static void percentiles(ObjectNode out, Histogram histogram, double unitsPerSecond) {
+    out.put("count", histogram.getTotalCount());
+    for (double percentile : PERCENTILES) {
+      out.put("p" + (int) percentile, histogram.getValueAtPercentile(percentile) / unitsPerSecond);
+    }
+  }
 }
--- a/src/main/java/io/pineladder/cli/AdminCommand.java
+++ b/src/main/java/io/pineladder/cli/AdminCommand.java
@@ -20,7 +20,7 @@
 final class AdminCommand {
   private static final Duration TIMEOUT = Duration.ofSeconds(5);
   private static final Set<String> TOPICS =
-      Set.of("status", "queue", "machines", "metrics", "settings");
+      Set.of("status", "queue", "machines", "metrics", "takeovers", "settings");
 
   private AdminCommand() {}
 
@@ -48,7 +48,7 @@
                     .paramLabel("TOPIC")
                     .type(String.class)
                     .arity("1")
-                    .description("status, queue, machines, metrics or settings")
+                    .description("status, queue, machines, metrics, takeovers or settings")
                     .build());
     spec.usageMessage().description("Asks a controller, or changes the operators' settings.");
     return spec;
--- a/src/main/java/io/pineladder/cli/Main.java
+++ b/src/main/java/io/pineladder/cli/Main.java
@@ -170,7 +170,9 @@
     byte[] nonce = new byte[12];
     RandomGenerator.of("SecureRandom").nextBytes(nonce);
     Node node = new Node(settings, runtime, http, HexFormat.of().formatHex(nonce));
-    Front front = new Front(node, new Metrics());
+    Metrics metrics = new Metrics();
+    metrics.watch(runtime.sockets());
+    Front front = new Front(node, metrics);
     runtime.serve(
         new XnioRuntime.Listener(settings.frontAddress(), front::handle, Main::frontPart));
     runtime.serve(
--- a/src/main/java/io/pineladder/front/Front.java
+++ b/src/main/java/io/pineladder/front/Front.java
@@ -301,9 +301,16 @@
       report(body, true, answer);
       return;
     }
+    Consumer<HttpAnswer> counted =
+        http -> {
+          if (http.status() < 500) {
+            leader.answered();
+          }
+          answer.accept(http);
+        };
     if (path.equals("/v1/jobs")) {
       try {
-        submitTo(leader, JobWire.parse(body), once(answer, COMMIT_TIMEOUT));
+        submitTo(leader, JobWire.parse(body), once(counted, COMMIT_TIMEOUT));
       } catch (MalformedException e) {
         answer.accept(error(400, e.getMessage()));
       }
@@ -316,10 +323,10 @@
         answer.accept(later("the state service is not available"));
         return;
       }
-      Consumer<HttpAnswer> bounded = once(answer, COMMIT_TIMEOUT);
+      Consumer<HttpAnswer> bounded = once(counted, COMMIT_TIMEOUT);
       leader.cancel(id, view -> bounded.accept(toAnswer(id, view)));
     } else {
-      Consumer<HttpAnswer> bounded = once(answer, FORWARD_TIMEOUT);
+      Consumer<HttpAnswer> bounded = once(counted, FORWARD_TIMEOUT);
       leader.view(rest, view -> bounded.accept(toAnswer(rest, view)));
     }
   }
--- a/src/main/java/io/pineladder/membership/Membership.java
+++ b/src/main/java/io/pineladder/membership/Membership.java
@@ -143,6 +143,9 @@
 
   private Instant tickedAt;
 
+  /** When some peer last was known to lead. */
+  private Instant ledAt;
+
   /** When each of the latest beats was made, by its number. */
   private final Instant[] made = new Instant[REMEMBERED];
 
@@ -265,6 +268,9 @@
       peer.heardAt = proven;
       peer.told = beat;
     }
+    if (proven != null && beat.term() != 0 && (ledAt == null || proven.isAfter(ledAt))) {
+      ledAt = proven;
+    }
     if (asked != null) {
       peer.misses = 0;
       peer.answers++;
@@ -405,6 +411,11 @@
     return peer == null ? null : peer.answeredAt;
   }
 
+  /** When a peer was last known to lead; null for never. */
+  public Instant ledAt() {
+    return ledAt;
+  }
+
   /** When any peer was last heard; null for never. */
   public Instant heardAnyAt() {
     Instant latest = null;
