--- a/src/main/java/io/pineladder/Leader.java
+++ b/src/main/java/io/pineladder/Leader.java
@@ -1,6 +1,5 @@
 package io.pineladder;
 
-import com.fasterxml.jackson.databind.JsonNode;
 import io.pineladder.fleet.Fleet;
 import io.pineladder.model.Attempt;
 import io.pineladder.model.Job;
@@ -11,7 +10,9 @@
 import io.pineladder.model.Settings;
 import io.pineladder.net.HttpCaller;
 import io.pineladder.net.Timeline;
+import io.pineladder.recovery.Adoption;
 import io.pineladder.recovery.Takeovers;
+import io.pineladder.recovery.TermLoader;
 import io.pineladder.scheduling.Cluster;
 import io.pineladder.scheduling.Scheduler;
 import io.pineladder.store.Committer;
@@ -20,7 +21,6 @@
 import io.pineladder.store.Records;
 import io.pineladder.store.StoreClient;
 import io.pineladder.wire.JobWire;
-import io.pineladder.wire.MalformedException;
 import io.pineladder.wire.RecordWire;
 import io.pineladder.wire.StoreWire;
 import io.pineladder.wire.WorkerWire;
@@ -41,13 +41,10 @@
 /** One term of leadership, from reading the store to its end. */
 public final class Leader {
   private static final Logger log = LoggerFactory.getLogger(Leader.class);
-  private static final Duration WATCH = Duration.ofSeconds(20);
 
   /** How long a leader that still reads the store keeps workers' leases without orders. */
   private static final Duration LOADING_KEEPS = Duration.ofSeconds(2);
 
-  private static final Duration RETRY = Duration.ofMillis(300);
-
   /** Where a term stands. */
   public enum State {
     /** Reading what earlier leaders stored; decides nothing yet. */
@@ -88,15 +85,14 @@
   private final Scheduler scheduler;
   private final Workers workers;
   private final Fleet fleet;
+  private final TermLoader loader;
+  private final Adoption adoption;
   private final Instant begunAt;
   private State state = State.LOADING;
 
   /** Machine types learned while loading, or null. */
   private List<MachineType> typesToStore;
 
-  /** How many jobs have left the memory for good; a read that saw one before is too old then. */
-  private long removals;
-
   /** Machines recorded by earlier leaders that this one has heard. */
   private final Set<Machine> heardAgain = new HashSet<>();
 
@@ -163,16 +159,18 @@
 
               @Override
               public void onRemoved(Job job) {
-                removals++;
+                adoption.removed();
                 cluster.removeJob(job);
               }
 
               @Override
               public void onStoredTwice(Job job, Runnable again) {
-                Leader.this.onStoredTwice(job, again);
+                adoption.onStoredTwice(job, again);
               }
             });
     scheduler.useRecords(records);
+    this.loader = new TermLoader(store, time, cluster, committer, records, new Loading());
+    this.adoption = new Adoption(store, time, cluster, committer, records, new Adopting());
     BooleanSupplier mayAct = this::mayAct;
     this.workers =
         new Workers(
@@ -323,141 +321,66 @@
             onStored));
   }
 
-  // ---- loading
-
   /** Reads everything that earlier leaders stored; their late transactions can no longer apply. */
   void load() {
-    if (state != State.LOADING) {
-      return;
-    }
-    BooleanSupplier wanted = () -> state == State.LOADING;
-    store.list(
-        Keys.CONF,
-        wanted,
-        conf -> {
-          conf.entries().forEach(e -> committer.known(e.key(), e.version()));
-          host.onConf(conf.entries());
-          loadRecords(wanted);
-        });
+    loader.load();
   }
 
-  private void loadRecords(BooleanSupplier wanted) {
-    // The inbox is read before the jobs, so that a job is in the one or the other.
-    Stored stored = new Stored();
-    List<Step> steps =
-        List.of(
-            new Step(Keys.INBOX, listing -> stored.inbox = listing),
-            new Step(Keys.JOB, listing -> stored.jobs = listing),
-            new Step(Keys.ACCEPTED, listing -> stored.accepted = listing),
-            new Step(Keys.DONE, listing -> stored.done = listing),
-            new Step(Keys.PLACED, listing -> stored.placed = listing),
-            new Step(Keys.IMAGES, listing -> stored.images = listing));
-    loadStep(steps, 0, wanted, () -> build(stored));
-  }
+  private final class Loading implements TermLoader.Listener {
+    @Override
+    public boolean wanted() {
+      return state == State.LOADING;
+    }
 
-  private record Step(String prefix, Consumer<StoreClient.Listing> onRead) {}
+    @Override
+    public void onConf(List<StoreWire.Entry> entries) {
+      host.onConf(entries);
+    }
 
-  /** What earlier leaders stored. */
-  private static final class Stored {
-    StoreClient.Listing inbox;
-    StoreClient.Listing jobs;
-    StoreClient.Listing accepted;
-    StoreClient.Listing done;
-    StoreClient.Listing placed;
-    StoreClient.Listing images;
-  }
+    @Override
+    public List<MachineType> types() {
+      return host.types();
+    }
 
-  private void loadStep(List<Step> steps, int from, BooleanSupplier wanted, Runnable onDone) {
-    if (from == steps.size()) {
-      onDone.run();
-      return;
+    @Override
+    public void onUnreadable(String reason) {
+      host.resign(reason);
+    }
+
+    @Override
+    public void onLoaded(List<Job> jobs, StoreClient.Listing inbox) {
+      begin(jobs, inbox);
     }
-    Step step = steps.get(from);
-    store.list(
-        step.prefix,
-        wanted,
-        listing -> {
-          step.onRead.accept(listing);
-          loadStep(steps, from + 1, wanted, onDone);
-        });
   }
 
-  /** A page's entry with the page it stands in. */
-  private record Paged<T>(String page, T entry) {}
+  private final class Adopting implements Adoption.Listener {
+    @Override
+    public boolean isLeading() {
+      return state == State.LEADING;
+    }
 
-  /** Reads one kind of page entry. */
-  private interface EntryReader<T> {
-    T read(JsonNode entry) throws MalformedException;
-  }
+    @Override
+    public boolean isAccepting(String id) {
+      return accepting.containsKey(id);
+    }
 
-  private <T> List<Paged<T>> readPages(StoreClient.Listing listing, EntryReader<T> reader)
-      throws MalformedException {
-    List<Paged<T>> found = new ArrayList<>();
-    for (StoreWire.Entry page : listing.entries()) {
-      committer.known(page.key(), page.version());
-      for (JsonNode entry : RecordWire.entries(page.value())) {
-        found.add(new Paged<>(page.key(), reader.read(entry)));
-      }
+    @Override
+    public void onAdopted(Job job) {
+      scheduler.add(job);
+      fleet.accepted(job);
     }
-    return found;
-  }
 
-  private void build(Stored stored) {
-    Map<String, Job> found = new HashMap<>();
-    List<Job> ordered = new ArrayList<>();
-    cluster.setTypes(host.types());
-    try {
-      List<Paged<RecordWire.Placement>> placements =
-          readPages(stored.placed, RecordWire::parsePlacement);
-      for (Paged<RecordWire.Placement> placement : placements) {
-        if (cluster.type(placement.entry.type()) == null) {
-          log.warn("machine {} is of a type not known yet", placement.entry.machine());
-          time.after(Duration.ofSeconds(1), this::load);
-          return;
-        }
-      }
-      stored.accepted.entries().forEach(page -> records.knownJobs(page.key()));
-      for (Paged<JsonNode> record : readPages(stored.accepted, entry -> entry)) {
-        Job job = toJob(record.entry);
-        records.knownJob(record.page, job, record.entry);
-        found.put(job.spec.id(), job);
-        ordered.add(job);
-      }
-      for (StoreWire.Entry entry : stored.jobs.entries()) {
-        committer.known(entry.key(), entry.version());
-        Job job = toJob(entry.value());
-        Job paged = found.putIfAbsent(job.spec.id(), job);
-        if (paged == null) {
-          ordered.add(job);
-        } else {
-          // A node that did not reach the leader of the time stored it again.
-          records.knownTwice(paged, true);
-        }
-      }
-      restoreDone(stored.done, found);
-      // The pages are in the order of their keys; what was cached of a machine is a guess anyway.
-      for (Paged<RecordWire.StoredImages> images :
-          readPages(stored.images, RecordWire::parseImages)) {
-        records.knownImages(images.page);
-        cluster.expectImages(images.entry.machine(), images.entry.images());
-      }
-      restorePlacements(placements, found);
-      stored.placed.entries().forEach(page -> records.knownPlacements(page.key()));
-    } catch (MalformedException e) {
-      // Leading on half a memory could break every rule.
-      log.error("a stored record cannot be read: {}", e.getMessage());
-      host.resign("a stored record cannot be read");
-      return;
+    @Override
+    public void onFinal(String id, Job.State ended) {
+      host.onFinal(id, toStatus(ended));
     }
-    ordered.sort(
-        (a, b) -> {
-          int byTime = a.acceptedAt.compareTo(b.acceptedAt);
-          return byTime != 0 ? byTime : a.spec.id().compareTo(b.spec.id());
-        });
+  }
+
+  private void begin(List<Job> jobs, StoreClient.Listing inbox) {
     moveTo(State.LEADING);
     takeover.passed(Takeovers.Phase.STORE_READ);
     takeover.awaits(cluster.machines().size());
-    for (Job job : ordered) {
+    for (Job job : jobs) {
       scheduler.add(job);
       if (job.isActive() && job.done.cardinality() == job.spec.tasks()) {
         job.moveTo(Job.State.DONE);
@@ -472,232 +395,11 @@
         term,
         cluster.jobs.size(),
         cluster.machines().size());
-    stored.inbox.entries().forEach(this::takeIn);
-    watchInbox(stored.inbox.revision());
+    adoption.start(inbox);
     fleet.start();
     scheduler.kick();
   }
 
-  private void restoreDone(StoreClient.Listing listing, Map<String, Job> jobs)
-      throws MalformedException {
-    listing.entries().forEach(page -> records.knownCompletions(page.key()));
-    List<Paged<RecordWire.StoredDone>> all = readPages(listing, RecordWire::parseDone);
-    all.removeIf(done -> !jobs.containsKey(done.entry.job()));
-    for (Paged<RecordWire.StoredDone> done : all) {
-      Job job = jobs.get(done.entry.job());
-      job.done.or(done.entry.done());
-    }
-    for (Paged<RecordWire.StoredDone> done : all) {
-      records.knownDone(done.page, jobs.get(done.entry.job()), done.entry);
-    }
-  }
-
-  /**
-   * Takes up the placements of tasks that are still wanted. An attempt is stored only when all
-   * earlier ones of its task are proven gone, so of a task's placements those with the highest
-   * number count; the others are merely old. So is one whose job is gone, since a job's record goes
-   * only when none of its tasks can be anywhere, and one of a task that is complete.
-   */
-  private void restorePlacements(
-      List<Paged<RecordWire.Placement>> placements, Map<String, Job> jobs) {
-    Map<String, Long> newest = new HashMap<>();
-    for (Paged<RecordWire.Placement> paged : placements) {
-      RecordWire.Placement placement = paged.entry;
-      newest.merge(placement.job() + "/" + placement.task(), placement.attempt(), Math::max);
-    }
-    Instant now = time.now();
-    for (Paged<RecordWire.Placement> paged : placements) {
-      RecordWire.Placement placement = paged.entry;
-      Job job = jobs.get(placement.job());
-      if (job == null
-          || placement.task() >= job.spec.tasks()
-          || job.done.get(placement.task())
-          || newest.get(placement.job() + "/" + placement.task()) != placement.attempt()) {
-        continue;
-      }
-      Machine machine = cluster.machine(placement.machine());
-      if (machine == null) {
-        MachineType type = cluster.type(placement.type());
-        machine =
-            new Machine(placement.machine(), type, placement.zone(), placement.spot(), now);
-        machine.address = placement.address();
-        machine.recorded = true;
-        cluster.addMachine(machine);
-      }
-      String key = Machine.key(placement.job(), placement.task(), placement.attempt());
-      if (!machine.attempts.containsKey(key)) {
-        Attempt attempt =
-            cluster.addAttempt(
-                job,
-                placement.task(),
-                placement.attempt(),
-                machine,
-                now,
-                Attempt.State.RECORDED);
-        records.knownPlacement(paged.page, attempt);
-      }
-    }
-  }
-
-  private static Job toJob(JsonNode record) throws MalformedException {
-    RecordWire.StoredJob stored = RecordWire.parseJob(record);
-    Job job = new Job(stored.spec(), stored.acceptedAt(), stored.state());
-    job.atFault = stored.atFault();
-    return job;
-  }
-
-  /** Jobs that other nodes accepted while they could reach no leader. */
-  private void watchInbox(long after) {
-    if (state != State.LEADING) {
-      return;
-    }
-    store.watch(
-        Keys.INBOX,
-        after,
-        WATCH,
-        reply -> {
-          if (state != State.LEADING) {
-            return;
-          }
-          try {
-            if (reply.is(200)) {
-              StoreWire.Changes changes = StoreWire.parseChanges(reply.body());
-              changes.entries().stream().filter(e -> e.value() != null).forEach(this::takeIn);
-              watchInbox(changes.revision());
-              return;
-            }
-            if (reply.is(410)) {
-              store.list(
-                  Keys.INBOX,
-                  () -> state == State.LEADING,
-                  inbox -> {
-                    inbox.entries().forEach(this::takeIn);
-                    watchInbox(inbox.revision());
-                  });
-              return;
-            }
-          } catch (MalformedException e) {
-            log.warn("the inbox cannot be followed: {}", e.getMessage());
-          }
-          time.after(RETRY, () -> watchInbox(after));
-        });
-  }
-
-  private void takeIn(StoreWire.Entry entry) {
-    if (state != State.LEADING) {
-      return;
-    }
-    String id = entry.key().substring(Keys.INBOX.length());
-    committer.known(entry.key(), entry.version());
-    adopt(
-        id,
-        lookup -> {
-          if (lookup == null) {
-            // Without a certain answer the job may still be unknown here.
-            time.after(RETRY, () -> takeIn(entry));
-            return;
-          }
-          committer.submit(
-              Mutation.of(
-                  Mutation.Priority.TIDY,
-                  List.of(new Mutation.Write(entry.key(), () -> null)),
-                  () -> {}));
-        });
-  }
-
-  /** Reads a job that is in the store but not in memory; null is no certain answer. */
-  private void adopt(String id, Consumer<Lookup> onDone) {
-    if (cluster.jobs.containsKey(id)) {
-      onDone.accept(new Lookup(cluster.jobs.get(id), null));
-      return;
-    }
-    if (accepting.containsKey(id)) {
-      // Whether it is stored in a page will show; a record of its own may be a second copy.
-      onDone.accept(null);
-      return;
-    }
-    long before = removals;
-    store.read(
-        Keys.JOB + id,
-        read -> {
-          if (state != State.LEADING || !read.certain() || accepting.containsKey(id)) {
-            onDone.accept(null);
-            return;
-          }
-          Job known = cluster.jobs.get(id);
-          if (known != null) {
-            onDone.accept(new Lookup(known, null));
-            return;
-          }
-          if (read.found() && removals != before) {
-            // It may be a job that has left meanwhile: taken up again it would end twice.
-            adopt(id, onDone);
-            return;
-          }
-          if (!read.found()) {
-            readEnd(id, onDone);
-            return;
-          }
-          try {
-            Job job = toJob(read.entry().value());
-            committer.known(read.entry().key(), read.entry().version());
-            scheduler.add(job);
-            fleet.accepted(job);
-            log.debug("job {} was accepted elsewhere", id);
-            onDone.accept(new Lookup(job, null));
-          } catch (MalformedException e) {
-            log.error("job {} cannot be read: {}", id, e.getMessage());
-            onDone.accept(null);
-          }
-        });
-  }
-
-  /** Looks for the copy of a job's record that another node has stored, so that it goes too. */
-  private void onStoredTwice(Job job, Runnable again) {
-    String key = Keys.JOB + job.spec.id();
-    store.read(
-        key,
-        read -> {
-          if (state != State.LEADING) {
-            return;
-          }
-          if (!read.certain()) {
-            time.after(RETRY, () -> onStoredTwice(job, again));
-            return;
-          }
-          if (read.found()) {
-            committer.known(key, read.entry().version());
-          }
-          records.knownTwice(job, read.found());
-          again.run();
-        });
-  }
-
-  /** What a look into the store gave: a live job, a final state, or neither. */
-  private record Lookup(Job job, JobWire.Status ended) {}
-
-  private void readEnd(String id, Consumer<Lookup> onDone) {
-    store.read(
-        Keys.END + id,
-        read -> {
-          if (!read.certain()) {
-            onDone.accept(null);
-            return;
-          }
-          if (!read.found()) {
-            onDone.accept(new Lookup(null, null));
-            return;
-          }
-          try {
-            JobWire.Status status = toStatus(RecordWire.parseEnd(read.entry().value()));
-            host.onFinal(id, status);
-            onDone.accept(new Lookup(null, status));
-          } catch (MalformedException e) {
-            onDone.accept(null);
-          }
-        });
-  }
-
   public static JobWire.Status toStatus(Job.State state) {
     return switch (state) {
       case DONE -> JobWire.Status.DONE;
@@ -785,13 +487,15 @@
 
   private void acceptedElsewhere(String id) {
     List<Consumer<JobWire.Status>> all = accepting.remove(id);
-    adopt(
+    adoption.adopt(
         id,
         lookup -> {
           JobWire.Status status =
               lookup == null
                   ? null
-                  : lookup.job() != null ? viewOf(lookup.job()).status() : lookup.ended();
+                  : lookup.job() != null
+                      ? viewOf(lookup.job()).status()
+                      : lookup.ended() == null ? null : toStatus(lookup.ended());
           all.forEach(each -> each.accept(status));
         });
   }
@@ -809,7 +513,7 @@
       waiting.add(status -> onDone.accept(new View(status, 0, 0)));
       return;
     }
-    adopt(
+    adoption.adopt(
         id,
         lookup -> {
           if (lookup == null) {
@@ -817,7 +521,7 @@
           } else if (lookup.job() != null) {
             tell(lookup.job(), onDone);
           } else if (lookup.ended() != null) {
-            onDone.accept(new View(lookup.ended(), 0, 0));
+            onDone.accept(new View(toStatus(lookup.ended()), 0, 0));
           } else {
             onDone.accept(null);
           }
@@ -832,7 +536,7 @@
       return;
     }
     if (job == null) {
-      adopt(
+      adoption.adopt(
           id,
           lookup -> {
             if (lookup == null) {
@@ -840,7 +544,7 @@
             } else if (lookup.job() != null) {
               cancelKnown(lookup.job(), onDone);
             } else {
-              onDone.accept(lookup.ended() == null ? null : new View(lookup.ended(), 0, 0));
+              onDone.accept(lookup.ended() == null ? null : new View(toStatus(lookup.ended()), 0, 0));
             }
           });
       return;
--- /dev/null
+++ b/src/main/java/io/pineladder/fleet/Silence.java
@@ -0,0 +1,204 @@
+package io.pineladder.fleet;
+
+import io.pineladder.model.Attempt;
+import io.pineladder.model.Machine;
+import io.pineladder.scheduling.Cluster;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Which machines have fallen silent, and how long each is waited for. */
+final class Silence {
+  private static final Logger log = LoggerFactory.getLogger(Silence.class);
+
+  /** How long after a takeover workers are still on their way from node to node. */
+  private static final Duration SETTLING = Duration.ofSeconds(15);
+
+  /** Machines that may come back are waited for a third of the time that another takes. */
+  private static final int WAIT_PART = 3;
+
+  private final Cluster cluster;
+  private final Renting renting;
+  private final Fleet.Effects effects;
+  private final Instant startedAt;
+
+  /**
+   * Since when this process has taken in what came for it. After it stood still, what its workers
+   * sent is yet to be read, and their silence is its own.
+   */
+  private Instant listeningSince;
+
+  Silence(Cluster cluster, Renting renting, Fleet.Effects effects, Instant now) {
+    this.cluster = cluster;
+    this.renting = renting;
+    this.effects = effects;
+    this.startedAt = now;
+    this.listeningSince = now;
+  }
+
+  /** The process stood still until now. */
+  void stoodStill(Instant now) {
+    listeningSince = now;
+  }
+
+  /** How long a machine may be silent: a report's time, a lost response and another node's try. */
+  private Duration silence() {
+    Duration report = cluster.settings.workers().report();
+    return report.plus(report.dividedBy(4)).plusSeconds(6);
+  }
+
+  /** How the machines of one zone are heard. */
+  private static final class ZoneSilence {
+    int up;
+    int overdue;
+    int heardLately;
+
+    boolean isCut() {
+      return overdue >= 3 && overdue * 3 > up && heardLately * 5 < up;
+    }
+
+    /** Many at once are cut off or hang rather than have stopped one by one. */
+    boolean isManyAtOnce() {
+      return overdue >= 3 && overdue * 20 > up;
+    }
+  }
+
+  /**
+   * Machines that have stopped reporting are cut off by returning them, which is the proof that
+   * their tasks are gone. When nearly all of a zone is silent the fault is likely between us and
+   * them, and a node in the zone may keep their workers' leases; then they get that time. Hundreds of
+   * machines that are silent while others of their zone are heard are no such cut: their leases end,
+   * and the longer they are waited for the later their tasks start elsewhere.
+   *
+   * @return the machines to return
+   */
+  List<Machine> review(Instant now) {
+    Duration allowed = silence();
+    // A whole zone falls silent one report after the other: what counts for a cut is who is late,
+    // or the first ones would be given up before the last ones are missed.
+    Duration overdue = allowed.minusSeconds(4);
+    // In a zone that is cut all fall silent at once, so when the first is missed none was heard since.
+    Duration lately = overdue.minus(cluster.settings.workers().report());
+    Map<String, ZoneSilence> zones = new HashMap<>();
+    List<Machine> silent = new ArrayList<>();
+    int up = 0;
+    for (Machine machine : cluster.machines()) {
+      Instant since = silentSince(machine);
+      if (since == null) {
+        continue;
+      }
+      up++;
+      ZoneSilence zone = zones.computeIfAbsent(machine.zone, z -> new ZoneSilence());
+      zone.up++;
+      boolean heard = machine.heardAt != null && machine.heardAt.plus(lately).isAfter(now);
+      zone.heardLately += heard ? 1 : 0;
+      if (since.plus(overdue).isBefore(now)) {
+        zone.overdue++;
+        if (now.getEpochSecond() % 2 == 0) {
+          effects.probe(machine);
+        }
+      }
+      if (since.plus(allowed).isBefore(now)) {
+        silent.add(machine);
+        if (machine.state() == Machine.State.CONFIRMED) {
+          machine.moveTo(Machine.State.SILENT);
+          cluster.refresh(machine);
+          log.debug("machine {} is silent", machine);
+        }
+      }
+    }
+    boolean heardBefore = silent.stream().anyMatch(m -> m.heardAt != null);
+    if (up >= 2 && silent.size() == up && heardBefore) {
+      // No worker reaches this node any more, while others may reach another. A successor that
+      // hears none either keeps its term, or machines that all died would never be given up.
+      effects.resign("no worker is heard");
+      return List.of();
+    }
+    Duration lease = cluster.settings.workers().lease();
+    List<Machine> givenUp = new ArrayList<>();
+    for (Machine machine : silent) {
+      ZoneSilence zone = zones.get(machine.zone);
+      Duration patience =
+          zone.isCut()
+              ? lease.multipliedBy(2)
+              : zone.isManyAtOnce() && isWorthWaiting(machine, lease.minus(allowed))
+                  ? lease
+                  : Duration.ZERO;
+      if (isUrgent(machine, now) || silentSince(machine).plus(patience).isBefore(now)) {
+        givenUp.add(machine);
+      }
+    }
+    return givenUp;
+  }
+
+  /**
+   * Most workers heard of late came through peers: they do not reach this node, but others. Orders
+   * then go out only with reports handed on, so a peer serves better as the leader. Found on
+   * colombo-ops, where a leader cut from its workers alone went on for a minute.
+   */
+  void findRelayed(Instant now) {
+    if (startedAt.plus(SETTLING).isAfter(now)) {
+      return;
+    }
+    Instant from = now.minus(cluster.settings.workers().report());
+    int heard = 0;
+    int relayed = 0;
+    for (Machine machine : cluster.machines()) {
+      if (machine.state() == Machine.State.CONFIRMED && machine.heardAt.isAfter(from)) {
+        heard++;
+        relayed += machine.relayed ? 1 : 0;
+      }
+    }
+    if (relayed >= 3 && relayed * 2 > heard) {
+      effects.handOver("workers reach its peers and not this node");
+    }
+  }
+
+  /**
+   * Whether a machine that may come back with its tasks is worth waiting for so much longer: having
+   * another ready, with an image like most, takes several times as long.
+   */
+  private boolean isWorthWaiting(Machine machine, Duration longer) {
+    Duration ready = machine.type.boot().plus(renting.fetchTime(machine.type));
+    return longer.multipliedBy(WAIT_PART).compareTo(ready) < 0;
+  }
+
+  /** A cancelled job's task is still there and its time is running out. */
+  private boolean isUrgent(Machine machine, Instant now) {
+    Duration half = cluster.settings.workers().cancel().dividedBy(2);
+    for (Attempt attempt : machine.attempts.values()) {
+      if (attempt.job.endStored
+          && attempt.holdsRoom()
+          && attempt.killedAt != null
+          && attempt.killedAt.plus(half).isBefore(now)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /** Since when nothing was heard of a machine that should report, or null if it need not yet. */
+  private Instant silentSince(Machine machine) {
+    Instant since = unheardSince(machine);
+    return since == null || since.isAfter(listeningSince) ? since : listeningSince;
+  }
+
+  private Instant unheardSince(Machine machine) {
+    return switch (machine.state()) {
+      case HEARD, CONFIRMED, SILENT -> machine.heardAt;
+      case EXPECTED -> {
+        if (machine.listedRunning || !machine.attempts.isEmpty()) {
+          Instant from = machine.since.isAfter(startedAt) ? machine.since : startedAt;
+          yield machine.recorded ? startedAt : from.plusSeconds(15);
+        }
+        yield null;
+      }
+      case RELEASING, GONE -> null;
+    };
+  }
+}
--- a/src/main/java/io/pineladder/front/Front.java
+++ b/src/main/java/io/pineladder/front/Front.java
@@ -1,33 +1,26 @@
 package io.pineladder.front;
 
+import static io.pineladder.front.Answers.error;
+import static io.pineladder.front.Answers.later;
+import static io.pineladder.front.Answers.ok;
+import static io.pineladder.front.Answers.once;
+
 import io.pineladder.Leader;
 import io.pineladder.Node;
 import io.pineladder.admin.AdminApi;
 import io.pineladder.admin.Metrics;
-import io.pineladder.leadership.Election;
-import io.pineladder.model.Job;
 import io.pineladder.model.JobSpec;
-import io.pineladder.model.MachineType;
-import io.pineladder.model.Settings;
-import io.pineladder.model.Team;
 import io.pineladder.net.HttpAnswer;
 import io.pineladder.net.HttpCaller.Request;
-import io.pineladder.store.Keys;
-import io.pineladder.store.Records;
 import io.pineladder.wire.BeatWire;
 import io.pineladder.wire.JobWire;
-import io.pineladder.wire.Json;
 import io.pineladder.wire.MalformedException;
 import io.pineladder.wire.PeerWire;
 import io.pineladder.wire.RecordWire;
-import io.pineladder.wire.StoreWire;
-import io.pineladder.wire.WorkerWire;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -44,19 +37,10 @@
   private static final Duration CONTACT = Duration.ofSeconds(6);
   private static final byte[] EMPTY = new byte[0];
 
-  /** A worker back so soon after it was sent to the leader has not reached it. */
-  private static final Duration BOUNCE = Duration.ofSeconds(12);
-
-  private static final int REDIRECTS_KEPT = 2000;
-
   private final Node node;
 
-  /** When each worker was last sent to the leader, or its report handed on. */
-  private final Map<String, Instant> redirects = new LinkedHashMap<>();
-
-  /** The leader that those workers were sent to. */
-  private RecordWire.LeaderRecord redirectedTo;
-
+  private final Leaderless leaderless;
+  private final Reports reports;
   private final Metrics metrics;
   private final AdminApi admin;
   private Instant leaderFailedAt;
@@ -66,6 +50,9 @@
     this.node = node;
     this.metrics = metrics;
     this.admin = new AdminApi(node, metrics);
+    this.leaderless = new Leaderless(node);
+    this.reports =
+        new Reports(node, (ways, request, answer, alone) -> forwardTo(ways, 0, request, answer, alone));
   }
 
   // ---- paths
@@ -91,7 +78,7 @@
       }
       case "/v1/report" -> {
         if (allow("POST", method, answer)) {
-          report(body, false, answer);
+          reports.answer(body, false, answer);
         }
         return;
       }
@@ -139,14 +126,6 @@
     return false;
   }
 
-  private static HttpAnswer error(int status, String reason) {
-    return new HttpAnswer(status, JobWire.error(reason));
-  }
-
-  private static HttpAnswer later(String reason) {
-    return new HttpAnswer(503, JobWire.error(reason), 1);
-  }
-
   // ---- where a request is served
 
   /** Serves a user's request here if this node leads, else by the leader, else as it can. */
@@ -280,16 +259,12 @@
   /** Stores a submission on behalf of a peer that reaches neither a leader nor the store. */
   private void storeFor(byte[] body, Consumer<HttpAnswer> answer) {
     try {
-      submitAlone(JobWire.parse(body), once(answer, COMMIT_TIMEOUT));
+      leaderless.submit(JobWire.parse(body), once(node.time(), answer, COMMIT_TIMEOUT));
     } catch (MalformedException e) {
       answer.accept(error(400, e.getMessage()));
     }
   }
 
-  private static HttpAnswer ok(byte[] body) {
-    return new HttpAnswer(200, body);
-  }
-
   /** Serves a user's request as the leader. */
   private void lead(
       Leader leader, String method, String path, byte[] body, Consumer<HttpAnswer> answer) {
@@ -298,7 +273,7 @@
       return;
     }
     if (path.equals("/v1/report")) {
-      report(body, true, answer);
+      reports.answer(body, true, answer);
       return;
     }
     Consumer<HttpAnswer> counted =
@@ -310,7 +285,7 @@
         };
     if (path.equals("/v1/jobs")) {
       try {
-        submitTo(leader, JobWire.parse(body), once(counted, COMMIT_TIMEOUT));
+        submitTo(leader, JobWire.parse(body), once(node.time(), counted, COMMIT_TIMEOUT));
       } catch (MalformedException e) {
         answer.accept(error(400, e.getMessage()));
       }
@@ -323,28 +298,14 @@
         answer.accept(later("the state service is not available"));
         return;
       }
-      Consumer<HttpAnswer> bounded = once(counted, COMMIT_TIMEOUT);
+      Consumer<HttpAnswer> bounded = once(node.time(), counted, COMMIT_TIMEOUT);
       leader.cancel(id, view -> bounded.accept(toAnswer(id, view)));
     } else {
-      Consumer<HttpAnswer> bounded = once(counted, FORWARD_TIMEOUT);
+      Consumer<HttpAnswer> bounded = once(node.time(), counted, FORWARD_TIMEOUT);
       leader.view(rest, view -> bounded.accept(toAnswer(rest, view)));
     }
   }
 
-  /** An answer is given in time, as "later" if need be; what comes after that is dropped. */
-  private Consumer<HttpAnswer> once(Consumer<HttpAnswer> answer, Duration within) {
-    boolean[] given = new boolean[1];
-    Consumer<HttpAnswer> first =
-        http -> {
-          if (!given[0]) {
-            given[0] = true;
-            answer.accept(http);
-          }
-        };
-    node.time().after(within, () -> first.accept(later("not certain yet")));
-    return first;
-  }
-
   private static HttpAnswer toAnswer(String id, Leader.View view) {
     if (view == null) {
       return error(404, "no such job");
@@ -380,7 +341,7 @@
           log.debug("submission of {}: {} after {}", spec.id(), http.status(), took);
           answer.accept(http);
         };
-    serve("POST", "/v1/jobs", body, logged, () -> submitAlone(spec, once(logged, COMMIT_TIMEOUT)));
+    serve("POST", "/v1/jobs", body, logged, () -> leaderless.submit(spec, once(node.time(), logged, COMMIT_TIMEOUT)));
   }
 
   private void submitTo(Leader leader, JobSpec spec, Consumer<HttpAnswer> answer) {
@@ -389,7 +350,7 @@
         answer.accept(later("the machine types are not known yet"));
         return;
       }
-      String never = neverRuns(spec);
+      String never = leaderless.neverRuns(spec);
       if (never != null) {
         // What was accepted once stays accepted, whatever is judged now.
         leader.view(
@@ -414,247 +375,12 @@
         view -> answer.accept(toAnswer(spec.id(), view)));
   }
 
-  /** Why a job can never run, or null. */
-  private String neverRuns(JobSpec spec) {
-    // Sent to the store it would be refused as malformed, and the leader with it.
-    if (!Records.fits(spec, node.settings().store().valueBytes())) {
-      return "the description is too long to be stored";
-    }
-    Team team = null;
-    for (Team each : node.settings().teams()) {
-      if (each.name().equals(spec.team())) {
-        team = each;
-      }
-    }
-    if (team == null) {
-      return "unknown team";
-    }
-    boolean fits = false;
-    for (MachineType type : node.types()) {
-      fits |=
-          spec.allowsType(type.name())
-              && spec.each().fitsIn(type.size())
-              && (spec.zone() == null || type.zones().contains(spec.zone()));
-    }
-    if (!fits) {
-      return "a task fits no allowed machine type";
-    }
-    return team.allows(spec.least()) ? null : "beyond the team's limit";
-  }
-
-  /**
-   * Accepts a job without a leader: the record is the same that a leader would write, on the same
-   * conditions, and an entry in the inbox tells the next leader.
-   */
-  private void submitAlone(JobSpec spec, Consumer<HttpAnswer> answer) {
-    if (node.types().isEmpty() || !node.store().isHealthy()) {
-      answer.accept(later("no leader"));
-      return;
-    }
-    String never = neverRuns(spec);
-    String id = spec.id();
-    if (never != null) {
-      readAlone(
-          id, false, found -> answer.accept(found.status() == 404 ? error(422, never) : found));
-      return;
-    }
-    byte[] body =
-        new StoreWire.Transaction()
-            .require(Keys.JOB + id, 0)
-            .require(Keys.END + id, 0)
-            .put(
-                Keys.JOB + id,
-                RecordWire.job(spec, node.time().timeOfDay(), Job.State.ACTIVE))
-            .put(Keys.INBOX + id, Json.object().put("by", node.settings().member()))
-            .bytes();
-    node.store().changeForUser(
-        node.store().post("/multi", body),
-        2,
-        reply -> {
-          if (reply.is(200)) {
-            log.debug("job {} accepted without a leader", id);
-            answer.accept(
-                new HttpAnswer(201, JobWire.view(id, JobWire.Status.PENDING)));
-          } else if (reply.is(409)) {
-            readAlone(id, false, answer);
-          } else {
-            answer.accept(later("no leader"));
-          }
-        });
-  }
-
   private void alone(String id, boolean cancel, Consumer<HttpAnswer> answer) {
     if (!node.store().isHealthy()) {
       answer.accept(later("no leader"));
       return;
     }
-    readAlone(id, cancel, once(answer, FORWARD_TIMEOUT));
-  }
-
-  /** Answers from a fresh read of the store; a cancel gets an answer only when the job is over. */
-  private void readAlone(String id, boolean cancel, Consumer<HttpAnswer> answer) {
-    // A job goes from its own key or its page to its final state in one transaction, so this order
-    // misses none.
-    node.store().readForUser(
-        Keys.JOB + id,
-        read -> {
-          if (!read.certain()) {
-            answer.accept(later("no leader"));
-          } else if (read.found()) {
-            tellStored(id, cancel, read.entry(), answer);
-          } else {
-            readAccepted(id, cancel, answer);
-          }
-        });
-  }
-
-  private void readAccepted(String id, boolean cancel, Consumer<HttpAnswer> answer) {
-    node.accepted()
-        .refresh(
-            fresh -> {
-              if (!fresh) {
-                answer.accept(later("no leader"));
-                return;
-              }
-              Job.State found = node.accepted().find(id);
-              if (found != null) {
-                tellState(id, cancel, found, answer);
-              } else {
-                readEnd(id, answer);
-              }
-            });
-  }
-
-  private void readEnd(String id, Consumer<HttpAnswer> answer) {
-    node.store().readForUser(
-        Keys.END + id,
-        end -> {
-          if (!end.certain()) {
-            answer.accept(later("no leader"));
-          } else if (!end.found()) {
-            answer.accept(error(404, "no such job"));
-          } else {
-            tellEnd(id, end.entry(), answer);
-          }
-        });
-  }
-
-  private void tellStored(
-      String id, boolean cancel, StoreWire.Entry entry, Consumer<HttpAnswer> answer) {
-    try {
-      tellState(id, cancel, RecordWire.parseJob(entry.value()).state(), answer);
-    } catch (MalformedException e) {
-      answer.accept(later("the stored job cannot be read"));
-    }
-  }
-
-  private void tellState(
-      String id, boolean cancel, Job.State state, Consumer<HttpAnswer> answer) {
-    JobWire.Status status = Leader.toStatus(state);
-    if (status.isFinal()) {
-      node.learnFinal(id, status);
-      answer.accept(ok(JobWire.view(id, status)));
-    } else if (cancel) {
-      answer.accept(later("no leader"));
-    } else {
-      answer.accept(ok(JobWire.view(id, status, 0, 0)));
-    }
-  }
-
-  private void tellEnd(String id, StoreWire.Entry entry, Consumer<HttpAnswer> answer) {
-    try {
-      JobWire.Status status = Leader.toStatus(RecordWire.parseEnd(entry.value()));
-      node.learnFinal(id, status);
-      answer.accept(ok(JobWire.view(id, status)));
-    } catch (MalformedException e) {
-      answer.accept(later("the stored job cannot be read"));
-    }
-  }
-
-  // ---- workers
-
-  private void report(byte[] body, boolean relayed, Consumer<HttpAnswer> answer) {
-    WorkerWire.Report report;
-    try {
-      report = WorkerWire.parseReport(body);
-    } catch (MalformedException e) {
-      answer.accept(error(400, e.getMessage()));
-      return;
-    }
-    Leader holder = node.termHolder();
-    if (holder != null && report.token() <= holder.term()) {
-      byte[] response = holder.onReport(report, relayed);
-      if (response != null) {
-        answer.accept(ok(response));
-        return;
-      }
-    } else if (holder != null) {
-      holder.onReport(report, relayed);
-    }
-    RecordWire.LeaderRecord known = node.election().known();
-    boolean other = known != null && !known.member().equals(node.settings().member());
-    Instant now = node.time().now();
-    if (other && !known.equals(redirectedTo)) {
-      // That a worker did not reach an earlier leader says nothing of this one. Otherwise reports
-      // once handed on would be handed on for ever, and each new leader make way in its turn.
-      redirects.clear();
-      redirectedTo = known;
-    }
-    Instant redirected = redirects.get(report.machine());
-    if (other && redirected != null && redirected.plus(BOUNCE).isAfter(now)) {
-      // It was sent to the leader, and is back.
-      if (!node.membership().isUnreachable(known.member())) {
-        relay(known, report, body, answer);
-        return;
-      }
-      if (keepsAlive(known) && report.token() <= node.election().knownVersion()) {
-        answer.accept(
-            ok(
-                WorkerWire.reportResponse(
-                    node.election().knownVersion(), new WorkerWire.Orders())));
-        return;
-      }
-    }
-    if (other) {
-      redirects.put(report.machine(), now);
-      if (redirects.size() > REDIRECTS_KEPT) {
-        redirects.remove(redirects.keySet().iterator().next());
-      }
-    }
-    answer.accept(new HttpAnswer(421, WorkerWire.redirect(other ? known.member() : null)));
-  }
-
-  /**
-   * A worker that was sent to the leader and is back soon after has not reached it. This node can,
-   * so it hands the report on and the response back; a response is as good from any node.
-   */
-  private void relay(
-      RecordWire.LeaderRecord leader,
-      WorkerWire.Report report,
-      byte[] body,
-      Consumer<HttpAnswer> answer) {
-    forwardTo(
-        List.of(leader.address()),
-        0,
-        new PeerWire.Forward("POST", "/v1/report", body, 0),
-        http -> {
-          redirects.put(report.machine(), node.time().now());
-          answer.accept(http);
-        },
-        () -> answer.accept(new HttpAnswer(421, WorkerWire.redirect(null))));
-  }
-
-  /**
-   * Whether this node answers reports in place of a leader that it cannot reach, and whose term the
-   * store confirms: without that a zone cut off from its leader would lose all its tasks. It gives
-   * no orders. No leader ever takes the end of a worker's lease as proof, so prolonging it is safe.
-   */
-  private boolean keepsAlive(RecordWire.LeaderRecord known) {
-    Duration longest = Election.longestKeepAlive(node.settings().workers());
-    Instant leaderAt = node.membership().answeredAt(known.member());
-    return node.store().isHealthy()
-        && leaderAt != null
-        && node.time().now().isBefore(leaderAt.plus(longest));
+    leaderless.read(id, cancel, once(node.time(), answer, FORWARD_TIMEOUT));
   }
 
   // ---- readiness
--- /dev/null
+++ b/src/main/java/io/pineladder/front/Leaderless.java
@@ -0,0 +1,183 @@
+package io.pineladder.front;
+
+import static io.pineladder.front.Answers.error;
+import static io.pineladder.front.Answers.later;
+import static io.pineladder.front.Answers.ok;
+
+import io.pineladder.Leader;
+import io.pineladder.Node;
+import io.pineladder.model.Job;
+import io.pineladder.model.JobSpec;
+import io.pineladder.model.MachineType;
+import io.pineladder.model.Team;
+import io.pineladder.net.HttpAnswer;
+import io.pineladder.store.Keys;
+import io.pineladder.store.Records;
+import io.pineladder.wire.JobWire;
+import io.pineladder.wire.Json;
+import io.pineladder.wire.MalformedException;
+import io.pineladder.wire.RecordWire;
+import io.pineladder.wire.StoreWire;
+import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** What a node that reaches no leader can do for users: store submissions, and read. */
+final class Leaderless {
+  private static final Logger log = LoggerFactory.getLogger(Leaderless.class);
+
+  private final Node node;
+
+  Leaderless(Node node) {
+    this.node = node;
+  }
+
+  /** Why a job can never run, or null. */
+  String neverRuns(JobSpec spec) {
+    // Sent to the store it would be refused as malformed, and the leader with it.
+    if (!Records.fits(spec, node.settings().store().valueBytes())) {
+      return "the description is too long to be stored";
+    }
+    Team team = null;
+    for (Team each : node.settings().teams()) {
+      if (each.name().equals(spec.team())) {
+        team = each;
+      }
+    }
+    if (team == null) {
+      return "unknown team";
+    }
+    boolean fits = false;
+    for (MachineType type : node.types()) {
+      fits |=
+          spec.allowsType(type.name())
+              && spec.each().fitsIn(type.size())
+              && (spec.zone() == null || type.zones().contains(spec.zone()));
+    }
+    if (!fits) {
+      return "a task fits no allowed machine type";
+    }
+    return team.allows(spec.least()) ? null : "beyond the team's limit";
+  }
+
+  /**
+   * Accepts a job without a leader: the record is the same that a leader would write, on the same
+   * conditions, and an entry in the inbox tells the next leader.
+   */
+  void submit(JobSpec spec, Consumer<HttpAnswer> answer) {
+    if (node.types().isEmpty() || !node.store().isHealthy()) {
+      answer.accept(later("no leader"));
+      return;
+    }
+    String never = neverRuns(spec);
+    String id = spec.id();
+    if (never != null) {
+      read(
+          id, false, found -> answer.accept(found.status() == 404 ? error(422, never) : found));
+      return;
+    }
+    byte[] body =
+        new StoreWire.Transaction()
+            .require(Keys.JOB + id, 0)
+            .require(Keys.END + id, 0)
+            .put(
+                Keys.JOB + id,
+                RecordWire.job(spec, node.time().timeOfDay(), Job.State.ACTIVE))
+            .put(Keys.INBOX + id, Json.object().put("by", node.settings().member()))
+            .bytes();
+    node.store().changeForUser(
+        node.store().post("/multi", body),
+        2,
+        reply -> {
+          if (reply.is(200)) {
+            log.debug("job {} accepted without a leader", id);
+            answer.accept(
+                new HttpAnswer(201, JobWire.view(id, JobWire.Status.PENDING)));
+          } else if (reply.is(409)) {
+            read(id, false, answer);
+          } else {
+            answer.accept(later("no leader"));
+          }
+        });
+  }
+
+  /** Answers from a fresh read of the store; a cancel gets an answer only when the job is over. */
+  void read(String id, boolean cancel, Consumer<HttpAnswer> answer) {
+    // A job goes from its own key or its page to its final state in one transaction, so this order
+    // misses none.
+    node.store().readForUser(
+        Keys.JOB + id,
+        read -> {
+          if (!read.certain()) {
+            answer.accept(later("no leader"));
+          } else if (read.found()) {
+            tellStored(id, cancel, read.entry(), answer);
+          } else {
+            readAccepted(id, cancel, answer);
+          }
+        });
+  }
+
+  private void readAccepted(String id, boolean cancel, Consumer<HttpAnswer> answer) {
+    node.accepted()
+        .refresh(
+            fresh -> {
+              if (!fresh) {
+                answer.accept(later("no leader"));
+                return;
+              }
+              Job.State found = node.accepted().find(id);
+              if (found != null) {
+                tellState(id, cancel, found, answer);
+              } else {
+                readEnd(id, answer);
+              }
+            });
+  }
+
+  private void readEnd(String id, Consumer<HttpAnswer> answer) {
+    node.store().readForUser(
+        Keys.END + id,
+        end -> {
+          if (!end.certain()) {
+            answer.accept(later("no leader"));
+          } else if (!end.found()) {
+            answer.accept(error(404, "no such job"));
+          } else {
+            tellEnd(id, end.entry(), answer);
+          }
+        });
+  }
+
+  private void tellStored(
+      String id, boolean cancel, StoreWire.Entry entry, Consumer<HttpAnswer> answer) {
+    try {
+      tellState(id, cancel, RecordWire.parseJob(entry.value()).state(), answer);
+    } catch (MalformedException e) {
+      answer.accept(later("the stored job cannot be read"));
+    }
+  }
+
+  private void tellState(
+      String id, boolean cancel, Job.State state, Consumer<HttpAnswer> answer) {
+    JobWire.Status status = Leader.toStatus(state);
+    if (status.isFinal()) {
+      node.learnFinal(id, status);
+      answer.accept(ok(JobWire.view(id, status)));
+    } else if (cancel) {
+      answer.accept(later("no leader"));
+    } else {
+      answer.accept(ok(JobWire.view(id, status, 0, 0)));
+    }
+  }
+
+  private void tellEnd(String id, StoreWire.Entry entry, Consumer<HttpAnswer> answer) {
+    try {
+      JobWire.Status status = Leader.toStatus(RecordWire.parseEnd(entry.value()));
+      node.learnFinal(id, status);
+      answer.accept(ok(JobWire.view(id, status)));
+    } catch (MalformedException e) {
+      answer.accept(later("the stored job cannot be read"));
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/io/pineladder/front/Reports.java
@@ -0,0 +1,142 @@
+package io.pineladder.front;
+
+import static io.pineladder.front.Answers.error;
+import static io.pineladder.front.Answers.ok;
+
+import io.pineladder.Leader;
+import io.pineladder.Node;
+import io.pineladder.leadership.Election;
+import io.pineladder.net.HttpAnswer;
+import io.pineladder.wire.MalformedException;
+import io.pineladder.wire.PeerWire;
+import io.pineladder.wire.RecordWire;
+import io.pineladder.wire.WorkerWire;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+
+/**
+ * Workers' reports on any node: answered by the leader, sent there, handed on for those that do not
+ * reach it, or answered in its place to keep a lease.
+ */
+final class Reports {
+  /** A worker back so soon after it was sent to the leader has not reached it. */
+  private static final Duration BOUNCE = Duration.ofSeconds(12);
+
+  private static final int REDIRECTS_KEPT = 2000;
+
+  private final Node node;
+  private final Forwarding forwarding;
+
+  /** When each worker was last sent to the leader, or its report handed on. */
+  private final Map<String, Instant> redirects = new LinkedHashMap<>();
+
+  /** The leader that those workers were sent to. */
+  private RecordWire.LeaderRecord redirectedTo;
+
+  /** Hands requests on to other controllers. */
+  interface Forwarding {
+    /** Tries the addresses in turn; {@code alone} when none has decided. */
+    void forward(
+        List<String> ways,
+        PeerWire.Forward request,
+        Consumer<HttpAnswer> answer,
+        Runnable alone);
+  }
+
+  Reports(Node node, Forwarding forwarding) {
+    this.node = node;
+    this.forwarding = forwarding;
+  }
+
+  /**
+   * Answers a report.
+   *
+   * @param relayed whether a peer handed it on
+   */
+  void answer(byte[] body, boolean relayed, Consumer<HttpAnswer> answer) {
+    WorkerWire.Report report;
+    try {
+      report = WorkerWire.parseReport(body);
+    } catch (MalformedException e) {
+      answer.accept(error(400, e.getMessage()));
+      return;
+    }
+    Leader holder = node.termHolder();
+    if (holder != null && report.token() <= holder.term()) {
+      byte[] response = holder.onReport(report, relayed);
+      if (response != null) {
+        answer.accept(ok(response));
+        return;
+      }
+    } else if (holder != null) {
+      holder.onReport(report, relayed);
+    }
+    RecordWire.LeaderRecord known = node.election().known();
+    boolean other = known != null && !known.member().equals(node.settings().member());
+    Instant now = node.time().now();
+    if (other && !known.equals(redirectedTo)) {
+      // That a worker did not reach an earlier leader says nothing of this one. Otherwise reports
+      // once handed on would be handed on for ever, and each new leader make way in its turn.
+      redirects.clear();
+      redirectedTo = known;
+    }
+    Instant redirected = redirects.get(report.machine());
+    if (other && redirected != null && redirected.plus(BOUNCE).isAfter(now)) {
+      // It was sent to the leader, and is back.
+      if (!node.membership().isUnreachable(known.member())) {
+        relay(known, report, body, answer);
+        return;
+      }
+      if (keepsAlive(known) && report.token() <= node.election().knownVersion()) {
+        answer.accept(
+            ok(
+                WorkerWire.reportResponse(
+                    node.election().knownVersion(), new WorkerWire.Orders())));
+        return;
+      }
+    }
+    if (other) {
+      redirects.put(report.machine(), now);
+      if (redirects.size() > REDIRECTS_KEPT) {
+        redirects.remove(redirects.keySet().iterator().next());
+      }
+    }
+    answer.accept(new HttpAnswer(421, WorkerWire.redirect(other ? known.member() : null)));
+  }
+
+  /**
+   * A worker that was sent to the leader and is back soon after has not reached it. This node can,
+   * so it hands the report on and the response back; a response is as good from any node.
+   */
+  private void relay(
+      RecordWire.LeaderRecord leader,
+      WorkerWire.Report report,
+      byte[] body,
+      Consumer<HttpAnswer> answer) {
+    forwarding.forward(
+        List.of(leader.address()),
+        new PeerWire.Forward("POST", "/v1/report", body, 0),
+        http -> {
+          redirects.put(report.machine(), node.time().now());
+          answer.accept(http);
+        },
+        () -> answer.accept(new HttpAnswer(421, WorkerWire.redirect(null))));
+  }
+
+  /**
+   * Whether this node answers reports in place of a leader that it cannot reach, and whose term the
+   * store confirms: without that a zone cut off from its leader would lose all its tasks. It gives
+   * no orders. No leader ever takes the end of a worker's lease as proof, so prolonging it is safe.
+   */
+  private boolean keepsAlive(RecordWire.LeaderRecord known) {
+    Duration longest = Election.longestKeepAlive(node.settings().workers());
+    Instant leaderAt = node.membership().answeredAt(known.member());
+    return node.store().isHealthy()
+        && leaderAt != null
+        && node.time().now().isBefore(leaderAt.plus(longest));
+  }
+}
--- /dev/null
+++ b/src/main/java/io/pineladder/recovery/Adoption.java
@@ -0,0 +1,226 @@
+package io.pineladder.recovery;
+
+import io.pineladder.model.Job;
+import io.pineladder.net.Timeline;
+import io.pineladder.scheduling.Cluster;
+import io.pineladder.store.Committer;
+import io.pineladder.store.Keys;
+import io.pineladder.store.Mutation;
+import io.pineladder.store.Records;
+import io.pineladder.store.StoreClient;
+import io.pineladder.wire.MalformedException;
+import io.pineladder.wire.RecordWire;
+import io.pineladder.wire.StoreWire;
+import java.time.Duration;
+import java.util.List;
+import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Takes up jobs that are in the store and not in the leader's memory: other nodes accepted them. */
+public final class Adoption {
+  private static final Logger log = LoggerFactory.getLogger(Adoption.class);
+  private static final Duration WATCH = Duration.ofSeconds(20);
+  private static final Duration RETRY = Duration.ofMillis(300);
+
+  /** What the term does with it. */
+  public interface Listener {
+    boolean isLeading();
+
+    /** The job's acceptance by this leader is on its way to the store. */
+    boolean isAccepting(String id);
+
+    /** A job is taken up. */
+    void onAdopted(Job job);
+
+    /** A job was found to be over. */
+    void onFinal(String id, Job.State state);
+  }
+
+  private final StoreClient store;
+  private final Timeline time;
+  private final Cluster cluster;
+  private final Committer committer;
+  private final Records records;
+  private final Listener listener;
+
+  /** How many jobs have left the memory for good; a read that saw one before is too old then. */
+  private long removals;
+
+  public Adoption(
+      StoreClient store,
+      Timeline time,
+      Cluster cluster,
+      Committer committer,
+      Records records,
+      Listener listener) {
+    this.store = store;
+    this.time = time;
+    this.cluster = cluster;
+    this.committer = committer;
+    this.records = records;
+    this.listener = listener;
+  }
+
+  /** A job has left the memory for good. */
+  public void removed() {
+    removals++;
+  }
+
+  /** Begins with the inbox as it was read, and follows it. */
+  public void start(StoreClient.Listing inbox) {
+    inbox.entries().forEach(this::takeIn);
+    watchInbox(inbox.revision());
+  }
+
+  /** Jobs that other nodes accepted while they could reach no leader. */
+  private void watchInbox(long after) {
+    if (!listener.isLeading()) {
+      return;
+    }
+    store.watch(
+        Keys.INBOX,
+        after,
+        WATCH,
+        reply -> {
+          if (!listener.isLeading()) {
+            return;
+          }
+          try {
+            if (reply.is(200)) {
+              StoreWire.Changes changes = StoreWire.parseChanges(reply.body());
+              changes.entries().stream().filter(e -> e.value() != null).forEach(this::takeIn);
+              watchInbox(changes.revision());
+              return;
+            }
+            if (reply.is(410)) {
+              store.list(
+                  Keys.INBOX,
+                  listener::isLeading,
+                  inbox -> {
+                    inbox.entries().forEach(this::takeIn);
+                    watchInbox(inbox.revision());
+                  });
+              return;
+            }
+          } catch (MalformedException e) {
+            log.warn("the inbox cannot be followed: {}", e.getMessage());
+          }
+          time.after(RETRY, () -> watchInbox(after));
+        });
+  }
+
+  private void takeIn(StoreWire.Entry entry) {
+    if (!listener.isLeading()) {
+      return;
+    }
+    String id = entry.key().substring(Keys.INBOX.length());
+    committer.known(entry.key(), entry.version());
+    adopt(
+        id,
+        lookup -> {
+          if (lookup == null) {
+            // Without a certain answer the job may still be unknown here.
+            time.after(RETRY, () -> takeIn(entry));
+            return;
+          }
+          committer.submit(
+              Mutation.of(
+                  Mutation.Priority.TIDY,
+                  List.of(new Mutation.Write(entry.key(), () -> null)),
+                  () -> {}));
+        });
+  }
+
+  /** Reads a job that is in the store but not in memory; null is no certain answer. */
+  public void adopt(String id, Consumer<Lookup> onDone) {
+    if (cluster.jobs.containsKey(id)) {
+      onDone.accept(new Lookup(cluster.jobs.get(id), null));
+      return;
+    }
+    if (listener.isAccepting(id)) {
+      // Whether it is stored in a page will show; a record of its own may be a second copy.
+      onDone.accept(null);
+      return;
+    }
+    long before = removals;
+    store.read(
+        Keys.JOB + id,
+        read -> {
+          if (!listener.isLeading() || !read.certain() || listener.isAccepting(id)) {
+            onDone.accept(null);
+            return;
+          }
+          Job known = cluster.jobs.get(id);
+          if (known != null) {
+            onDone.accept(new Lookup(known, null));
+            return;
+          }
+          if (read.found() && removals != before) {
+            // It may be a job that has left meanwhile: taken up again it would end twice.
+            adopt(id, onDone);
+            return;
+          }
+          if (!read.found()) {
+            readEnd(id, onDone);
+            return;
+          }
+          try {
+            Job job = TermLoader.toJob(read.entry().value());
+            committer.known(read.entry().key(), read.entry().version());
+            listener.onAdopted(job);
+            log.debug("job {} was accepted elsewhere", id);
+            onDone.accept(new Lookup(job, null));
+          } catch (MalformedException e) {
+            log.error("job {} cannot be read: {}", id, e.getMessage());
+            onDone.accept(null);
+          }
+        });
+  }
+
+  /** Looks for the copy of a job's record that another node has stored, so that it goes too. */
+  public void onStoredTwice(Job job, Runnable again) {
+    String key = Keys.JOB + job.spec.id();
+    store.read(
+        key,
+        read -> {
+          if (!listener.isLeading()) {
+            return;
+          }
+          if (!read.certain()) {
+            time.after(RETRY, () -> onStoredTwice(job, again));
+            return;
+          }
+          if (read.found()) {
+            committer.known(key, read.entry().version());
+          }
+          records.knownTwice(job, read.found());
+          again.run();
+        });
+  }
+
+  /** What a look into the store gave: a live job, a final state, or neither. */
+  public record Lookup(Job job, Job.State ended) {}
+
+  private void readEnd(String id, Consumer<Lookup> onDone) {
+    store.read(
+        Keys.END + id,
+        read -> {
+          if (!read.certain()) {
+            onDone.accept(null);
+            return;
+          }
+          if (!read.found()) {
+            onDone.accept(new Lookup(null, null));
+            return;
+          }
+          try {
+            Job.State ended = RecordWire.parseEnd(read.entry().value());
+            listener.onFinal(id, ended);
+            onDone.accept(new Lookup(null, ended));
+          } catch (MalformedException e) {
+            onDone.accept(null);
+          }
+        });
+  }
+}
--- /dev/null
+++ b/src/main/java/io/pineladder/recovery/TermLoader.java
@@ -0,0 +1,267 @@
+package io.pineladder.recovery;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.pineladder.model.Attempt;
+import io.pineladder.model.Job;
+import io.pineladder.model.Machine;
+import io.pineladder.model.MachineType;
+import io.pineladder.net.Timeline;
+import io.pineladder.scheduling.Cluster;
+import io.pineladder.store.Committer;
+import io.pineladder.store.Keys;
+import io.pineladder.store.Records;
+import io.pineladder.store.StoreClient;
+import io.pineladder.wire.MalformedException;
+import io.pineladder.wire.RecordWire;
+import io.pineladder.wire.StoreWire;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Reads what earlier leaders stored, from which a term goes on. */
+public final class TermLoader {
+  private static final Logger log = LoggerFactory.getLogger(TermLoader.class);
+  private static final Duration TYPES_RETRY = Duration.ofSeconds(1);
+
+  /** What the term does with it. */
+  public interface Listener {
+    /** The term still reads. */
+    boolean wanted();
+
+    /** Stored settings were read. */
+    void onConf(List<StoreWire.Entry> entries);
+
+    List<MachineType> types();
+
+    /** Half a memory could break every rule: the term cannot go on. */
+    void onUnreadable(String reason);
+
+    /** All jobs with their attempts, in the order in which they were accepted, and the inbox. */
+    void onLoaded(List<Job> jobs, StoreClient.Listing inbox);
+  }
+
+  private final StoreClient store;
+  private final Timeline time;
+  private final Cluster cluster;
+  private final Committer committer;
+  private final Records records;
+  private final Listener listener;
+
+  public TermLoader(
+      StoreClient store,
+      Timeline time,
+      Cluster cluster,
+      Committer committer,
+      Records records,
+      Listener listener) {
+    this.store = store;
+    this.time = time;
+    this.cluster = cluster;
+    this.committer = committer;
+    this.records = records;
+    this.listener = listener;
+  }
+
+  /** Reads everything that earlier leaders stored; their late transactions can no longer apply. */
+  public void load() {
+    if (!listener.wanted()) {
+      return;
+    }
+    BooleanSupplier wanted = listener::wanted;
+    store.list(
+        Keys.CONF,
+        wanted,
+        conf -> {
+          conf.entries().forEach(e -> committer.known(e.key(), e.version()));
+          listener.onConf(conf.entries());
+          loadRecords(wanted);
+        });
+  }
+
+  private void loadRecords(BooleanSupplier wanted) {
+    // The inbox is read before the jobs, so that a job is in the one or the other.
+    store.list(
+        Keys.INBOX,
+        wanted,
+        inbox -> {
+          Stored stored = new Stored();
+          Map<String, Consumer<StoreClient.Listing>> rest =
+              Map.of(
+                  Keys.JOB, listing -> stored.jobs = listing,
+                  Keys.ACCEPTED, listing -> stored.accepted = listing,
+                  Keys.DONE, listing -> stored.done = listing,
+                  Keys.PLACED, listing -> stored.placed = listing,
+                  Keys.IMAGES, listing -> stored.images = listing);
+          int[] left = {rest.size()};
+          rest.forEach(
+              (prefix, onRead) ->
+                  store.list(
+                      prefix,
+                      wanted,
+                      listing -> {
+                        onRead.accept(listing);
+                        if (--left[0] == 0) {
+                          build(stored, inbox);
+                        }
+                      }));
+        });
+  }
+
+  /** What earlier leaders stored. */
+  private static final class Stored {
+    StoreClient.Listing jobs;
+    StoreClient.Listing accepted;
+    StoreClient.Listing done;
+    StoreClient.Listing placed;
+    StoreClient.Listing images;
+  }
+
+  /** A page's entry with the page it stands in. */
+  private record Paged<T>(String page, T entry) {}
+
+  /** Reads one kind of page entry. */
+  private interface EntryReader<T> {
+    T read(JsonNode entry) throws MalformedException;
+  }
+
+  private <T> List<Paged<T>> readPages(StoreClient.Listing listing, EntryReader<T> reader)
+      throws MalformedException {
+    List<Paged<T>> found = new ArrayList<>();
+    for (StoreWire.Entry page : listing.entries()) {
+      committer.known(page.key(), page.version());
+      for (JsonNode entry : RecordWire.entries(page.value())) {
+        found.add(new Paged<>(page.key(), reader.read(entry)));
+      }
+    }
+    return found;
+  }
+
+  private void build(Stored stored, StoreClient.Listing inbox) {
+    Map<String, Job> found = new HashMap<>();
+    List<Job> ordered = new ArrayList<>();
+    cluster.setTypes(listener.types());
+    try {
+      List<Paged<RecordWire.Placement>> placements =
+          readPages(stored.placed, RecordWire::parsePlacement);
+      for (Paged<RecordWire.Placement> placement : placements) {
+        if (cluster.type(placement.entry.type()) == null) {
+          log.warn("machine {} is of a type not known yet", placement.entry.machine());
+          time.after(TYPES_RETRY, this::load);
+          return;
+        }
+      }
+      stored.accepted.entries().forEach(page -> records.knownJobs(page.key()));
+      for (Paged<JsonNode> record : readPages(stored.accepted, entry -> entry)) {
+        Job job = toJob(record.entry);
+        records.knownJob(record.page, job, record.entry);
+        found.put(job.spec.id(), job);
+        ordered.add(job);
+      }
+      for (StoreWire.Entry entry : stored.jobs.entries()) {
+        committer.known(entry.key(), entry.version());
+        Job job = toJob(entry.value());
+        Job paged = found.putIfAbsent(job.spec.id(), job);
+        if (paged == null) {
+          ordered.add(job);
+        } else {
+          // A node that did not reach the leader of the time stored it again.
+          records.knownTwice(paged, true);
+        }
+      }
+      restoreDone(stored.done, found);
+      // The pages are in the order of their keys; what was cached of a machine is a guess anyway.
+      for (Paged<RecordWire.StoredImages> images :
+          readPages(stored.images, RecordWire::parseImages)) {
+        records.knownImages(images.page);
+        cluster.expectImages(images.entry.machine(), images.entry.images());
+      }
+      restorePlacements(placements, found);
+      stored.placed.entries().forEach(page -> records.knownPlacements(page.key()));
+    } catch (MalformedException e) {
+      log.error("a stored record cannot be read: {}", e.getMessage());
+      listener.onUnreadable("a stored record cannot be read");
+      return;
+    }
+    ordered.sort(
+        (a, b) -> {
+          int byTime = a.acceptedAt.compareTo(b.acceptedAt);
+          return byTime != 0 ? byTime : a.spec.id().compareTo(b.spec.id());
+        });
+    listener.onLoaded(ordered, inbox);
+  }
+
+  private void restoreDone(StoreClient.Listing listing, Map<String, Job> jobs)
+      throws MalformedException {
+    listing.entries().forEach(page -> records.knownCompletions(page.key()));
+    List<Paged<RecordWire.StoredDone>> all = readPages(listing, RecordWire::parseDone);
+    all.removeIf(done -> !jobs.containsKey(done.entry.job()));
+    for (Paged<RecordWire.StoredDone> done : all) {
+      Job job = jobs.get(done.entry.job());
+      job.done.or(done.entry.done());
+    }
+    for (Paged<RecordWire.StoredDone> done : all) {
+      records.knownDone(done.page, jobs.get(done.entry.job()), done.entry);
+    }
+  }
+
+  /**
+   * Takes up the placements of tasks that are still wanted. An attempt is stored only when all
+   * earlier ones of its task are proven gone, so of a task's placements those with the highest
+   * number count; the others are merely old. So is one whose job is gone, since a job's record goes
+   * only when none of its tasks can be anywhere, and one of a task that is complete.
+   */
+  private void restorePlacements(
+      List<Paged<RecordWire.Placement>> placements, Map<String, Job> jobs) {
+    Map<String, Long> newest = new HashMap<>();
+    for (Paged<RecordWire.Placement> paged : placements) {
+      RecordWire.Placement placement = paged.entry;
+      newest.merge(placement.job() + "/" + placement.task(), placement.attempt(), Math::max);
+    }
+    Instant now = time.now();
+    for (Paged<RecordWire.Placement> paged : placements) {
+      RecordWire.Placement placement = paged.entry;
+      Job job = jobs.get(placement.job());
+      if (job == null
+          || placement.task() >= job.spec.tasks()
+          || job.done.get(placement.task())
+          || newest.get(placement.job() + "/" + placement.task()) != placement.attempt()) {
+        continue;
+      }
+      Machine machine = cluster.machine(placement.machine());
+      if (machine == null) {
+        MachineType type = cluster.type(placement.type());
+        machine =
+            new Machine(placement.machine(), type, placement.zone(), placement.spot(), now);
+        machine.address = placement.address();
+        machine.recorded = true;
+        cluster.addMachine(machine);
+      }
+      String key = Machine.key(placement.job(), placement.task(), placement.attempt());
+      if (!machine.attempts.containsKey(key)) {
+        Attempt attempt =
+            cluster.addAttempt(
+                job,
+                placement.task(),
+                placement.attempt(),
+                machine,
+                now,
+                Attempt.State.RECORDED);
+        records.knownPlacement(paged.page, attempt);
+      }
+    }
+  }
+
+  static Job toJob(JsonNode record) throws MalformedException {
+    RecordWire.StoredJob stored = RecordWire.parseJob(record);
+    Job job = new Job(stored.spec(), stored.acceptedAt(), stored.state());
+    job.atFault = stored.atFault();
+    return job;
+  }
+}
--- a/src/main/java/io/pineladder/scheduling/Scheduler.java
+++ b/src/main/java/io/pineladder/scheduling/Scheduler.java
@@ -6,15 +6,11 @@
 import io.pineladder.model.JobSpec;
 import io.pineladder.model.Machine;
 import io.pineladder.model.OperatorSettings;
-import io.pineladder.model.Resources;
-import io.pineladder.model.Settings;
 import io.pineladder.model.Shape;
 import io.pineladder.model.Team;
 import io.pineladder.net.Timeline;
 import io.pineladder.queue.Check;
 import io.pineladder.queue.Event;
-import io.pineladder.queue.Hint;
-import io.pineladder.queue.HintTable;
 import io.pineladder.queue.QueueEntry;
 import io.pineladder.queue.SchedulingQueue;
 import io.pineladder.store.RateBudget;
@@ -49,14 +45,6 @@
    */
   private static final double LARGE_A_SECOND = 120;
 
-  /** A fetch that takes longer yet is worth a new start where the image is. */
-  private static final Duration WORTH_MOVING = Duration.ofSeconds(6);
-
-  private static final Duration RESERVATION = Duration.ofSeconds(20);
-
-  /** The part of the time that looks at the whole fleet for work to displace may take. */
-  private static final int LOOKS_PART = 5;
-
   /** Tasks of a job at fault that are tried at a time. */
   private static final int PROBES = 2;
 
@@ -81,15 +69,12 @@
   private final Timeline time;
   private final Effects effects;
   private final Placer placer;
-  private final Preemptor preemptor;
+  private final RoomMaker rooms;
   private final SchedulingQueue queue;
   private final Map<String, QueueEntry> entries = new HashMap<>();
   private final long term;
   private final RateBudget large;
 
-  /** When the fleet may next be looked over for work to displace. */
-  private Instant looksFrom = Instant.MIN;
-
   private final Failures failures = new Failures(new Verdicts());
 
   /** Machines on which room came free, with how many tries there had been by then. */
@@ -107,10 +92,10 @@
     this.term = term;
     this.effects = effects;
     this.placer = new Placer(cluster, time);
-    this.preemptor = new Preemptor(cluster, time);
+    this.rooms = new RoomMaker(cluster, time, this::displace);
     // A back-off with its window may last for two seconds, and what comes up in them is not lost.
     this.large = new RateBudget(LARGE_A_SECOND, 2 * LARGE_A_SECOND, time.now());
-    this.queue = new SchedulingQueue(hints(), new ByObjective(), operator);
+    this.queue = new SchedulingQueue(Hints.table(cluster, time), new ByObjective(), operator);
   }
 
   public void useRecords(Records made) {
@@ -188,51 +173,10 @@
     return Duration.ofMillis((long) (spec.estimate().toMillis() * share));
   }
 
-  private static boolean isGangOfSeveral(JobSpec spec) {
+  static boolean isGangOfSeveral(JobSpec spec) {
     return spec.shape() == Shape.GANG && spec.tasks() > 1;
   }
 
-  /** Which events may help which rejections. */
-  private HintTable hints() {
-    HintTable.HintFunction room =
-        (entry, event) -> {
-          Machine machine = event.machine();
-          Job job = entry.job;
-          if (!machine.takesWork()
-              || !Placer.isAllowed(job, machine)
-              || !job.spec.each().fitsIn(Placer.room(job, machine, time.now()))) {
-            return Hint.SKIP;
-          }
-          boolean waits = isGangOfSeveral(job.spec) && machine.reservedFor != job;
-          return waits ? Hint.QUEUE : Hint.QUEUE_AT_ONCE;
-        };
-    HintTable.HintFunction ownTask =
-        (entry, event) -> event.job() == entry.job ? Hint.QUEUE_AT_ONCE : Hint.SKIP;
-    HintTable table = new HintTable();
-    for (Check check : List.of(Check.PLACE, Check.FIT, Check.SPREAD, Check.TOGETHER)) {
-      table.on(check, Event.Kind.ROOM_FREED, room).on(check, Event.Kind.MACHINE_READY, room);
-    }
-    for (Check check : List.of(Check.SPREAD, Check.TOGETHER, Check.PREDECESSOR)) {
-      table.on(check, Event.Kind.ATTEMPT_GONE, ownTask);
-    }
-    table.on(
-        Check.FAILING,
-        Event.Kind.ATTEMPT_GONE,
-        (entry, event) -> event.job() == entry.job ? Hint.QUEUE : Hint.SKIP);
-    return table.on(
-        Check.TEAM_LIMIT,
-        Event.Kind.TEAM_FREED,
-        (entry, event) -> {
-          JobSpec spec = entry.job.spec;
-          if (!spec.team().equals(event.team())) {
-            return Hint.SKIP;
-          }
-          return cluster.team(spec.team()).allows(cluster.usage(spec.team()).plus(spec.least()))
-              ? Hint.QUEUE_AT_ONCE
-              : Hint.SKIP;
-        });
-  }
-
   // ---- jobs
 
   /** A new job, or one read from the store whose attempts are known already. */
@@ -530,7 +474,7 @@
     if (lost.cause != Cause.INCOMPLETE) {
       return false;
     }
-    cluster.reserve(lost.machine, lost.job, time.now().plus(RESERVATION));
+    cluster.reserve(lost.machine, lost.job, time.now().plus(RoomMaker.RESERVATION));
     return true;
   }
 
@@ -591,7 +535,10 @@
         if (offerAgain(now)) {
           continue;
         }
-        shortenFetches(now);
+        // An attempt that never started is gone at once, and its room is added to these.
+        List<Machine> roomyNow = List.copyOf(roomy.keySet());
+        roomy.clear();
+        rooms.shortenFetches(roomyNow, now, each -> kill(each, Duration.ZERO));
         wakeForBackoff();
         return;
       }
@@ -704,107 +651,20 @@
   private void reject(QueueEntry entry, Check by, Instant now) {
     boolean room = by == Check.FIT || by == Check.SPREAD || by == Check.TOGETHER;
     if (room && !entry.job.atFault) {
-      makeRoom(entry.job, Double.MAX_VALUE, now);
+      rooms.makeRoom(entry.job, Double.MAX_VALUE, now);
     }
     queue.park(entry, by, now);
   }
 
-  /**
-   * Stops work for as many of the job's tasks as still lack a place, in one look at the fleet, which
-   * no index answers. Looks take a bounded part of the time, and the first by priority get them.
-   */
-  private boolean makeRoom(Job job, double mostFetchSeconds, Instant now) {
-    int lacking = job.pending.cardinality() - preemptor.waiting(job, now);
-    Instant begun = time.now();
-    if (lacking <= 0 || looksFrom.isAfter(begun) || !cluster.mayDisplaceAny(job)) {
-      return false;
-    }
-    boolean gang = isGangOfSeveral(job.spec);
-    if (gang && cluster.reservedFor(job).stream().anyMatch(m -> m.reservedUntil.isAfter(now))) {
-      return false;
-    }
-    List<Preemptor.Plan> plans =
-        gang
-            ? preemptor.gangPlans(job, now)
-            : preemptor.plans(job, lacking, mostFetchSeconds, now);
-    Instant looked = time.now();
-    looksFrom = looked.plus(Duration.between(begun, looked).multipliedBy(LOOKS_PART - 1));
-    for (Preemptor.Plan plan : plans) {
-      Machine machine = plan.machine();
-      log.debug("{} displaces {} on {}", job, plan.victims(), machine);
-      cluster.reserve(machine, job, now.plus(RESERVATION));
-      plan.victims().forEach(this::displace);
-    }
-    return !plans.isEmpty();
-  }
-
-  /**
-   * There is room, but fetching the image there would make the task late, while work of lower
-   * priority sits where the image is: then that work makes way, and the entry waits for it.
-   */
+  /** Whether the entry waits for room where its image is, which is being made. */
   private boolean waitsForWarmRoom(QueueEntry entry, Machine cold, Instant now) {
-    Job job = entry.job;
-    double fetch = Placer.fetchSeconds(job, cold);
-    Duration left =
-        Duration.between(time.timeOfDay(), job.acceptedAt.plus(allowance(job)));
-    double seconds = left.toMillis() / 1000.0;
-    if (job.atFault || fetch < 1 || seconds < 0 || fetch < seconds) {
-      return false;
-    }
-    if (preemptor.waiting(job, now) == 0 && !makeRoom(job, seconds, now)) {
+    if (!rooms.waitsForWarmRoom(entry.job, cold, allowance(entry.job), now)) {
       return false;
     }
     queue.park(entry, Check.FIT, now);
     return true;
   }
 
-  /**
-   * Nothing waits, and there is room where an image is that some task is still fetching elsewhere
-   * for a good while: that task moves there. It has done no work yet, so nothing is lost.
-   */
-  private void shortenFetches(Instant now) {
-    for (Machine machine : roomy.keySet()) {
-      if (!machine.takesWork()) {
-        continue;
-      }
-      Resources room = machine.free();
-      while (true) {
-        Attempt best = worthMoving(machine, room, now);
-        if (best == null) {
-          break;
-        }
-        log.debug("{} moves to {}, which has its image", best, machine);
-        room = room.minus(best.job.spec.each());
-        cluster.reserve(machine, best.job, now.plus(RESERVATION));
-        kill(best, Duration.ZERO);
-      }
-    }
-    roomy.clear();
-  }
-
-  /** The fetching attempt that would gain most by starting on this machine instead, or null. */
-  private Attempt worthMoving(Machine machine, Resources room, Instant now) {
-    Attempt best = null;
-    Instant latest = now.plus(WORTH_MOVING);
-    for (String image : machine.images.keySet()) {
-      for (Attempt attempt : cluster.fetching(image)) {
-        Job job = attempt.job;
-        if (attempt.machine != machine
-            && attempt.isWanted()
-            && attempt.readyAt.isAfter(latest)
-            && (job.spec.shape() != Shape.GANG || job.spec.tasks() == 1)
-            && job.spec.each().fitsIn(room)
-            && job.spec.each().fitsIn(Placer.room(job, machine, now))
-            && Placer.isAllowed(job, machine)
-            && (Placer.mayTake(job, machine) || job.spec.tasks() == 1)) {
-          best = attempt;
-          latest = attempt.readyAt;
-        }
-      }
-    }
-    return best;
-  }
-
   /** Stops an attempt to free its room; the rest of a gang goes with it. */
   public void displace(Attempt attempt) {
     JobSpec spec = attempt.job.spec;
