A completion is stored once no other attempt of its task can be anywhere

Change: other attempts of a task that turns out complete are stopped, and its completion is left out of what is stored until they are proven gone. Placements of jobs that are over count whatever is complete.

--- a/src/main/java/io/pineladder/model/Attempt.java
+++ b/src/main/java/io/pineladder/model/Attempt.java
@@ -92,6 +92,9 @@
   /** The end has been dealt with and, where that matters, stored: the worker may forget it. */
   public boolean forgettable;
 
+  /** The attempt that completed the task, which is not stored before this one is gone; or null. */
+  public Attempt hides;
+
   public Attempt(Job job, int task, long number, Machine machine, Instant since, State first) {
     this.job = job;
     this.task = task;
--- a/src/main/java/io/pineladder/model/Job.java
+++ b/src/main/java/io/pineladder/model/Job.java
@@ -28,6 +28,9 @@
   /** Tasks that are complete. */
   public final BitSet done = new BitSet();
 
+  /** Complete tasks that were started anew and may still run; they are not stored as complete yet. */
+  public final BitSet unproven = new BitSet();
+
   /** Tasks that wait to be placed; a bit each, whatever the job's size. */
   public final BitSet pending = new BitSet();
 
--- a/src/main/java/io/pineladder/recovery/TermLoader.java
+++ b/src/main/java/io/pineladder/recovery/TermLoader.java
@@ -215,7 +215,8 @@
    * Takes up the placements of tasks that are still wanted. An attempt is stored only when all
    * earlier ones of its task are proven gone, so of a task's placements those with the highest
    * number count; the others are merely old. So is one whose job is gone, since a job's record goes
-   * only when none of its tasks can be anywhere, and one of a task that is complete.
+   * only when none of its tasks can be anywhere, and one of a task of an active job that is complete:
+   * it is stored as complete only when no other attempt of it can be anywhere.
    */
   private void restorePlacements(
       List<Paged<RecordWire.Placement>> placements, Map<String, Job> jobs) {
@@ -230,7 +231,7 @@
       Job job = jobs.get(placement.job());
       if (job == null
           || placement.task() >= job.spec.tasks()
-          || job.done.get(placement.task())
+          || (job.isActive() && job.done.get(placement.task()))
           || newest.get(placement.job() + "/" + placement.task()) != placement.attempt()) {
         continue;
       }
--- a/src/main/java/io/pineladder/scheduling/Scheduler.java
+++ b/src/main/java/io/pineladder/scheduling/Scheduler.java
@@ -319,6 +319,7 @@
     boolean wanted = attempt.isWanted();
     attempt.cause = cause;
     cluster.move(attempt, Attempt.State.EXITED);
+    reveal(attempt);
     Job job = attempt.job;
     if (cause == Cause.DONE && job.spec.shape() != Shape.SERVICE) {
       completed(attempt);
@@ -355,7 +356,7 @@
     job.pending.clear(attempt.task);
     failures.succeeded(job);
     cluster.demandChanged(job);
-    records.taskDone(job, attempt);
+    endOthers(attempt);
     if (job.done.cardinality() == job.spec.tasks()) {
       job.moveTo(Job.State.DONE);
       leaveQueue(job);
@@ -363,10 +364,44 @@
     }
   }
 
+  /**
+   * The task was started anew because a leader before this one knew of its completion and had not
+   * stored it. The completion is stored once the new attempt is gone: the next leader takes no
+   * attempt of a complete task for being anywhere. Found by the simulation, as a team's limit that
+   * was broken after two takeovers.
+   */
+  private void endOthers(Attempt complete) {
+    Job job = complete.job;
+    List<Attempt> others = new ArrayList<>();
+    for (Attempt other : job.attempts.getOrDefault(complete.task, Set.of())) {
+      if (other != complete && other.holdsRoom()) {
+        others.add(other);
+      }
+    }
+    if (others.isEmpty()) {
+      job.unproven.clear(complete.task);
+      records.taskDone(job, complete);
+      return;
+    }
+    job.unproven.set(complete.task);
+    others.get(0).hides = complete;
+    others.forEach(other -> kill(other, Duration.ZERO));
+  }
+
+  /** An attempt is gone that kept its task's completion from being stored. */
+  private void reveal(Attempt gone) {
+    Attempt complete = gone.hides;
+    if (complete != null) {
+      gone.hides = null;
+      endOthers(complete);
+    }
+  }
+
   /** Proof has come that the attempt is not on its machine and never will be. */
   public void gone(Attempt attempt, String proof) {
     boolean held = attempt.holdsRoom();
     cluster.move(attempt, Attempt.State.GONE);
+    reveal(attempt);
     if (held) {
       log.debug("{}: {}", attempt, proof);
       lost(attempt, false);
--- a/src/main/java/io/pineladder/store/Records.java
+++ b/src/main/java/io/pineladder/store/Records.java
@@ -203,6 +203,10 @@
   private JsonNode encode(Chunk chunk) {
     chunk.included = List.copyOf(chunk.waiting);
     BitSet done = chunk.job.done;
+    if (!chunk.job.unproven.isEmpty()) {
+      done = (BitSet) done.clone();
+      done.andNot(chunk.job.unproven);
+    }
     return RecordWire.done(
         chunk.job.spec.id(), done, chunk.number, chunkTasks);
   }
--- a/src/test/java/io/pineladder/workers/WorkersTest.java
+++ b/src/test/java/io/pineladder/workers/WorkersTest.java
@@ -88,6 +88,36 @@
     assertEquals(Attempt.State.GONE, attempt.state());
   }
 
+  /**
+   * Found by the simulation: the leader before knew of the completion and had not stored it, so the
+   * task was started anew. Stored as complete while that start ran, the next leader did not count it.
+   */
+  @Test
+  void aCompletionIsStoredOnceNoOtherAttemptOfTheTaskIsAnywhere() {
+    leader.report("m-1", 1);
+    Job job = leader.accept(LeaderHarness.spec("req-1", Shape.ARRAY, Rank.LOW, 2, "i"));
+    Attempt anew = job.attempts.get(0).iterator().next();
+    Attempt other = job.attempts.get(1).iterator().next();
+    leader.report(
+        "m-1",
+        2,
+        LeaderHarness.task(anew, TaskState.RUNNING),
+        LeaderHarness.task(other, TaskState.RUNNING));
+    TaskReport before =
+        new TaskReport(new TaskId("req-1", 0), 3, TaskState.EXITED, Cause.DONE, false);
+    leader.report("m-2", 1, before);
+    Attempt complete = leader.cluster.machine("m-2").attempts.get(before.key());
+    assertTrue(job.done.get(0));
+    leader.runFor(Duration.ofSeconds(2));
+    assertFalse(complete.forgettable, "not stored while the new attempt may run");
+    assertFalse(anew.isWanted(), "it is stopped");
+    leader.report(
+        "m-1", 3, exited(anew, Cause.STOPPED), LeaderHarness.task(other, TaskState.RUNNING));
+    leader.runFor(Duration.ofSeconds(2));
+    assertTrue(complete.forgettable);
+    assertTrue(job.isActive());
+  }
+
   /** Until a worker has our token an older leader's orders may still reach it. */
   @Test
   void aReportWithAnOlderTokenProvesNothingAndBringsNoWork() {
