Tries again follow one policy: jittered pauses, a budget, a breaker (package retry)

Need: each caller had a pause of its own; none was drawn by chance, and nothing bounded tries again. Resilience4j was weighed: its retries want a ScheduledExecutorService and a real clock. The rate budgets kept a herd away already; no gain is claimed.

--- a/src/main/java/io/pineladder/Leader.java
+++ b/src/main/java/io/pineladder/Leader.java
@@ -170,7 +170,7 @@
             });
     scheduler.useRecords(records);
     this.loader = new TermLoader(store, time, cluster, committer, records, new Loading());
-    this.adoption = new Adoption(store, time, cluster, committer, records, new Adopting());
+    this.adoption = new Adoption(store, cluster, committer, records, new Adopting());
     BooleanSupplier mayAct = this::mayAct;
     this.workers =
         new Workers(
--- a/src/main/java/io/pineladder/Node.java
+++ b/src/main/java/io/pineladder/Node.java
@@ -11,6 +11,7 @@
 import io.pineladder.net.HttpCaller.Request;
 import io.pineladder.net.Timeline;
 import io.pineladder.recovery.Takeovers;
+import io.pineladder.retry.Backoff;
 import io.pineladder.store.JobIndex;
 import io.pineladder.store.Keys;
 import io.pineladder.store.StoreClient;
@@ -36,7 +37,6 @@
   private static final Duration PAUSE = Duration.ofSeconds(1);
 
   private static final Duration WATCH = Duration.ofSeconds(20);
-  private static final Duration RETRY = Duration.ofMillis(500);
   private static final Duration TYPES_EVERY = Duration.ofSeconds(60);
   private static final Duration HAND_OVER_EVERY = Duration.ofSeconds(60);
   private static final Duration CLOUD_TIMEOUT = Duration.ofSeconds(3);
@@ -50,6 +50,7 @@
   private final JobIndex accepted;
   private final Membership membership;
   private final Takeovers takeovers;
+  private final Backoff confRetry;
 
   /** Final states never change, so any copy of them may be told. */
   private final Cache<String, JobWire.Status> finals =
@@ -70,6 +71,7 @@
     this.store =
         new StoreClient(
             http, time, settings.storeAddress(), settings.store(), settings.peers().size() + 1);
+    this.confRetry = store.backoff();
     this.accepted = new JobIndex(store, time);
     this.takeovers = new Takeovers(time);
     this.membership = new Membership(settings, nonce, time, this::sendBeat, this::own);
@@ -260,6 +262,7 @@
           try {
             if (reply.is(200)) {
               StoreWire.Changes changes = StoreWire.parseChanges(reply.body());
+              confRetry.reset();
               changes.entries().forEach(this::learnConf);
               watchConf(changes.revision());
               return;
@@ -267,7 +270,7 @@
           } catch (MalformedException e) {
             log.warn("the stored settings cannot be followed: {}", e.getMessage());
           }
-          time.after(RETRY, reply.is(410) ? this::readConf : () -> watchConf(after));
+          store.retry(confRetry, reply.is(410) ? this::readConf : () -> watchConf(after));
         });
   }
 
--- a/src/main/java/io/pineladder/leadership/Election.java
+++ b/src/main/java/io/pineladder/leadership/Election.java
@@ -4,6 +4,7 @@
 import io.pineladder.net.HttpCaller.Outcome;
 import io.pineladder.net.HttpCaller.Reply;
 import io.pineladder.net.Timeline;
+import io.pineladder.retry.Backoff;
 import io.pineladder.store.Keys;
 import io.pineladder.store.StoreClient;
 import io.pineladder.wire.MalformedException;
@@ -26,7 +27,10 @@
   /** The clocks' worst drift against one another, with room for rounding. */
   private static final double DRIFT = 0.002;
 
-  private static final Duration RETRY = Duration.ofMillis(300);
+  /** Looking for a leader is most urgent right after an outage, so the pauses stay short. */
+  private static final Duration FIRST_RETRY = Duration.ofMillis(250);
+
+  private static final Duration MOST_RETRY = Duration.ofMillis(400);
 
   /** How long a node that makes way for others lets them stand first. */
   private static final Duration YIELD = Duration.ofSeconds(3);
@@ -67,6 +71,7 @@
   private final LeaderRecord self;
   private final Listener listener;
   private final Duration keepAlive;
+  private final Backoff retry;
   private State state = State.FOLLOWING;
   private long lease;
   private long term;
@@ -83,6 +88,7 @@
     this.time = time;
     this.self = new LeaderRecord(settings.member(), settings.clusterAddress(), nonce);
     this.listener = listener;
+    this.retry = new Backoff(time, FIRST_RETRY, MOST_RETRY);
     this.life = lifeFor(settings.workers().lease());
     this.keepAlive = longestKeepAlive(settings.workers());
   }
@@ -178,7 +184,7 @@
             if (reply.is(404)) {
               learn(null);
               if (time.now().isBefore(standFrom)) {
-                time.after(RETRY, () -> look(of));
+                time.after(retry.pause(), () -> look(of));
               } else {
                 stand(of);
               }
@@ -187,7 +193,7 @@
           } catch (MalformedException e) {
             log.warn("the store's answer on the leader is malformed");
           }
-          time.after(RETRY, () -> look(of));
+          time.after(retry.pause(), () -> look(of));
         });
   }
 
@@ -208,7 +214,7 @@
         store.delete("/holds/" + left),
         reply -> {
           if (of == round) {
-            time.after(reply.isAnswered() ? Duration.ZERO : RETRY, () -> look(of));
+            time.after(reply.isAnswered() ? Duration.ZERO : retry.pause(), () -> look(of));
           }
         });
   }
@@ -229,7 +235,7 @@
             return;
           }
           if (!reply.is(200)) {
-            time.after(RETRY, () -> look(of));
+            time.after(retry.pause(), () -> look(of));
             return;
           }
           look(of);
@@ -255,7 +261,7 @@
             log.warn("the store's answer on a lease is malformed");
           }
           moveTo(State.FOLLOWING);
-          time.after(RETRY, () -> look(of));
+          time.after(retry.pause(), () -> look(of));
         });
   }
 
@@ -288,7 +294,7 @@
     }
     boolean unknown = reply.outcome() == Outcome.UNKNOWN;
     if (unknown && time.now().isBefore(leaseSent.plus(life))) {
-      time.after(RETRY, () -> claimAgain(of, leaseSent));
+      time.after(retry.pause(), () -> claimAgain(of, leaseSent));
       return;
     }
     giveUp(of);
@@ -322,7 +328,7 @@
     // A late copy of the claim finds no lease and does nothing.
     store.urgent(store.delete("/holds/" + lease), reply -> {});
     moveTo(State.FOLLOWING);
-    time.after(RETRY, () -> look(of));
+    time.after(retry.pause(), () -> look(of));
   }
 
   private void elected(long newTerm, Instant leaseSent) {
@@ -360,6 +366,7 @@
           }
           boolean good = reply.is(200);
           if (good) {
+            retry.reset();
             boolean doubted = state == State.IN_DOUBT;
             extend(sent);
             moveTo(State.LEADING);
@@ -367,7 +374,7 @@
               listener.onCertain();
             }
           }
-          time.after(good ? life.dividedBy(4) : RETRY, () -> renew(of));
+          time.after(good ? life.dividedBy(4) : retry.pause(), () -> renew(of));
         });
   }
 
@@ -382,7 +389,7 @@
     moveTo(State.FOLLOWING);
     store.urgent(store.delete("/holds/" + lease), reply -> {});
     listener.onLost(reason);
-    time.after(RETRY, () -> look(of));
+    time.after(retry.pause(), () -> look(of));
   }
 
   /** Gives the term up in favour of any other node that stands within a while. */
--- a/src/main/java/io/pineladder/net/Timeline.java
+++ b/src/main/java/io/pineladder/net/Timeline.java
@@ -2,8 +2,9 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.random.RandomGenerator;
 
-/** The clocks and timers that the rest of the program sees; simulated in the tests. */
+/** The clocks, timers and chance that the rest of the program sees; simulated in the tests. */
 public interface Timeline {
   /** The steady clock. Its origin means nothing; differences do. */
   Instant now();
@@ -11,6 +12,9 @@
   /** The time of day, which may jump within the bound that the settings give. */
   Instant timeOfDay();
 
+  /** Chance, for pauses that are not to coincide; seeded in the tests. */
+  RandomGenerator random();
+
   /** Runs {@code action} on the one event thread after {@code delay}. */
   void after(Duration delay, Runnable action);
 }
--- a/src/main/java/io/pineladder/net/XnioRuntime.java
+++ b/src/main/java/io/pineladder/net/XnioRuntime.java
@@ -17,8 +17,10 @@
 import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
+import java.util.random.RandomGenerator;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.xnio.ChannelListener;
@@ -44,6 +46,7 @@
   private final XnioIoThread thread;
   private final Instant origin = Instant.EPOCH;
   private final long originNanos = System.nanoTime();
+  private final RandomGenerator random = new SplittableRandom();
   private final Clock wall = Clock.systemUTC();
   private final Sockets sockets;
   private final Map<StreamConnection, Sockets.Socket> accepted = new IdentityHashMap<>();
@@ -94,6 +97,11 @@
     return wall.instant();
   }
 
+  @Override
+  public RandomGenerator random() {
+    return random;
+  }
+
   @Override
   public void after(Duration delay, Runnable action) {
     thread.executeAfter(() -> guarded(action), Math.max(0, delay.toMillis()), TimeUnit.MILLISECONDS);
--- a/src/main/java/io/pineladder/recovery/Adoption.java
+++ b/src/main/java/io/pineladder/recovery/Adoption.java
@@ -1,7 +1,7 @@
 package io.pineladder.recovery;
 
 import io.pineladder.model.Job;
-import io.pineladder.net.Timeline;
+import io.pineladder.retry.Backoff;
 import io.pineladder.scheduling.Cluster;
 import io.pineladder.store.Committer;
 import io.pineladder.store.Keys;
@@ -21,7 +21,6 @@
 public final class Adoption {
   private static final Logger log = LoggerFactory.getLogger(Adoption.class);
   private static final Duration WATCH = Duration.ofSeconds(20);
-  private static final Duration RETRY = Duration.ofMillis(300);
 
   /** What the term does with it. */
   public interface Listener {
@@ -38,28 +37,27 @@
   }
 
   private final StoreClient store;
-  private final Timeline time;
   private final Cluster cluster;
   private final Committer committer;
   private final Records records;
   private final Listener listener;
+  private final Backoff retry;
 
   /** How many jobs have left the memory for good; a read that saw one before is too old then. */
   private long removals;
 
   public Adoption(
       StoreClient store,
-      Timeline time,
       Cluster cluster,
       Committer committer,
       Records records,
       Listener listener) {
     this.store = store;
-    this.time = time;
     this.cluster = cluster;
     this.committer = committer;
     this.records = records;
     this.listener = listener;
+    this.retry = store.backoff();
   }
 
   /** A job has left the memory for good. */
@@ -89,6 +87,7 @@
           try {
             if (reply.is(200)) {
               StoreWire.Changes changes = StoreWire.parseChanges(reply.body());
+              retry.reset();
               changes.entries().stream().filter(e -> e.value() != null).forEach(this::takeIn);
               watchInbox(changes.revision());
               return;
@@ -106,7 +105,7 @@
           } catch (MalformedException e) {
             log.warn("the inbox cannot be followed: {}", e.getMessage());
           }
-          time.after(RETRY, () -> watchInbox(after));
+          store.retry(retry, () -> watchInbox(after));
         });
   }
 
@@ -121,7 +120,7 @@
         lookup -> {
           if (lookup == null) {
             // Without a certain answer the job may still be unknown here.
-            time.after(RETRY, () -> takeIn(entry));
+            store.retry(retry, () -> takeIn(entry));
             return;
           }
           committer.submit(
@@ -188,7 +187,7 @@
             return;
           }
           if (!read.certain()) {
-            time.after(RETRY, () -> onStoredTwice(job, again));
+            store.retry(retry, () -> onStoredTwice(job, again));
             return;
           }
           if (read.found()) {
--- a/src/main/java/io/pineladder/store/Committer.java
+++ b/src/main/java/io/pineladder/store/Committer.java
@@ -4,6 +4,7 @@
 import io.pineladder.net.HttpCaller.Outcome;
 import io.pineladder.net.HttpCaller.Reply;
 import io.pineladder.net.Timeline;
+import io.pineladder.retry.Backoff;
 import io.pineladder.wire.Json;
 import io.pineladder.wire.MalformedException;
 import io.pineladder.wire.StoreWire;
@@ -60,7 +61,7 @@
       new EnumMap<>(Mutation.Priority.class);
   private State state = State.IDLE;
   private Batch batch;
-  private Duration retry = FIRST_RETRY;
+  private final Backoff retry;
 
   private static final class Batch {
     final List<Mutation> mutations = new ArrayList<>();
@@ -80,6 +81,7 @@
     this.time = time;
     this.term = term;
     this.onFenced = onFenced;
+    this.retry = new Backoff(time, FIRST_RETRY, MOST_RETRY);
     for (Mutation.Priority priority : Mutation.Priority.values()) {
       queues.put(priority, new ArrayDeque<>());
     }
@@ -269,13 +271,7 @@
       batch = null;
     }
     moveTo(State.WAITING);
-    Duration pause = retry;
-    retry = min(retry.multipliedBy(2), MOST_RETRY);
-    time.after(pause, this::next);
-  }
-
-  private static Duration min(Duration a, Duration b) {
-    return a.compareTo(b) <= 0 ? a : b;
+    store.retry(retry, this::next);
   }
 
   private void requeue(List<Mutation> mutations) {
@@ -288,7 +284,7 @@
   private void committed(long revision) {
     Batch over = batch;
     batch = null;
-    retry = FIRST_RETRY;
+    retry.reset();
     over.values.forEach(
         (key, value) -> {
           // Final records are never written again; remembering them all would cost memory.
@@ -349,7 +345,7 @@
       return;
     }
     if (!read.certain()) {
-      time.after(retry, this::settle);
+      store.retry(retry, this::settle);
       return;
     }
     long version = read.found() ? read.entry().version() : 0;
@@ -374,7 +370,7 @@
             return;
           }
           if (!read.certain()) {
-            time.after(retry, this::settle);
+            store.retry(retry, this::settle);
           } else if (read.found() && read.entry().version() == term) {
             committed(revision);
           } else {
--- a/src/main/java/io/pineladder/store/StoreClient.java
+++ b/src/main/java/io/pineladder/store/StoreClient.java
@@ -5,6 +5,8 @@
 import io.pineladder.net.HttpCaller.Reply;
 import io.pineladder.net.HttpCaller.Request;
 import io.pineladder.net.Timeline;
+import io.pineladder.retry.Backoff;
+import io.pineladder.retry.RetryBudget;
 import io.pineladder.wire.MalformedException;
 import io.pineladder.wire.StoreWire;
 import java.time.Duration;
@@ -19,7 +21,14 @@
 /** Requests to the state service, within its rate and with what is known of its health. */
 public final class StoreClient {
   private static final Duration TIMEOUT = Duration.ofMillis(1500);
-  private static final Duration RETRY = Duration.ofMillis(250);
+  private static final Duration FIRST_RETRY = Duration.ofMillis(250);
+  private static final Duration MOST_RETRY = Duration.ofMillis(500);
+
+  /** Of the tries again those that a twentieth of the successes do not pay for are paced. */
+  private static final double RETRY_SHARE = 0.05;
+
+  private static final double RETRIES_PER_SECOND = 10;
+  private static final double MOST_RETRIES = 20;
 
   /**
    * The limits are the whole cluster's. This part of them is for what all nodes together ask on
@@ -38,6 +47,7 @@
   private final RateBudget userWrites;
   private final Deque<Waiting> waiting = new ArrayDeque<>();
   private boolean pumpSet;
+  private final RetryBudget retries;
   private Instant answeredAt;
   private boolean healthy;
 
@@ -55,6 +65,7 @@
     requests = new RateBudget(rps, Math.max(1, rps), now);
     // A whole transaction must fit into the burst, or it would never be sent.
     writes = new RateBudget(wps, Math.max(limits.transactionOps(), wps), now);
+    retries = new RetryBudget(time, RETRY_SHARE, RETRIES_PER_SECOND, MOST_RETRIES);
     double part = USERS_PART / nodes;
     userReads = userBudget(limits.requestsPerSecond() * part * 0.7, now);
     userWrites = userBudget(limits.writesPerSecond() * part, now);
@@ -88,6 +99,7 @@
       if (executed) {
         answeredAt = time.now();
         healthy = true;
+        retries.succeeded();
       } else if (!reply.is(429)) {
         healthy = false;
       }
@@ -95,6 +107,18 @@
     };
   }
 
+  /** Pauses between tries of one request. */
+  public Backoff backoff() {
+    return new Backoff(time, FIRST_RETRY, MOST_RETRY);
+  }
+
+  /** Tries something again after a pause, or later when too much is tried again already. */
+  public void retry(Backoff backoff, Runnable again) {
+    Duration pause = backoff.pause();
+    Duration turn = retries.take();
+    time.after(turn.compareTo(pause) > 0 ? turn : pause, again);
+  }
+
   /** Sends at once, whatever the budget says: for lease renewals, which everything depends on. */
   public void urgent(Request request, Consumer<Reply> onReply) {
     requests.take(1, time.now());
@@ -241,7 +265,7 @@
 
   /** Reads all keys with a prefix, trying again until it succeeds or {@code wanted} says no. */
   public void list(String prefix, BooleanSupplier wanted, Consumer<Listing> onDone) {
-    listPage(prefix, null, new ArrayList<>(), -1, wanted, onDone);
+    listPage(prefix, null, new ArrayList<>(), -1, wanted, backoff(), onDone);
   }
 
   private void listPage(
@@ -250,6 +274,7 @@
       List<StoreWire.Entry> found,
       long firstRevision,
       BooleanSupplier wanted,
+      Backoff backoff,
       Consumer<Listing> onDone) {
     if (!wanted.getAsBoolean()) {
       return;
@@ -266,9 +291,10 @@
               found.addAll(page.entries());
               // Changes made while later pages are read are seen again by following from the first.
               long revision = firstRevision < 0 ? page.revision() : firstRevision;
+              backoff.reset();
               if (page.more() && !page.entries().isEmpty()) {
                 String last = page.entries().get(page.entries().size() - 1).key();
-                listPage(prefix, last, found, revision, wanted, onDone);
+                listPage(prefix, last, found, revision, wanted, backoff, onDone);
               } else {
                 onDone.accept(new Listing(found, revision));
               }
@@ -277,8 +303,9 @@
           } catch (MalformedException e) {
             // Tried again, as any other answer that is no page.
           }
-          time.after(
-              RETRY, () -> listPage(prefix, after, found, firstRevision, wanted, onDone));
+          retry(
+              backoff,
+              () -> listPage(prefix, after, found, firstRevision, wanted, backoff, onDone));
         });
   }
 
--- a/src/test/java/io/pineladder/net/SocketsTest.java
+++ b/src/test/java/io/pineladder/net/SocketsTest.java
@@ -51,11 +51,19 @@
       return now;
     }
 
+    private final RandomGenerator random =
+        RandomGeneratorFactory.of("L64X128MixRandom").create(1);
+
     @Override
     public Instant timeOfDay() {
       return now;
     }
 
+    @Override
+    public RandomGenerator random() {
+      return random;
+    }
+
     @Override
     public void after(Duration delay, Runnable action) {}
   }
--- a/src/test/java/io/pineladder/scheduling/PlacerTest.java
+++ b/src/test/java/io/pineladder/scheduling/PlacerTest.java
@@ -38,6 +38,11 @@
       return now;
     }
 
+    @Override
+    public RandomGenerator random() {
+      throw new AssertionError("placing leaves nothing to chance");
+    }
+
     @Override
     public void after(Duration delay, Runnable action) {
       throw new UnsupportedOperationException();
--- a/src/test/java/io/pineladder/sim/RecoverySimulationTest.java
+++ b/src/test/java/io/pineladder/sim/RecoverySimulationTest.java
@@ -74,6 +74,29 @@
     settle(Duration.ofSeconds(120));
   }
 
+  /** What the nodes send as soon as the store is back must leave room for what matters. */
+  @Test
+  void noHerdComesBackWithTheStore() {
+    begin(16);
+    world.runFor(Duration.ofSeconds(5));
+    for (int i = 0; i < 30; i++) {
+      submit(job("array", 2, "red"));
+    }
+    world.runFor(Duration.ofSeconds(20));
+    store.outage = true;
+    for (int i = 0; i < 100; i++) {
+      submit(job("array", 1, "red"));
+    }
+    world.runFor(Duration.ofSeconds(25));
+    store.endOutage();
+    int before = store.requests;
+    world.runFor(Duration.ofSeconds(5));
+    int requests = store.requests - before;
+    // The settings allow 500 in that time; a new leader reads, and a hundred submissions wait.
+    assertTrue(requests <= 200, requests + " requests in the first 5 s");
+    settle(Duration.ofSeconds(300));
+  }
+
   /** A node that reaches the store and not the leader finds what the leader accepted into a page. */
   @Test
   void aNodeWithoutLeaderAnswersForJobsInPages() throws Exception {
--- /dev/null
+++ b/src/test/java/io/pineladder/sim/RetryTest.java
@@ -0,0 +1,85 @@
+package io.pineladder.sim;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.pineladder.net.Timeline;
+import io.pineladder.retry.Backoff;
+import io.pineladder.retry.Breaker;
+import io.pineladder.retry.RetryBudget;
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+/** Pauses, breakers and budgets of tries, in virtual time. */
+class RetryTest {
+  private final World world = new World(31);
+  private final Timeline time = world.timeline("10.0.0.1", () -> true, 1);
+
+  @Test
+  void pausesGrowToTheirCapAndDoNotCoincide() {
+    Set<Duration> seen = new HashSet<>();
+    for (int series = 0; series < 20; series++) {
+      Backoff backoff = new Backoff(time, Duration.ofMillis(100), Duration.ofSeconds(1));
+      long full = 100;
+      for (int i = 0; i < 8; i++) {
+        long pause = backoff.pause().toMillis();
+        assertTrue(pause >= full / 2 && pause <= full, "pause " + i + ": " + pause);
+        full = Math.min(1_000, full * 2);
+      }
+      seen.add(backoff.pause());
+      backoff.reset();
+      assertTrue(backoff.pause().toMillis() <= 100);
+    }
+    assertTrue(seen.size() > 15, seen.size() + " different pauses of 20");
+  }
+
+  @Test
+  void aPartyThatRefusesIsLeftAloneForLongerAndLonger() {
+    Breaker breaker =
+        new Breaker("the cloud", time, 2, Duration.ofSeconds(1), Duration.ofSeconds(8));
+    assertTrue(breaker.mayCall());
+    breaker.failed();
+    assertTrue(breaker.mayCall(), "one failure says nothing");
+    breaker.failed();
+    int calls = 0;
+    for (int i = 0; i < 600; i++) {
+      world.runFor(Duration.ofMillis(100));
+      if (breaker.mayCall()) {
+        assertFalse(breaker.mayCall(), "one at a time shows whether it is better");
+        calls++;
+        breaker.failed();
+      }
+    }
+    // Pauses of up to 1, 2, 4 and then 8 s, each at least half of that.
+    assertTrue(calls >= 8 && calls <= 17, calls + " calls in a minute");
+    while (!breaker.mayCall()) {
+      world.runFor(Duration.ofMillis(100));
+    }
+    breaker.succeeded();
+    assertEquals(Breaker.State.CLOSED, breaker.state());
+    assertTrue(breaker.mayCall() && breaker.mayCall());
+  }
+
+  @Test
+  void triesAgainAreAShareOfWhatSucceeds() {
+    RetryBudget budget = new RetryBudget(time, 0.1, 2, 5);
+    int atOnce = 0;
+    for (int i = 0; i < 100; i++) {
+      atOnce += budget.take().isZero() ? 1 : 0;
+    }
+    assertEquals(5, atOnce, "what was saved up");
+    Duration wait = budget.take();
+    assertEquals(48.0, wait.toMillis() / 1000.0, 0.1, "the rest wait for their turn, two a second");
+    RetryBudget other = new RetryBudget(time, 0.1, 2, 5);
+    for (int i = 0; i < 100; i++) {
+      other.take();
+      for (int success = 0; success < 20; success++) {
+        other.succeeded();
+      }
+    }
+    assertTrue(other.take().isZero(), "most succeed, so a try again costs little");
+  }
+}
--- a/src/test/java/io/pineladder/sim/World.java
+++ b/src/test/java/io/pineladder/sim/World.java
@@ -119,6 +119,11 @@
         return World.this.now();
       }
 
+      @Override
+      public RandomGenerator random() {
+        return random;
+      }
+
       @Override
       public void after(Duration delay, Runnable action) {
         World.this.after(
--- a/src/test/java/io/pineladder/store/PagesTest.java
+++ b/src/test/java/io/pineladder/store/PagesTest.java
@@ -51,11 +51,19 @@
       return Instant.EPOCH;
     }
 
+    private final RandomGenerator random =
+        RandomGeneratorFactory.of("L64X128MixRandom").create(1);
+
     @Override
     public Instant timeOfDay() {
       return Instant.EPOCH;
     }
 
+    @Override
+    public RandomGenerator random() {
+      return random;
+    }
+
     @Override
     public void after(Duration delay, Runnable action) {
       timers.add(action);
--- a/src/test/java/io/pineladder/store/StoreClientTest.java
+++ b/src/test/java/io/pineladder/store/StoreClientTest.java
@@ -11,6 +11,8 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.random.RandomGenerator;
+import java.util.random.RandomGeneratorFactory;
 import org.junit.jupiter.api.Test;
 
 class StoreClientTest {
@@ -26,11 +28,19 @@
             return Instant.EPOCH;
           }
 
+          private final RandomGenerator random =
+              RandomGeneratorFactory.of("L64X128MixRandom").create(1);
+
           @Override
           public Instant timeOfDay() {
             return Instant.EPOCH;
           }
 
+          @Override
+          public RandomGenerator random() {
+            return random;
+          }
+
           @Override
           public void after(Duration delay, Runnable action) {}
         };
--- a/src/test/java/io/pineladder/workers/LeaderHarness.java
+++ b/src/test/java/io/pineladder/workers/LeaderHarness.java
@@ -30,6 +30,8 @@
 import java.util.List;
 import java.util.PriorityQueue;
 import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
+import java.util.random.RandomGeneratorFactory;
 
 /** Scheduler, workers and fleet of one leader, with a store that commits at once. */
 final class LeaderHarness implements Timeline {
@@ -46,6 +48,8 @@
   private final PriorityQueue<Timer> timers =
       new PriorityQueue<>(
           (a, b) -> a.at.equals(b.at) ? Long.compare(a.order, b.order) : a.at.compareTo(b.at));
+  private final RandomGenerator random =
+      RandomGeneratorFactory.of("L64X128MixRandom").create(1);
   private Instant now = Instant.EPOCH.plusSeconds(100);
   private long order;
   final ArrayDeque<Sent> sent = new ArrayDeque<>();
@@ -186,6 +190,11 @@
     return now;
   }
 
+  @Override
+  public RandomGenerator random() {
+    return random;
+  }
+
   @Override
   public void after(Duration delay, Runnable action) {
     timers.add(new Timer(now.plus(delay), order++, action));
