--- a/src/test/java/io/pineladder/front/FrontHttpTest.java
+++ b/src/test/java/io/pineladder/front/FrontHttpTest.java
@@ -55,7 +55,9 @@
     runtime = new XnioRuntime(MOST_SOCKETS, Duration.ofSeconds(1));
     UndertowCaller http = new UndertowCaller(runtime, address -> Sockets.Part.SERVICES);
     Node node = new Node(settings, runtime, http, "nonce");
-    Front made = new Front(node, new Metrics());
+    Metrics metrics = new Metrics();
+    metrics.watch(runtime.sockets());
+    Front made = new Front(node, metrics);
     runtime.serve(
         new XnioRuntime.Listener(
             front,
@@ -136,11 +138,15 @@
   void theAdministrationApiTellsAndRefuses() throws IOException, InterruptedException {
     String status = send(cluster, "GET", "/admin/v1/status", null).body();
     assertTrue(status.contains("\"member\":\"rung-0\""), status);
+    assertTrue(status.contains("\"peers\":[{\"member\":\"rung-1\",\"state\":"), status);
+    assertTrue(status.contains("\"sockets\":{\"arriving\":{\"open\":"), status);
+    assertTrue(send(cluster, "GET", "/admin/v1/takeovers", null).body().contains("\"latest\":[]"));
     String settings = send(cluster, "GET", "/admin/v1/settings", null).body();
     assertTrue(settings.contains("\"max_backoff_s\":10.0"), settings);
     assertTrue(send(cluster, "GET", "/admin/v1/metrics", null).body().contains("latency_s"));
     assertEquals(503, send(cluster, "PUT", "/admin/v1/settings", "{}").statusCode());
     assertEquals(404, send(cluster, "GET", "/admin/v1/nothing", null).statusCode());
     assertEquals(400, send(cluster, "POST", "/peer/v1", "junk").statusCode());
+    assertEquals(400, send(cluster, "POST", "/peer/v1/beat", "junk").statusCode());
   }
 }
--- a/src/test/java/io/pineladder/wire/SettingsReaderTest.java
+++ b/src/test/java/io/pineladder/wire/SettingsReaderTest.java
@@ -70,7 +70,7 @@
       [deployment.resources]
       core_share = 0.2
       memory_mb = 250.0
-      max_sockets = 1000
+      max_sockets = 1100
       """;
 
   @Test
@@ -80,6 +80,7 @@
     assertEquals(2, settings.peers().size());
     assertEquals(Duration.ofSeconds(20), settings.workers().lease());
     assertEquals(8192, settings.store().valueBytes());
+    assertEquals(1100, settings.maxSockets());
     assertEquals(Duration.ofSeconds(6), settings.objectives().get(0).within());
   }
 
@@ -90,6 +91,7 @@
             .replace("txn_ops = 12", "txn_ops = \"many\"")
             .replace("10.2.0.1:2379", "state.example:99")
             .replace("lease_s = 20.0", "lease_s = -1.0")
+            .replace("max_sockets = 1100", "max_sockets = 3")
             .replace("gpus_max = 8.0", "gpus_max = true");
     var thrown =
         assertThrows(
@@ -100,6 +102,7 @@
           "deployment.state.txn_ops is not a number",
           "external.state is not an IPv4 address",
           "deployment.workers.lease_s is out of range",
+          "deployment.resources.max_sockets is out of range",
           "deployment.teams[0].gpus_max is not a number"
         }) {
       assertTrue(thrown.getMessage().contains(part), thrown.getMessage());
