--- a/src/main/java/io/pineladder/fleet/Silence.java
+++ b/src/main/java/io/pineladder/fleet/Silence.java
@@ -27,6 +27,9 @@
   private final Fleet.Effects effects;
   private final Instant startedAt;
 
+  /** Until when a zone that was cut is taken to be so. */
+  private final Map<String, Instant> cutUntil = new HashMap<>();
+
   /**
    * Since when this process has taken in what came for it. After it stood still, what its workers
    * sent is yet to be read, and their silence is its own.
@@ -121,10 +124,17 @@
     }
     Duration lease = cluster.settings.workers().lease();
     List<Machine> givenUp = new ArrayList<>();
+    // Once a cut is over the first that are heard say nothing of the rest, which are on their way.
+    zones.forEach(
+        (zone, heard) -> {
+          if (heard.isCut()) {
+            cutUntil.put(zone, now.plus(allowed));
+          }
+        });
     for (Machine machine : silent) {
       ZoneSilence zone = zones.get(machine.zone);
       Duration patience =
-          zone.isCut()
+          cutUntil.getOrDefault(machine.zone, Instant.MIN).isAfter(now)
               ? lease.multipliedBy(2)
               : zone.isManyAtOnce() && isWorthWaiting(machine, lease.minus(allowed))
                   ? lease
--- a/src/test/java/io/pineladder/workers/WorkersTest.java
+++ b/src/test/java/io/pineladder/workers/WorkersTest.java
@@ -230,6 +230,27 @@
     assertTrue(leader.resigned.isEmpty());
   }
 
+  /** Found on laval-fleet: the first machines heard after a cut had all the others given up at once. */
+  @Test
+  void theRestOfAZoneThatWasCutHasTimeToBeHeardAgain() {
+    sixFallSilent("b", Duration.ofSeconds(25));
+    for (int i = 0; i < 3; i++) {
+      leader.report("a", "m-" + i, 2);
+    }
+    for (int second = 0; second < 6; second++) {
+      leader.runFor(Duration.ofSeconds(1));
+      for (int i = 6; i < 10; i++) {
+        leader.report("b", "m-" + i, 100 + second);
+      }
+      for (int i = 0; i < 3; i++) {
+        leader.report("a", "m-" + i, 3 + second);
+      }
+    }
+    for (int i = 3; i < 6; i++) {
+      assertEquals(Machine.State.SILENT, leader.cluster.machine("m-" + i).state());
+    }
+  }
+
   /**
    * Found on laval-fleet: machines cut off by the hundred were taken for a cut zone and waited for
    * twice as long as their tasks could live, though others of the zone were heard all the time.
