--- a/src/test/java/io/pineladder/sim/FleetStandIn.java
+++ b/src/test/java/io/pineladder/sim/FleetStandIn.java
@@ -22,6 +22,7 @@
   static final String ADDRESS = "10.2.0.2:8443";
   private static final long LEASE_MILLIS = 20_000;
   private static final int CAPACITY = 12;
+  private static final int PAGE = 500;
 
   private final World world;
   private final Rules rules;
@@ -31,6 +32,9 @@
   private int names;
   boolean outage;
 
+  /** Machines of one zone at most. */
+  int capacity = CAPACITY;
+
   /** Half of the machines come up late or never. */
   boolean badBoots;
 
@@ -60,7 +64,7 @@
         }
         answer.accept(ok(Json.object()));
       } else {
-        answer.accept(ok(list()));
+        answer.accept(ok(list(path)));
       }
     } catch (MalformedException e) {
       throw new AssertionError(e);
@@ -97,7 +101,7 @@
     String zone = request.get("yard").asText();
     boolean spot = request.get("loaners").asBoolean();
     long there = machines.values().stream().filter(w -> w.zone.equals(zone)).count();
-    int count = (int) Math.min(request.get("count").asInt(), CAPACITY - there);
+    int count = (int) Math.min(request.get("count").asInt(), capacity - there);
     if (count <= 0) {
       return new HttpAnswer(503, Json.bytes(Json.object().put("error", "no capacity")));
     }
@@ -123,10 +127,25 @@
     return name;
   }
 
-  private ObjectNode list() {
-    ObjectNode out = Json.object().put("truncated", false);
+  /** Ordinary machines that are up from the start. */
+  void addUp(int count) {
+    for (int i = 0; i < count; i++) {
+      String name = String.format("m-%06d", ++names);
+      Worker worker = new Worker(name, "10.1.0." + names + ":9000", i % 2 == 0 ? "a" : "b", false);
+      machines.put(name, worker);
+      world.after(world.random.nextInt(3_000), worker::boot);
+    }
+  }
+
+  private ObjectNode list(String path) {
+    int at = path.indexOf("since=");
+    String since = at < 0 ? "" : path.substring(at + "since=".length());
+    ObjectNode out = Json.object();
     ArrayNode hosts = out.putArray("hosts");
-    for (Worker worker : machines.values()) {
+    for (Worker worker : machines.tailMap(since, false).values()) {
+      if (hosts.size() == PAGE) {
+        break;
+      }
       hosts
           .addObject()
           .put("ref", worker.name)
@@ -137,7 +156,8 @@
           .put("status", worker.up ? "running" : "booting")
           .put("age_s", 20.0);
     }
-    return out;
+    boolean more = hosts.size() == PAGE;
+    return out.put("truncated", more);
   }
 
   /** One task on a worker. */
--- a/src/test/java/io/pineladder/sim/SimulatedCluster.java
+++ b/src/test/java/io/pineladder/sim/SimulatedCluster.java
@@ -28,6 +28,7 @@
   static final class Controller {
     final int index;
     boolean[] alive = new boolean[1];
+    Node node;
 
     Controller(int index) {
       this.index = index;
@@ -98,6 +99,7 @@
     Timeline time = world.timeline(host, () -> alive[0], rate);
     HttpCaller http = world.caller(host, () -> alive[0]);
     Node node = new Node(settings, time, http, "nonce-" + world.random.nextLong());
+    controller.node = node;
     Front front = new Front(node, new Metrics());
     world.serve(settings.frontAddress(), front::handle);
     world.serve(settings.clusterAddress(), front::handleCluster);
