--- a/src/main/java/io/pineladder/scheduling/Scheduler.java
+++ b/src/main/java/io/pineladder/scheduling/Scheduler.java
@@ -243,13 +243,33 @@
     forgetIfOver(job);
   }
 
-  /** Stops everything of a job that may be somewhere. */
+  /**
+   * Stops everything of a job that may be somewhere. All of it is unwanted before any is gone: those
+   * that never started are gone at once, and were taken for tasks lost by a gang that still gathers
+   * and started anew, all but one for which there was no room. Found by the simulation, as a gang
+   * that waited for its last task for ever.
+   */
   public void killAll(Job job, Duration grace) {
     List<Attempt> all = new ArrayList<>();
     job.attempts.values().forEach(all::addAll);
+    for (Attempt attempt : all) {
+      if (attempt.holdsRoom() && isUnsent(attempt)) {
+        unwanted(attempt, grace);
+      }
+    }
     all.forEach(attempt -> kill(attempt, grace));
   }
 
+  private static boolean isUnsent(Attempt attempt) {
+    return attempt.state() == Attempt.State.STORING
+        || (attempt.state() == Attempt.State.STORED && attempt.sentSession == 0);
+  }
+
+  private void unwanted(Attempt attempt, Duration grace) {
+    attempt.killedAt = time.now();
+    attempt.killGrace = grace;
+  }
+
   private void forgetIfOver(Job job) {
     if (job.endStored && job.attempts.isEmpty()) {
       records.remove(job);
@@ -263,14 +283,12 @@
     if (!attempt.holdsRoom()) {
       return;
     }
-    boolean neverSent = attempt.state() == Attempt.State.STORED && attempt.sentSession == 0;
-    if (attempt.state() == Attempt.State.STORING || neverSent) {
+    if (isUnsent(attempt)) {
       gone(attempt, "never started");
       return;
     }
     if (attempt.killGrace == null) {
-      attempt.killedAt = time.now();
-      attempt.killGrace = grace;
+      unwanted(attempt, grace);
     } else if (grace.compareTo(attempt.killGrace) < 0) {
       attempt.killGrace = grace;
       attempt.killSent = false;
--- a/src/test/java/io/pineladder/workers/WorkersTest.java
+++ b/src/test/java/io/pineladder/workers/WorkersTest.java
@@ -165,6 +165,23 @@
     assertEquals("m-1", replacement.machine.name);
   }
 
+  /**
+   * Found by the simulation: a gang was displaced before its starts went out. Task after task was
+   * taken for lost and started anew, all but the one that had made way, and the gang never completed.
+   */
+  @Test
+  void aGangDisplacedBeforeItsStartsWentOutWaitsAsAWhole() {
+    leader.report("m-1", 1);
+    leader.report("m-2", 1);
+    Job gang = leader.accept(LeaderHarness.spec("req-1", Shape.GANG, Rank.LOW, 3, "i"));
+    for (Attempt attempt : leader.attempts()) {
+      attempt.sentSession = 0;
+    }
+    leader.scheduler.displace(gang.attempts.get(2).iterator().next());
+    assertTrue(gang.attempts.isEmpty(), "none was started anew: " + gang.attempts);
+    assertEquals(3, gang.pending.cardinality());
+  }
+
   @Test
   void aReportOlderThanOneKnownChangesNothing() {
     leader.report("m-1", 1);
