A zone that is cut off keeps its tasks whichever node leads

Change: such a node keeps the leases of its own zone's workers, without orders, bounded as before from when the leader last answered it. A zone that is cut is waited for as long as that may last and a report takes.

--- a/src/main/java/io/pineladder/fleet/Silence.java
+++ b/src/main/java/io/pineladder/fleet/Silence.java
@@ -1,7 +1,9 @@
 package io.pineladder.fleet;
 
+import io.pineladder.leadership.Election;
 import io.pineladder.model.Attempt;
 import io.pineladder.model.Machine;
+import io.pineladder.model.Settings;
 import io.pineladder.scheduling.Cluster;
 import java.time.Duration;
 import java.time.Instant;
@@ -135,7 +137,7 @@
       ZoneSilence zone = zones.get(machine.zone);
       Duration patience =
           cutUntil.getOrDefault(machine.zone, Instant.MIN).isAfter(now)
-              ? lease.multipliedBy(2)
+              ? longestLife()
               : zone.isManyAtOnce() && isWorthWaiting(machine, lease.minus(allowed))
                   ? lease
                   : Duration.ZERO;
@@ -178,6 +180,17 @@
     return longer.multipliedBy(WAIT_PART).compareTo(ready) < 0;
   }
 
+  /**
+   * How long tasks may live in a zone that is cut off, where nodes keep their workers' leases, and
+   * how long a report then takes to come here.
+   */
+  private Duration longestLife() {
+    Settings.WorkerTimes workers = cluster.settings.workers();
+    Duration kept = Election.longestKeepAlive(workers).plus(workers.lease()).plus(silence());
+    Duration least = workers.lease().multipliedBy(2);
+    return kept.compareTo(least) > 0 ? kept : least;
+  }
+
   /** A cancelled job's task is still there and its time is running out. */
   private boolean isUrgent(Machine machine, Instant now) {
     Duration half = cluster.settings.workers().cancel().dividedBy(2);
--- a/src/main/java/io/pineladder/front/Reports.java
+++ b/src/main/java/io/pineladder/front/Reports.java
@@ -79,7 +79,7 @@
     boolean other = known != null && !known.member().equals(node.settings().member());
     if (other
         && node.membership().isUnreachable(known.member())
-        && keepsAlive(known)
+        && keepsAlive(known, report)
         && report.token() <= node.election().knownVersion()) {
       // At once: in a cut the way round the other nodes takes most of a lease.
       answer.accept(
@@ -132,14 +132,19 @@
   }
 
   /**
-   * Whether this node answers reports in place of a leader that it cannot reach, and whose term the
-   * store confirms: without that a zone cut off from its leader would lose all its tasks. It gives
-   * no orders. No leader ever takes the end of a worker's lease as proof, so prolonging it is safe.
+   * Whether this node answers a report in place of a leader that it cannot reach: without that a zone
+   * cut off from its leader would lose all its tasks. It gives no orders. No leader ever takes the
+   * end of a worker's lease as proof, so prolonging it is safe; for how long is bounded from when the
+   * leader last answered, so that what it lets users cancel afterwards ends in time.
+   *
+   * <p>The store need not confirm the term to a node of the worker's own zone: such a node is most
+   * likely cut off along with the worker, and the next one is out of reach for both. Found on
+   * laval-fleet, where it was luck whether the leader was in the zone that was cut off.
    */
-  private boolean keepsAlive(RecordWire.LeaderRecord known) {
+  private boolean keepsAlive(RecordWire.LeaderRecord known, WorkerWire.Report report) {
     Duration longest = Election.longestKeepAlive(node.settings().workers());
     Instant leaderAt = node.membership().answeredAt(known.member());
-    return node.store().isHealthy()
+    return (node.store().isHealthy() || report.zone().equals(node.settings().zone()))
         && leaderAt != null
         && node.time().now().isBefore(leaderAt.plus(longest));
   }
