--- a/src/main/java/io/pineladder/Leader.java
+++ b/src/main/java/io/pineladder/Leader.java
@@ -544,7 +544,8 @@
             } else if (lookup.job() != null) {
               cancelKnown(lookup.job(), onDone);
             } else {
-              onDone.accept(lookup.ended() == null ? null : new View(toStatus(lookup.ended()), 0, 0));
+              Job.State ended = lookup.ended();
+              onDone.accept(ended == null ? null : new View(toStatus(ended), 0, 0));
             }
           });
       return;
--- a/src/main/java/io/pineladder/fleet/Silence.java
+++ b/src/main/java/io/pineladder/fleet/Silence.java
@@ -87,7 +87,7 @@
     // A whole zone falls silent one report after the other: what counts for a cut is who is late,
     // or the first ones would be given up before the last ones are missed.
     Duration overdue = allowed.minusSeconds(4);
-    // In a zone that is cut all fall silent at once, so when the first is missed none was heard since.
+    // In a zone that is cut all fall silent at once: when the first is missed none was heard since.
     Duration lately = overdue.minus(cluster.settings.workers().report());
     Map<String, ZoneSilence> zones = new HashMap<>();
     List<Machine> silent = new ArrayList<>();
--- a/src/main/java/io/pineladder/front/Front.java
+++ b/src/main/java/io/pineladder/front/Front.java
@@ -52,7 +52,8 @@
     this.admin = new AdminApi(node, metrics);
     this.leaderless = new Leaderless(node);
     this.reports =
-        new Reports(node, (ways, request, answer, alone) -> forwardTo(ways, 0, request, answer, alone));
+        new Reports(
+            node, (ways, request, answer, alone) -> forwardTo(ways, 0, request, answer, alone));
   }
 
   // ---- paths
@@ -341,7 +342,12 @@
           log.debug("submission of {}: {} after {}", spec.id(), http.status(), took);
           answer.accept(http);
         };
-    serve("POST", "/v1/jobs", body, logged, () -> leaderless.submit(spec, once(node.time(), logged, COMMIT_TIMEOUT)));
+    serve(
+        "POST",
+        "/v1/jobs",
+        body,
+        logged,
+        () -> leaderless.submit(spec, once(node.time(), logged, COMMIT_TIMEOUT)));
   }
 
   private void submitTo(Leader leader, JobSpec spec, Consumer<HttpAnswer> answer) {
--- a/src/main/java/io/pineladder/recovery/TermLoader.java
+++ b/src/main/java/io/pineladder/recovery/TermLoader.java
@@ -18,6 +18,7 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.function.BooleanSupplier;
@@ -92,13 +93,13 @@
         wanted,
         inbox -> {
           Stored stored = new Stored();
-          Map<String, Consumer<StoreClient.Listing>> rest =
-              Map.of(
-                  Keys.JOB, listing -> stored.jobs = listing,
-                  Keys.ACCEPTED, listing -> stored.accepted = listing,
-                  Keys.DONE, listing -> stored.done = listing,
-                  Keys.PLACED, listing -> stored.placed = listing,
-                  Keys.IMAGES, listing -> stored.images = listing);
+          // In one order, so that a simulated day is the same each time.
+          Map<String, Consumer<StoreClient.Listing>> rest = new LinkedHashMap<>();
+          rest.put(Keys.JOB, listing -> stored.jobs = listing);
+          rest.put(Keys.ACCEPTED, listing -> stored.accepted = listing);
+          rest.put(Keys.DONE, listing -> stored.done = listing);
+          rest.put(Keys.PLACED, listing -> stored.placed = listing);
+          rest.put(Keys.IMAGES, listing -> stored.images = listing);
           int[] left = {rest.size()};
           rest.forEach(
               (prefix, onRead) ->
--- a/src/test/java/io/pineladder/net/SocketsTest.java
+++ b/src/test/java/io/pineladder/net/SocketsTest.java
@@ -276,7 +276,7 @@
     }
   }
 
-  /** Connections that send nothing use up their own part; a user and a report are served all the same. */
+  /** Connections that send nothing use up their own part; a user is served all the same. */
   @Test
   void connectionsThatSayNothingShutNobodyOut() throws Exception {
     XnioRuntime runtime = new XnioRuntime(100, Duration.ofSeconds(1));
@@ -298,7 +298,7 @@
       }
       Map<Part, Sockets.Usage> usage = onThread(runtime, () -> runtime.sockets().usage());
       assertTrue(usage.get(Part.ARRIVING).open() <= usage.get(Part.ARRIVING).most());
-      // Those that were let in are closed once they are stale, and make room for who has to say something.
+      // Those that were let in are closed once they are stale, and make room for others.
       Thread.sleep(stale.toMillis() + 1500);
       UndertowCaller caller = new UndertowCaller(runtime, to -> Part.SERVICES);
       CompletableFuture<HttpCaller.Reply> got = new CompletableFuture<>();
--- a/src/test/java/io/pineladder/sim/RecoverySimulationTest.java
+++ b/src/test/java/io/pineladder/sim/RecoverySimulationTest.java
@@ -33,7 +33,7 @@
     return Json.parseObject(reply.body()).get("status").asText();
   }
 
-  /** Seen on the larger fleets: each acceptance was a change of the store, of which it takes 35 a second. */
+  /** Seen on the larger fleets: each acceptance cost a change of the store, which takes 35 a second. */
   @Test
   void aBurstOfSubmissionsCostsFewChangesOfTheStore() {
     begin(11);
