Other controllers' connections have their part of the sockets from the first

Cause: they counted as arriving until their first request, so connections that say nothing on the users' listener could shut beats out. Change: a listener says what its connections count as until they ask for something.

--- a/src/main/java/io/pineladder/cli/Controller.java
+++ b/src/main/java/io/pineladder/cli/Controller.java
@@ -96,10 +96,17 @@
     metrics.watch(runtime.sockets());
     Front front = new Front(node, metrics);
     runtime.serve(
-        new XnioRuntime.Listener(settings.frontAddress(), front::handle, Controller::frontPart));
+        new XnioRuntime.Listener(
+            settings.frontAddress(),
+            front::handle,
+            Sockets.Part.ARRIVING,
+            Controller::frontPart));
     runtime.serve(
         new XnioRuntime.Listener(
-            settings.clusterAddress(), front::handleCluster, path -> Sockets.Part.PEERS));
+            settings.clusterAddress(),
+            front::handleCluster,
+            Sockets.Part.PEERS,
+            path -> Sockets.Part.PEERS));
     runtime.execute(node::start);
     return runtime;
   }
--- a/src/main/java/io/pineladder/cli/Training.java
+++ b/src/main/java/io/pineladder/cli/Training.java
@@ -39,7 +39,10 @@
           new XnioRuntime(settings.maxSockets(), settings.workers().report());
       surroundings.serve(
           new XnioRuntime.Listener(
-              outside, Training::surroundings, path -> Sockets.Part.SERVICES));
+              outside,
+              Training::surroundings,
+              Sockets.Part.SERVICES,
+              path -> Sockets.Part.SERVICES));
       Controller.start(settings);
       CountDownLatch over = new CountDownLatch(1);
       UndertowCaller caller = new UndertowCaller(surroundings, a -> Sockets.Part.USERS);
--- a/src/main/java/io/pineladder/net/XnioRuntime.java
+++ b/src/main/java/io/pineladder/net/XnioRuntime.java
@@ -125,9 +125,17 @@
     }
   }
 
-  /** A listener: its address, what serves it, and what its connections are for, by method and path. */
+  /**
+   * A listener.
+   *
+   * @param accepted what a connection counts as until it asks for something
+   * @param parts what a connection is for, by the path that is asked for
+   */
   public record Listener(
-      String address, HttpHandlerAsync handler, Function<String, Sockets.Part> parts) {}
+      String address,
+      HttpHandlerAsync handler,
+      Sockets.Part accepted,
+      Function<String, Sockets.Part> parts) {}
 
   /** Starts an HTTP listener. */
   public void serve(Listener listener) throws IOException {
@@ -147,7 +155,8 @@
             new InetSocketAddress(
                 listener.address.substring(0, colon),
                 Integer.parseInt(listener.address.substring(colon + 1))),
-            ChannelListeners.openListenerAdapter(connection -> accept(connection, http)),
+            ChannelListeners.openListenerAdapter(
+                connection -> accept(connection, listener.accepted, http)),
             OptionMap.builder()
                 .set(Options.TCP_NODELAY, true)
                 .set(Options.REUSE_ADDRESSES, true)
@@ -157,9 +166,8 @@
     servers.add(server);
   }
 
-  private void accept(StreamConnection connection, HttpOpenListener http) {
-    Sockets.Socket socket =
-        sockets.open(Sockets.Part.ARRIVING, () -> IoUtils.safeClose(connection));
+  private void accept(StreamConnection connection, Sockets.Part part, HttpOpenListener http) {
+    Sockets.Socket socket = sockets.open(part, () -> IoUtils.safeClose(connection));
     if (socket == null) {
       IoUtils.safeClose(connection);
       return;
