One token bucket, one page format, one way to read a prefix

Change: RetryBudget is a RateBudget (which moves to package retry) that successes give back to; both kinds of pages share capacity and RecordWire.page; StoreClient.Partial takes in pages for both listings; one timer looks whether the index is still in use.

--- a/src/main/java/io/pineladder/fleet/Cloud.java
+++ b/src/main/java/io/pineladder/fleet/Cloud.java
@@ -6,7 +6,7 @@
 import io.pineladder.net.HttpCaller.Request;
 import io.pineladder.net.Timeline;
 import io.pineladder.retry.Breaker;
-import io.pineladder.store.RateBudget;
+import io.pineladder.retry.RateBudget;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.time.Instant;
--- a/src/main/java/io/pineladder/store/RateBudget.java
+++ b/src/main/java/io/pineladder/retry/RateBudget.java
@@ -1,4 +1,4 @@
-package io.pineladder.store;
+package io.pineladder.retry;
 
 import java.time.Duration;
 import java.time.Instant;
@@ -37,6 +37,12 @@
     level -= count;
   }
 
+  /** Gives a part of a unit back, up to the burst. */
+  void give(double part, Instant now) {
+    refill(now);
+    level = Math.min(burst, level + part);
+  }
+
   /** How long until {@code count} units are there. */
   public Duration until(int count, Instant now) {
     refill(now);
--- a/src/main/java/io/pineladder/retry/RetryBudget.java
+++ b/src/main/java/io/pineladder/retry/RetryBudget.java
@@ -11,10 +11,7 @@
 public final class RetryBudget {
   private final Timeline time;
   private final double share;
-  private final double perSecond;
-  private final double most;
-  private double level;
-  private Instant at;
+  private final RateBudget budget;
 
   /**
    * A budget, full at first.
@@ -26,31 +23,18 @@
   public RetryBudget(Timeline time, double share, double perSecond, double most) {
     this.time = time;
     this.share = share;
-    this.perSecond = perSecond;
-    this.most = most;
-    this.level = most;
-    this.at = time.now();
-  }
-
-  private void refill() {
-    Instant now = time.now();
-    double seconds = Duration.between(at, now).toNanos() / 1e9;
-    if (seconds > 0) {
-      level = Math.min(most, level + seconds * perSecond);
-      at = now;
-    }
+    this.budget = new RateBudget(perSecond, most, time.now());
   }
 
   /** A call has succeeded. */
   public void succeeded() {
-    refill();
-    level = Math.min(most, level + share);
+    budget.give(share, time.now());
   }
 
   /** How long a try has to wait for its turn, which it takes; zero when it may go out now. */
   public Duration take() {
-    refill();
-    level -= 1;
-    return level >= 0 ? Duration.ZERO : Duration.ofNanos((long) (-level / perSecond * 1e9));
+    Instant now = time.now();
+    budget.take(1, now);
+    return budget.until(0, now);
   }
 }
--- a/src/main/java/io/pineladder/scheduling/Scheduler.java
+++ b/src/main/java/io/pineladder/scheduling/Scheduler.java
@@ -13,7 +13,7 @@
 import io.pineladder.queue.Event;
 import io.pineladder.queue.QueueEntry;
 import io.pineladder.queue.SchedulingQueue;
-import io.pineladder.store.RateBudget;
+import io.pineladder.retry.RateBudget;
 import io.pineladder.store.Records;
 import java.time.Duration;
 import java.time.Instant;
--- a/src/main/java/io/pineladder/store/JobIndex.java
+++ b/src/main/java/io/pineladder/store/JobIndex.java
@@ -44,6 +44,9 @@
   private long revision;
   private Instant usedAt;
 
+  /** One timer looks whether the index is still in use, however often it is read. */
+  private boolean expirySet;
+
   /** Those whose answer the read under way began too early for. */
   private List<Consumer<Boolean>> next = new ArrayList<>();
 
@@ -129,13 +132,20 @@
     asked.forEach(each -> each.accept(fresh));
     if (!next.isEmpty() && state != State.READING) {
       read();
-    } else if (state == State.KNOWN) {
+    } else if (state == State.KNOWN && !expirySet) {
+      expirySet = true;
       time.after(UNUSED, this::expire);
     }
   }
 
   private void expire() {
-    if (state == State.KNOWN && !usedAt.plus(UNUSED).isAfter(time.now())) {
+    Instant due = usedAt.plus(UNUSED);
+    if (due.isAfter(time.now())) {
+      time.after(Duration.between(time.now(), due), this::expire);
+      return;
+    }
+    expirySet = false;
+    if (state == State.KNOWN) {
       moveTo(State.EMPTY);
     }
   }
--- a/src/main/java/io/pineladder/store/JobPages.java
+++ b/src/main/java/io/pineladder/store/JobPages.java
@@ -1,10 +1,9 @@
 package io.pineladder.store;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.node.ArrayNode;
-import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.pineladder.model.Job;
 import io.pineladder.wire.Json;
+import io.pineladder.wire.RecordWire;
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -22,11 +21,6 @@
  * holds to be stored changes only when that transaction has committed.
  */
 final class JobPages {
-  /** Small pages cost little to write again for one job. */
-  private static final int MOST_BYTES = 12 * 1024;
-
-  private static final int FRAME_BYTES = 64;
-
   /** What a record may still grow by: a final state, a verdict. */
   private static final int GROWTH_BYTES = 32;
 
@@ -46,17 +40,14 @@
 
     /** The most bytes that its next value can take. */
     int bytes() {
-      return FRAME_BYTES + bytes;
+      return Pages.FRAME_BYTES + bytes;
     }
 
     /** Its value once these changes are made. */
     JsonNode render(List<Edit> edits) {
       Map<String, JsonNode> next = new LinkedHashMap<>(entries);
       edits.forEach(edit -> edit.make(next));
-      ObjectNode value = Json.object();
-      ArrayNode list = value.putArray("entries");
-      next.values().forEach(list::add);
-      return value;
+      return RecordWire.page(next.values().stream());
     }
 
     /** The transaction with these changes has committed. */
@@ -111,16 +102,12 @@
   private long pages;
 
   JobPages(int valueBytes) {
-    capacity = capacity(valueBytes);
-  }
-
-  private static int capacity(int valueBytes) {
-    return Math.min(valueBytes, MOST_BYTES) - FRAME_BYTES;
+    capacity = Pages.capacity(valueBytes);
   }
 
   /** Whether a job's record can be stored at all. */
   static boolean fits(JsonNode record, int valueBytes) {
-    return size(record) <= capacity(valueBytes);
+    return size(record) <= Pages.capacity(valueBytes);
   }
 
   private static int size(JsonNode record) {
--- a/src/main/java/io/pineladder/store/Pages.java
+++ b/src/main/java/io/pineladder/store/Pages.java
@@ -1,12 +1,11 @@
 package io.pineladder.store;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.node.ArrayNode;
-import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.pineladder.net.Timeline;
 import io.pineladder.store.Mutation.Priority;
 import io.pineladder.store.Mutation.Write;
 import io.pineladder.wire.Json;
+import io.pineladder.wire.RecordWire;
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -30,7 +29,8 @@
   /** Small pages cost little to write again for a few entries; many go into one transaction. */
   private static final int MOST_BYTES = 12 * 1024;
 
-  private static final int FRAME_BYTES = 64;
+  /** What a page takes beside its entries. */
+  static final int FRAME_BYTES = 64;
 
   /** An entry as it was encoded for its page. */
   private record Packed(JsonNode json, int bytes) {}
@@ -241,10 +241,7 @@
     }
     // Another page in the same transaction, if it takes one more.
     queueNext();
-    ObjectNode value = Json.object();
-    ArrayNode list = value.putArray("entries");
-    page.entries.values().forEach(packed -> list.add(packed.json));
-    return value;
+    return RecordWire.page(page.entries.values().stream().map(Packed::json));
   }
 
   private void stored(Page<T> page) {
--- a/src/main/java/io/pineladder/store/StoreClient.java
+++ b/src/main/java/io/pineladder/store/StoreClient.java
@@ -6,6 +6,7 @@
 import io.pineladder.net.HttpCaller.Request;
 import io.pineladder.net.Timeline;
 import io.pineladder.retry.Backoff;
+import io.pineladder.retry.RateBudget;
 import io.pineladder.retry.RetryBudget;
 import io.pineladder.wire.MalformedException;
 import io.pineladder.wire.StoreWire;
@@ -144,37 +145,22 @@
 
   /** Reads all keys with a prefix for users, at once or not at all; null when that failed. */
   void listForUser(String prefix, Consumer<Listing> onDone) {
-    listForUser(prefix, null, new ArrayList<>(), -1, onDone);
+    listForUser(prefix, new Partial(), onDone);
   }
 
-  private void listForUser(
-      String prefix,
-      String after,
-      List<StoreWire.Entry> found,
-      long firstRevision,
-      Consumer<Listing> onDone) {
+  private void listForUser(String prefix, Partial partial, Consumer<Listing> onDone) {
     sendForUser(
         userReads,
         1,
-        get(StoreWire.listPath(prefix, after)),
+        get(StoreWire.listPath(prefix, partial.after)),
         reply -> {
-          try {
-            if (reply.is(200)) {
-              StoreWire.Page page = StoreWire.parsePage(reply.body());
-              found.addAll(page.entries());
-              long revision = firstRevision < 0 ? page.revision() : firstRevision;
-              if (page.more() && !page.entries().isEmpty()) {
-                String last = page.entries().get(page.entries().size() - 1).key();
-                listForUser(prefix, last, found, revision, onDone);
-              } else {
-                onDone.accept(new Listing(found, revision));
-              }
-              return;
-            }
-          } catch (MalformedException e) {
-            // As any other answer that is no page.
+          if (!partial.take(reply)) {
+            onDone.accept(null);
+          } else if (partial.complete) {
+            onDone.accept(partial.listing());
+          } else {
+            listForUser(prefix, partial, onDone);
           }
-          onDone.accept(null);
         });
   }
 
@@ -265,50 +251,73 @@
 
   /** Reads all keys with a prefix, trying again until it succeeds or {@code wanted} says no. */
   public void list(String prefix, BooleanSupplier wanted, Consumer<Listing> onDone) {
-    listPage(prefix, null, new ArrayList<>(), -1, wanted, backoff(), onDone);
+    listPage(prefix, new Partial(), wanted, backoff(), onDone);
   }
 
   private void listPage(
       String prefix,
-      String after,
-      List<StoreWire.Entry> found,
-      long firstRevision,
+      Partial partial,
       BooleanSupplier wanted,
       Backoff backoff,
       Consumer<Listing> onDone) {
     if (!wanted.getAsBoolean()) {
       return;
     }
+    Runnable next = () -> listPage(prefix, partial, wanted, backoff, onDone);
     send(
-        get(StoreWire.listPath(prefix, after)),
+        get(StoreWire.listPath(prefix, partial.after)),
         reply -> {
           if (!wanted.getAsBoolean()) {
             return;
           }
-          try {
-            if (reply.is(200)) {
-              StoreWire.Page page = StoreWire.parsePage(reply.body());
-              found.addAll(page.entries());
-              // Changes made while later pages are read are seen again by following from the first.
-              long revision = firstRevision < 0 ? page.revision() : firstRevision;
-              backoff.reset();
-              if (page.more() && !page.entries().isEmpty()) {
-                String last = page.entries().get(page.entries().size() - 1).key();
-                listPage(prefix, last, found, revision, wanted, backoff, onDone);
-              } else {
-                onDone.accept(new Listing(found, revision));
-              }
-              return;
-            }
-          } catch (MalformedException e) {
-            // Tried again, as any other answer that is no page.
+          if (!partial.take(reply)) {
+            retry(backoff, next);
+            return;
+          }
+          backoff.reset();
+          if (partial.complete) {
+            onDone.accept(partial.listing());
+          } else {
+            next.run();
           }
-          retry(
-              backoff,
-              () -> listPage(prefix, after, found, firstRevision, wanted, backoff, onDone));
         });
   }
 
+  /** What has been read of a prefix so far. */
+  private static final class Partial {
+    final List<StoreWire.Entry> entries = new ArrayList<>();
+    long revision = -1;
+
+    /** The last key read, after which the next page begins; null before the first. */
+    String after;
+
+    boolean complete;
+
+    /** Takes in an answer; false when it is no page. */
+    boolean take(Reply reply) {
+      if (!reply.is(200)) {
+        return false;
+      }
+      try {
+        StoreWire.Page page = StoreWire.parsePage(reply.body());
+        entries.addAll(page.entries());
+        // Changes made while later pages are read are seen again by following from the first.
+        revision = revision < 0 ? page.revision() : revision;
+        complete = !page.more() || page.entries().isEmpty();
+        if (!complete) {
+          after = page.entries().get(page.entries().size() - 1).key();
+        }
+        return true;
+      } catch (MalformedException e) {
+        return false;
+      }
+    }
+
+    Listing listing() {
+      return new Listing(entries, revision);
+    }
+  }
+
   /** Waits for changes under a prefix; the reply is handed on as it came. */
   public void watch(String prefix, long after, Duration wait, Consumer<Reply> onReply) {
     requests.take(1, time.now());
--- a/src/main/java/io/pineladder/wire/RecordWire.java
+++ b/src/main/java/io/pineladder/wire/RecordWire.java
@@ -16,6 +16,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.stream.Stream;
 
 /** The durable records, as values of the state service. */
 public final class RecordWire {
@@ -106,6 +107,14 @@
     }
   }
 
+  /** A page with these entries. */
+  public static ObjectNode page(Stream<JsonNode> entries) {
+    ObjectNode page = Json.object();
+    ArrayNode list = page.putArray("entries");
+    entries.forEach(list::add);
+    return page;
+  }
+
   /** A page's entries, as {@link #placement}, {@link #done} or {@link #images} wrote them. */
   public static List<JsonNode> entries(JsonNode page) throws MalformedException {
     JsonNode list = Fields.of(page).node("entries");
