--- a/src/main/java/io/pineladder/Leader.java
+++ b/src/main/java/io/pineladder/Leader.java
@@ -1,5 +1,8 @@
 package io.pineladder;
 
+import io.pineladder.delivery.Delivery;
+import io.pineladder.delivery.Outbox;
+import io.pineladder.delivery.Subscriptions;
 import io.pineladder.fleet.Fleet;
 import io.pineladder.model.Attempt;
 import io.pineladder.model.Job;
@@ -81,6 +84,8 @@
   private final Takeovers.Takeover takeover;
   private final Cluster cluster;
   private final Committer committer;
+  private final Outbox outbox;
+  private final Subscriptions subscriptions;
   private final Records records;
   private final Scheduler scheduler;
   private final Workers workers;
@@ -107,6 +112,7 @@
       long term,
       OperatorSettings operator,
       Takeovers.Takeover takeover,
+      Delivery delivery,
       Host host) {
     this.settings = settings;
     this.store = store;
@@ -118,6 +124,12 @@
     this.cluster = new Cluster(settings);
     cluster.setTypes(host.types());
     this.committer = new Committer(store, time, term, host::resign);
+    int valueBytes = settings.store().valueBytes();
+    this.outbox =
+        new Outbox(Outbox.MOST_KEPT, valueBytes, time, committer::submit, this::onNotices);
+    committer.number(outbox);
+    this.subscriptions =
+        new Subscriptions(delivery, outbox, time, committer::submit, valueBytes, this::mayAct);
     this.scheduler =
         new Scheduler(
             cluster,
@@ -142,7 +154,7 @@
             });
     this.records =
         new Records(
-            settings.store().valueBytes(),
+            valueBytes,
             time,
             committer::submit,
             new Records.Listener() {
@@ -167,9 +179,10 @@
               public void onStoredTwice(Job job, Runnable again) {
                 adoption.onStoredTwice(job, again);
               }
-            });
+            },
+            outbox);
     scheduler.useRecords(records);
-    this.loader = new TermLoader(store, time, cluster, committer, records, new Loading());
+    this.loader = new TermLoader(store, time, cluster, committer, records, outbox, new Loading());
     this.adoption = new Adoption(store, cluster, committer, records, new Adopting());
     BooleanSupplier mayAct = this::mayAct;
     this.workers =
@@ -264,6 +277,15 @@
     return state == State.LEADING && host.mayAct();
   }
 
+  private void onNotices() {
+    subscriptions.kick();
+  }
+
+  /** Who is told of final states. */
+  public Subscriptions subscriptions() {
+    return subscriptions;
+  }
+
   private void ordersDue(Machine machine) {
     workers.ordersDue(machine);
   }
@@ -285,6 +307,7 @@
   /** The lease was in doubt and holds after all. */
   void onCertain() {
     scheduler.kick();
+    subscriptions.kick();
   }
 
   void configure(OperatorSettings operator) {
@@ -397,6 +420,7 @@
         cluster.machines().size());
     adoption.start(inbox);
     fleet.start();
+    subscriptions.start();
     scheduler.kick();
   }
 
--- a/src/main/java/io/pineladder/Node.java
+++ b/src/main/java/io/pineladder/Node.java
@@ -2,6 +2,7 @@
 
 import com.github.benmanes.caffeine.cache.Cache;
 import com.github.benmanes.caffeine.cache.Caffeine;
+import io.pineladder.delivery.Delivery;
 import io.pineladder.leadership.Election;
 import io.pineladder.membership.Membership;
 import io.pineladder.model.MachineType;
@@ -51,6 +52,7 @@
   private final Membership membership;
   private final Takeovers takeovers;
   private final Backoff confRetry;
+  private final Delivery delivery;
 
   /** Final states never change, so any copy of them may be told. */
   private final Cache<String, JobWire.Status> finals =
@@ -64,8 +66,15 @@
   private Instant tickDue;
   private boolean stopped;
 
-  public Node(Settings settings, Timeline time, HttpCaller http, String nonce) {
+  /**
+   * A controller.
+   *
+   * @param delivery delivers notices of final states; null where that is switched off
+   */
+  public Node(
+      Settings settings, Timeline time, HttpCaller http, String nonce, Delivery delivery) {
     this.settings = settings;
+    this.delivery = delivery;
     this.time = time;
     this.http = http;
     this.store =
@@ -109,7 +118,8 @@
     public void onElected(long term) {
       Takeovers.Takeover takeover = takeovers.begin(term, membership.ledAt());
       leader =
-          new Leader(settings, store, http, time, term, operator, takeover, new LeaderHost());
+          new Leader(
+              settings, store, http, time, term, operator, takeover, delivery, new LeaderHost());
       leader.load();
       fetchTypes();
     }
@@ -275,6 +285,9 @@
   }
 
   private void learnConf(StoreWire.Entry entry) {
+    if (entry.key().equals(Keys.NETWORKS) && delivery != null) {
+      delivery.learnNetworks(entry.value());
+    }
     if (entry.value() == null) {
       return;
     }
--- a/src/main/java/io/pineladder/admin/AdminApi.java
+++ b/src/main/java/io/pineladder/admin/AdminApi.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.pineladder.Leader;
 import io.pineladder.Node;
+import io.pineladder.delivery.Subscriptions;
 import io.pineladder.membership.Membership;
 import io.pineladder.model.Machine;
 import io.pineladder.model.OperatorSettings;
@@ -36,6 +37,9 @@
 
   /** Whether a request is to be answered by the leader, whichever node gets it. */
   public boolean isLeadersMatter(String method, String path) {
+    if (isAboutSubscriptions(path)) {
+      return true;
+    }
     return switch (path) {
       case PREFIX + "queue", PREFIX + "machines" -> method.equals("GET");
       case PREFIX + "settings" -> method.equals("PUT");
@@ -43,6 +47,12 @@
     };
   }
 
+  private static boolean isAboutSubscriptions(String path) {
+    return path.equals(PREFIX + Subscriptions.PATH)
+        || path.startsWith(PREFIX + Subscriptions.PATH + "/")
+        || path.equals(PREFIX + Subscriptions.NETWORKS_PATH);
+  }
+
   private static HttpAnswer json(int status, ObjectNode body) {
     return new HttpAnswer(status, Json.bytes(body));
   }
@@ -128,6 +138,10 @@
   /** What only the leader can answer. */
   public void lead(
       Leader leader, String method, String path, byte[] body, Consumer<HttpAnswer> answer) {
+    if (isAboutSubscriptions(path)) {
+      leader.subscriptions().handle(method, path.substring(PREFIX.length()), body, answer);
+      return;
+    }
     switch (path) {
       case PREFIX + "queue" -> answer.accept(json(200, queue(leader)));
       case PREFIX + "machines" -> answer.accept(json(200, machines(leader)));
--- a/src/main/java/io/pineladder/admin/Metrics.java
+++ b/src/main/java/io/pineladder/admin/Metrics.java
@@ -125,7 +125,7 @@
   }
 
   /** Writes a histogram's count and percentiles, in seconds. */
-  static void percentiles(ObjectNode out, Histogram histogram, double unitsPerSecond) {
+  public static void percentiles(ObjectNode out, Histogram histogram, double unitsPerSecond) {
     out.put("count", histogram.getTotalCount());
     for (double percentile : PERCENTILES) {
       out.put("p" + (int) percentile, histogram.getValueAtPercentile(percentile) / unitsPerSecond);
--- a/src/main/java/io/pineladder/cli/Controller.java
+++ b/src/main/java/io/pineladder/cli/Controller.java
@@ -2,9 +2,12 @@
 
 import io.pineladder.Node;
 import io.pineladder.admin.Metrics;
+import io.pineladder.delivery.Delivery;
+import io.pineladder.delivery.SecretBox;
 import io.pineladder.front.Front;
 import io.pineladder.model.Settings;
 import io.pineladder.net.HttpCaller;
+import io.pineladder.net.OutwardCaller;
 import io.pineladder.net.Sockets;
 import io.pineladder.net.UndertowCaller;
 import io.pineladder.net.XnioRuntime;
@@ -12,7 +15,10 @@
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.HexFormat;
+import java.util.LinkedHashSet;
+import java.util.Set;
 import java.util.random.RandomGenerator;
+import java.util.stream.Stream;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -29,11 +35,12 @@
 
   public static void main(String[] args) {
     configureLogging(System.getenv("LOG_LEVEL"));
-    if (args.length != 1) {
-      System.err.println("usage: Controller SETTINGS");
+    boolean delivers = args.length == 3 && args[0].equals("--delivery");
+    if (args.length != 1 && !delivers) {
+      System.err.println("usage: Controller [--delivery KEYFILE] SETTINGS");
       System.exit(EXIT_USAGE);
     }
-    int code = serve(Path.of(args[0]));
+    int code = serve(Path.of(args[args.length - 1]), delivers ? Path.of(args[1]) : null);
     if (code >= 0) {
       System.exit(code);
     }
@@ -48,8 +55,12 @@
     System.setProperty("org.jboss.logging.provider", "slf4j");
   }
 
-  /** Serves with a settings file; a negative result means that the service goes on running. */
-  static int serve(Path file) {
+  /**
+   * Serves with a settings file; a negative result means that the service goes on running.
+   *
+   * @param deliveryKey the file with the key for subscribers' secrets; null: notices are not delivered
+   */
+  static int serve(Path file, Path deliveryKey) {
     Logger log = LoggerFactory.getLogger(Controller.class);
     Settings settings;
     try {
@@ -59,7 +70,7 @@
       return EXIT_FAILURE;
     }
     try {
-      start(settings);
+      start(settings, deliveryKey);
       return -1;
     } catch (IOException | RuntimeException e) {
       log.error("cannot serve: {}", e.getMessage(), e);
@@ -85,13 +96,36 @@
     return peer ? Sockets.Part.PEERS : Sockets.Part.ORDERS;
   }
 
+  private static Delivery delivery(Settings settings, XnioRuntime runtime, Path key)
+      throws IOException {
+    Set<String> own = new LinkedHashSet<>();
+    Stream.concat(
+            Stream.of(
+                settings.frontAddress(),
+                settings.clusterAddress(),
+                settings.storeAddress(),
+                settings.cloudAddress()),
+            settings.peers().stream().map(Settings.Peer::address))
+        .forEach(address -> own.add(address.substring(0, address.lastIndexOf(':'))));
+    Delivery delivery =
+        new Delivery(runtime, SecretBox.read(key), own, settings.coreShare());
+    delivery.sendThrough(new OutwardCaller(runtime, delivery::allows));
+    return delivery;
+  }
+
   /** Starts a controller; everything happens on the runtime's thread from then on. */
-  static XnioRuntime start(Settings settings) throws IOException {
+  static XnioRuntime start(Settings settings, Path deliveryKey) throws IOException {
     XnioRuntime runtime = new XnioRuntime(settings.maxSockets(), settings.workers().report());
     HttpCaller http = new UndertowCaller(runtime, address -> part(settings, address));
     byte[] nonce = new byte[12];
     RandomGenerator.of("SecureRandom").nextBytes(nonce);
-    Node node = new Node(settings, runtime, http, HexFormat.of().formatHex(nonce));
+    Node node =
+        new Node(
+            settings,
+            runtime,
+            http,
+            HexFormat.of().formatHex(nonce),
+            deliveryKey == null ? null : delivery(settings, runtime, deliveryKey));
     Metrics metrics = new Metrics();
     metrics.watch(runtime.sockets());
     Front front = new Front(node, metrics);
--- a/src/main/java/io/pineladder/cli/Main.java
+++ b/src/main/java/io/pineladder/cli/Main.java
@@ -48,7 +48,7 @@
         commandLine.usage(System.err);
         return EXIT_USAGE;
       }
-      return Controller.serve(config);
+      return Controller.serve(config, parsed.matchedOptionValue("--delivery", null));
     } catch (CommandLine.ParameterException e) {
       System.err.println(e.getMessage());
       e.getCommandLine().usage(System.err);
@@ -83,6 +83,12 @@
                     .type(Path.class)
                     .description("serve with this settings file")
                     .build())
+            .addOption(
+                OptionSpec.builder("--delivery")
+                    .paramLabel("KEYFILE")
+                    .type(Path.class)
+                    .description("deliver final answers; the file has a key of 32 bytes in Base64")
+                    .build())
             .addSubcommand("check", check)
             .addSubcommand("admin", admin)
             .addSubcommand("train", train);
--- /dev/null
+++ b/src/main/java/io/pineladder/delivery/Deliveries.java
@@ -0,0 +1,181 @@
+package io.pineladder.delivery;
+
+import io.pineladder.model.Subscription;
+import io.pineladder.net.Timeline;
+import io.pineladder.retry.RateBudget;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import org.HdrHistogram.Histogram;
+
+/**
+ * The sending to all subscribers in one term. They take turns, and there is a bound on what is under
+ * way and on the rate, so that scheduling goes on beside it; those whose last try failed have only a
+ * part of the turns, so that the dead do not delay the others.
+ */
+public final class Deliveries {
+  /** So many requests are under way at a time, and so many of them to receivers that fail. */
+  private static final int MOST_UNDER_WAY = 32;
+
+  private static final int MOST_FAILING = 8;
+
+  /** Stores that a subscription's status has changed. */
+  interface Settling {
+    void settle(Subscription subscription, Subscription.Status status, String reason);
+  }
+
+  private final Delivery delivery;
+  private final Outbox outbox;
+  private final Timeline time;
+  private final BooleanSupplier mayAct;
+  private final Settling settling;
+  private final RateBudget rate;
+  private final Map<String, Subscriber> subscribers = new HashMap<>();
+
+  /** Secrets that have been decrypted, by what they were encrypted to. */
+  private final Map<String, byte[]> opened = new HashMap<>();
+
+  private final ArrayDeque<Turns> ready = new ArrayDeque<>();
+  private final ArrayDeque<Turns> failing = new ArrayDeque<>();
+  private int underWay;
+  private int failingUnderWay;
+  private boolean pumpSet;
+
+  /** From a job's end to the receiver's answer, in milliseconds. */
+  private final Histogram delays = new Histogram(TimeUnit.DAYS.toMillis(2), 2);
+
+  Deliveries(
+      Delivery delivery,
+      Outbox outbox,
+      Timeline time,
+      BooleanSupplier mayAct,
+      Settling settling) {
+    this.delivery = delivery;
+    this.outbox = outbox;
+    this.time = time;
+    this.mayAct = mayAct;
+    this.settling = settling;
+    this.rate = new RateBudget(delivery.perSecond(), delivery.perSecond(), time.now());
+  }
+
+  /** The subscription's record is stored, or was read. */
+  void configure(Subscription subscription) {
+    Subscriber known = subscribers.get(subscription.source());
+    if (known == null) {
+      Turns turns = new Turns();
+      known = new Subscriber(subscription, outbox, delivery.outward(), time, turns);
+      turns.subscriber = known;
+      subscribers.put(subscription.source(), known);
+    }
+    opened.clear();
+    known.configure(subscription);
+  }
+
+  void remove(Subscription subscription) {
+    Subscriber known = subscribers.remove(subscription.source());
+    if (known != null) {
+      known.close();
+    }
+  }
+
+  Subscriber of(Subscription subscription) {
+    return subscribers.get(subscription.source());
+  }
+
+  Histogram delays() {
+    return delays;
+  }
+
+  /** Notices were stored, or the lease holds after all. */
+  void kick() {
+    subscribers.values().forEach(Subscriber::kick);
+  }
+
+  private void pump() {
+    Instant now = time.now();
+    while (underWay < MOST_UNDER_WAY && rate.available(now) >= 1) {
+      Turns next = ready.pollFirst();
+      if (next == null && failingUnderWay < MOST_FAILING) {
+        next = failing.pollFirst();
+        failingUnderWay += next == null ? 0 : 1;
+      }
+      if (next == null) {
+        return;
+      }
+      rate.take(1, now);
+      underWay++;
+      next.send();
+    }
+    if (underWay < MOST_UNDER_WAY && !pumpSet) {
+      pumpSet = true;
+      time.after(
+          rate.until(1, now).plusMillis(1),
+          () -> {
+            pumpSet = false;
+            pump();
+          });
+    }
+  }
+
+  /** One subscriber's turns; it waits for no more than one. */
+  private final class Turns implements Subscriber.Owner {
+    private Subscriber subscriber;
+    private boolean queued;
+
+    /** The turn that it has, or waits for, is one of a receiver that fails. */
+    private boolean asFailing;
+
+    void send() {
+      queued = false;
+      subscriber.send();
+    }
+
+    @Override
+    public boolean mayAct() {
+      return mayAct.getAsBoolean();
+    }
+
+    @Override
+    public void ready() {
+      if (!queued) {
+        queued = true;
+        asFailing = subscriber.isFailing();
+        (asFailing ? failing : ready).addLast(this);
+        pump();
+      }
+    }
+
+    @Override
+    public void done() {
+      underWay--;
+      failingUnderWay -= asFailing ? 1 : 0;
+      pump();
+    }
+
+    @Override
+    public void confirmed(Instant endedAt) {
+      long millis = Duration.between(endedAt, time.timeOfDay()).toMillis();
+      delays.recordValue(Math.min(delays.getHighestTrackableValue(), Math.max(0, millis)));
+    }
+
+    @Override
+    public List<byte[]> secrets(Subscription subscription) {
+      return subscription.secrets().stream()
+          .map(
+              sealed ->
+                  opened.computeIfAbsent(
+                      sealed, s -> delivery.box().open(subscription.name(), s)))
+          .toList();
+    }
+
+    @Override
+    public void settle(Subscription subscription, Subscription.Status status, String reason) {
+      settling.settle(subscription, status, reason);
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/io/pineladder/delivery/Delivery.java
@@ -0,0 +1,86 @@
+package io.pineladder.delivery;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.pineladder.net.Background;
+import io.pineladder.net.Outward;
+import io.pineladder.wire.DeliveryWire;
+import io.pineladder.wire.MalformedException;
+import java.net.InetAddress;
+import java.util.Collection;
+import java.util.List;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** What a controller needs to deliver notices, whether it leads or not. */
+public final class Delivery {
+  private static final Logger log = LoggerFactory.getLogger(Delivery.class);
+
+  /** Notices sent in a second by a process that has a whole core. */
+  private static final double PER_CORE = 1_500;
+
+  private final Background background;
+  private final SecretBox box;
+  private final Collection<String> own;
+  private final double perSecond;
+  private Outward outward;
+  private Destinations destinations;
+
+  /**
+   * Delivery on one controller.
+   *
+   * @param own the addresses of the cluster's own parts, without ports
+   * @param coreShare how much of a core the process has
+   */
+  public Delivery(
+      Background background, SecretBox box, Collection<String> own, double coreShare) {
+    this.background = background;
+    this.box = box;
+    this.own = List.copyOf(own);
+    this.perSecond = Math.max(1, PER_CORE * coreShare);
+  }
+
+  /** Has notices sent through this. */
+  public void sendThrough(Outward through) {
+    outward = through;
+  }
+
+  Outward outward() {
+    return outward;
+  }
+
+  Background background() {
+    return background;
+  }
+
+  SecretBox box() {
+    return box;
+  }
+
+  double perSecond() {
+    return perSecond;
+  }
+
+  /** Whether a notice may be sent to the address. */
+  public boolean allows(InetAddress address) {
+    return destinations != null && destinations.allows(address);
+  }
+
+  /** The destinations in these networks; the reason when one is none. */
+  Destinations destinations(Collection<String> networks) {
+    return new Destinations(networks, own);
+  }
+
+  List<String> networks() {
+    return destinations == null ? List.of() : destinations.networks();
+  }
+
+  /** The stored networks were read, or have changed; null when they are gone. */
+  public void learnNetworks(JsonNode value) {
+    try {
+      destinations = value == null ? null : destinations(DeliveryWire.parseNetworks(value));
+    } catch (MalformedException | IllegalArgumentException e) {
+      destinations = null;
+      log.error("the allowed networks cannot be read, so none is: {}", e.getMessage());
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/io/pineladder/delivery/Outbox.java
@@ -0,0 +1,510 @@
+package io.pineladder.delivery;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.pineladder.model.Job;
+import io.pineladder.model.Notice;
+import io.pineladder.model.Progress;
+import io.pineladder.model.Subscription;
+import io.pineladder.net.Timeline;
+import io.pineladder.store.Keys;
+import io.pineladder.store.Mutation;
+import io.pineladder.store.NoticeBook;
+import io.pineladder.wire.DeliveryWire;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * The notices that are stored and not yet confirmed by all who want them, and how far each
+ * subscriber is, in one term of leadership.
+ *
+ * <p>All notices are one log, numbered without a gap in the order in which they were committed. A
+ * subscriber's own sequence counts those of them that are for it, so it follows from the log and is
+ * the same whoever counts; only where a subscriber stands is stored, not a number for each of its
+ * notices. What all have confirmed leaves the log once that is stored, or a later leader could not
+ * count on from where the record of a subscriber stands.
+ */
+public final class Outbox implements NoticeBook {
+  private static final Logger log = LoggerFactory.getLogger(Outbox.class);
+
+  /** So many are kept; what a subscriber has not confirmed beyond that is lost to it. */
+  public static final int MOST_KEPT = 100_000;
+
+  /** At the bound so large a part of what is kept goes at once. */
+  private static final int PARTS = 64;
+
+  /** Progress is stored once a subscriber is so many notices further, for each page of progress. */
+  private static final int PACE = 40;
+
+  private static final Comparator<Entry> BY_NUMBER =
+      Comparator.comparingLong(entry -> entry.notice.number());
+
+  /** The most bytes of one subscriber's progress in JSON. */
+  private static final int PROGRESS_BYTES = 180;
+
+  private record Entry(Notice notice, Runnable drop) {}
+
+  /** Where a subscriber is. */
+  public static final class Cursor {
+    private long number;
+    private long sequence;
+    private long lostFrom;
+
+    /** What the store holds. */
+    private Progress stored;
+
+    private int page = -1;
+
+    private Cursor(Progress at) {
+      moveTo(at);
+      stored = at;
+    }
+
+    private void moveTo(Progress at) {
+      number = at.number();
+      sequence = at.sequence();
+      lostFrom = at.lostFrom();
+    }
+
+    /** Where it is now. */
+    public Progress now() {
+      return new Progress(number, sequence, lostFrom);
+    }
+  }
+
+  private final int most;
+  private final int perPage;
+  private final Timeline time;
+  private final Consumer<Mutation> commit;
+  private final Runnable onStored;
+
+  /** The log, without gaps; {@code head} of its entries are dropped and go at times. */
+  private final List<Entry> entries = new ArrayList<>();
+
+  private int head;
+  private long committed;
+  private long assigned;
+  private boolean loading = true;
+
+  private final Map<String, Subscription> subscriptions = new LinkedHashMap<>();
+
+  /** Subscriptions being created, and filters being changed, which want notices from here on. */
+  private final Map<String, Subscription> coming = new HashMap<>();
+
+  private final Map<String, Cursor> cursors = new HashMap<>();
+
+  /** The subscribers in each page of progress, by their events' source. */
+  private final List<Map<String, Cursor>> pages = new ArrayList<>();
+
+  /** Pages on their way to the store, and those that are to go there once more. */
+  private final List<Boolean> writing = new ArrayList<>();
+
+  private final List<Boolean> again = new ArrayList<>();
+
+  /** Notices of the transaction that has just committed. */
+  private final List<Entry> fresh = new ArrayList<>();
+
+  /**
+   * An empty one.
+   *
+   * @param most how many notices are kept
+   * @param onStored told of each notice that is stored, and of what may be sent anew
+   */
+  public Outbox(
+      int most, int valueBytes, Timeline time, Consumer<Mutation> commit, Runnable onStored) {
+    this.most = most;
+    this.perPage = Math.max(1, valueBytes / PROGRESS_BYTES);
+    this.time = time;
+    this.commit = commit;
+    this.onStored = onStored;
+  }
+
+  // ---- the start of a term
+
+  /** A subscription read at the start of the term. */
+  public void known(Subscription subscription) {
+    subscriptions.put(subscription.name(), subscription);
+  }
+
+  /** A page of progress read at the start of the term. */
+  public void known(String key, Map<String, Progress> page) {
+    int index = Integer.parseInt(key.substring(Keys.DELIVERED.length()));
+    page.forEach(
+        (source, at) -> {
+          Cursor cursor = new Cursor(at);
+          cursors.put(source, cursor);
+          settle(source, cursor, index);
+        });
+  }
+
+  /** Everything has been read. */
+  public void loaded() {
+    loading = false;
+    entries.sort(BY_NUMBER);
+    committed = entries.isEmpty() ? 0 : entries.get(entries.size() - 1).notice.number();
+    Set<String> sources = new HashSet<>();
+    subscriptions.values().forEach(subscription -> sources.add(subscription.source()));
+    cursors.keySet().retainAll(sources);
+    pages.forEach(page -> page.keySet().retainAll(sources));
+    for (Subscription subscription : subscriptions.values()) {
+      committed = Math.max(committed, subscription.since());
+      begin(subscription);
+    }
+    assigned = committed;
+    trim();
+    mend();
+  }
+
+  /**
+   * Only what is stored as needless is ever dropped, so what is kept has no gap. If it has one, and
+   * nothing here makes one, whoever wanted what was there is told that it is lost.
+   */
+  private void mend() {
+    int from = entries.size() - 1;
+    while (from > head && entries.get(from - 1).notice.number() + 1 == at(from)) {
+      from--;
+    }
+    if (from > head) {
+      log.error("notices before {} are not all there", at(from));
+      head = from;
+    }
+    for (Subscription subscription : subscriptions.values()) {
+      Cursor cursor = cursor(subscription);
+      long missing = first() - 1 - cursor.number;
+      if (subscription.isKept() && missing > 0) {
+        log.error("{} notices for {} are not there", missing, subscription.name());
+        cursor.lostFrom = cursor.lostFrom == 0 ? cursor.sequence + 1 : cursor.lostFrom;
+        cursor.sequence += missing;
+        cursor.number += missing;
+      }
+    }
+  }
+
+  private long at(int index) {
+    return entries.get(index).notice.number();
+  }
+
+  private Cursor begin(Subscription subscription) {
+    return cursors.computeIfAbsent(
+        subscription.source(),
+        source -> {
+          Cursor cursor = new Cursor(new Progress(subscription.since(), 0, 0));
+          int page = 0;
+          while (page < pages.size() && pages.get(page).size() >= perPage) {
+            page++;
+          }
+          settle(source, cursor, page);
+          return cursor;
+        });
+  }
+
+  private void settle(String source, Cursor cursor, int page) {
+    while (pages.size() <= page) {
+      pages.add(new LinkedHashMap<>());
+      writing.add(false);
+      again.add(false);
+    }
+    pages.get(page).put(source, cursor);
+    cursor.page = page;
+  }
+
+  // ---- subscriptions
+
+  public Map<String, Subscription> subscriptions() {
+    return subscriptions;
+  }
+
+  /** It may want notices from here on, if its record comes to be stored. */
+  public void expect(Subscription subscription) {
+    coming.put(subscription.name(), subscription);
+  }
+
+  /** The number of the last notice stored, or in the transaction that is being put together. */
+  public long last() {
+    return assigned;
+  }
+
+  /** Its record, as it now stands, is stored. */
+  public void subscribed(Subscription subscription) {
+    coming.remove(subscription.name());
+    Subscription before = subscriptions.put(subscription.name(), subscription);
+    if (before != null && !before.source().equals(subscription.source())) {
+      forget(before);
+    }
+    begin(subscription);
+    trim();
+    onStored.run();
+  }
+
+  /** Its filters, without those that nothing kept is older than. */
+  public List<Subscription.Filter> filters(Subscription subscription) {
+    List<Subscription.Filter> all = subscription.filters();
+    int from = 0;
+    while (from + 1 < all.size() && all.get(from + 1).after() < first()) {
+      from++;
+    }
+    return all.subList(from, all.size());
+  }
+
+  /** Its record is gone. */
+  public void unsubscribed(String name) {
+    coming.remove(name);
+    Subscription before = subscriptions.remove(name);
+    if (before != null) {
+      forget(before);
+      trim();
+    }
+  }
+
+  private void forget(Subscription subscription) {
+    Cursor cursor = cursors.remove(subscription.source());
+    if (cursor != null) {
+      pages.get(cursor.page).remove(subscription.source());
+    }
+  }
+
+  public Cursor cursor(Subscription subscription) {
+    return cursors.get(subscription.source());
+  }
+
+  // ---- notices
+
+  @Override
+  public boolean isWanted() {
+    return !subscriptions.isEmpty() || !coming.isEmpty();
+  }
+
+  @Override
+  public void begin() {
+    assigned = committed;
+  }
+
+  @Override
+  public Notice next(Job job) {
+    String owner = job.spec.team();
+    String jobClass = job.spec.jobClass();
+    boolean wanted =
+        subscriptions.values().stream().anyMatch(s -> s.mayWant(owner, jobClass))
+            || coming.values().stream().anyMatch(s -> s.mayWant(owner, jobClass));
+    return wanted
+        ? new Notice(
+            ++assigned,
+            job.spec.id(),
+            owner,
+            jobClass,
+            job.state(),
+            job.spec.tasks(),
+            time.timeOfDay())
+        : null;
+  }
+
+  @Override
+  public void stored(Notice notice, Runnable drop) {
+    (loading ? entries : fresh).add(new Entry(notice, drop));
+  }
+
+  @Override
+  public void committed() {
+    if (fresh.isEmpty()) {
+      return;
+    }
+    // A transaction's notices may stand in several pages.
+    fresh.sort(BY_NUMBER);
+    entries.addAll(fresh);
+    fresh.clear();
+    committed = at(entries.size() - 1);
+    if (kept() > most) {
+      giveUp(first() + most / PARTS);
+    }
+    onStored.run();
+  }
+
+  private long first() {
+    return head < entries.size() ? at(head) : committed + 1;
+  }
+
+  private Notice at(long number) {
+    return entries.get(head + (int) (number - first())).notice;
+  }
+
+  /** The subscriber's next notice, or null; what is not for it is passed over. */
+  public Notice next(Subscription subscription) {
+    Cursor cursor = cursor(subscription);
+    Notice found = null;
+    while (found == null && cursor.number < committed) {
+      Notice next = at(cursor.number + 1);
+      if (subscription.wants(next)) {
+        found = next;
+      } else {
+        cursor.number++;
+      }
+    }
+    moved(cursor);
+    return found;
+  }
+
+  /** How many notices the subscriber has before it, and when the oldest of them was made. */
+  public record Backlog(long notices, Notice oldest) {}
+
+  /** What waits for the subscriber; counts through the log, for those who ask. */
+  public Backlog backlog(Subscription subscription) {
+    if (!subscription.isKept()) {
+      return new Backlog(0, null);
+    }
+    Notice oldest = next(subscription);
+    long count = 0;
+    for (long n = cursor(subscription).number + 1; oldest != null && n <= committed; n++) {
+      count += subscription.wants(at(n)) ? 1 : 0;
+    }
+    return new Backlog(count, oldest);
+  }
+
+  /**
+   * The subscriber has everything up to a sequence and nothing beyond. It may be ahead of what was
+   * known, when an earlier leader delivered more than it stored, or behind, when it lost something.
+   *
+   * @return whether there can be such a receiver: it has nothing that was never sent
+   */
+  public boolean has(Subscription subscription, long position) {
+    Cursor cursor = cursor(subscription);
+    Progress before = cursor.now();
+    if (position >= cursor.sequence) {
+      cursor.lostFrom = 0;
+      while (cursor.sequence < position) {
+        Notice next = next(subscription);
+        if (next == null) {
+          cursor.moveTo(before);
+          return false;
+        }
+        cursor.number = next.number();
+        cursor.sequence++;
+      }
+    } else {
+      while (cursor.sequence > position && cursor.number >= first()) {
+        cursor.sequence -= subscription.wants(at(cursor.number)) ? 1 : 0;
+        cursor.number--;
+      }
+      cursor.lostFrom = cursor.sequence > position ? position + 1 : 0;
+    }
+    moved(cursor);
+    return true;
+  }
+
+  /**
+   * Goes to a sequence that an operator names: the next notice sent is that one.
+   *
+   * @return false when it is not kept, or was never there; nothing has changed then
+   */
+  public boolean seek(Subscription subscription, long sequence) {
+    Cursor cursor = cursor(subscription);
+    Progress before = cursor.now();
+    if (!has(subscription, sequence - 1) || cursor.lostFrom > 0) {
+      cursor.moveTo(before);
+      return false;
+    }
+    storeProgress(cursor.page);
+    return true;
+  }
+
+  // ---- progress
+
+  /** The oldest notices are kept no longer: whoever has not confirmed them will be told of a loss. */
+  private void giveUp(long before) {
+    for (Subscription subscription : subscriptions.values()) {
+      Cursor cursor = cursor(subscription);
+      long lost = 0;
+      while (subscription.isKept() && cursor.number + 1 < before) {
+        cursor.number++;
+        if (subscription.wants(at(cursor.number))) {
+          lost++;
+          cursor.sequence++;
+          cursor.lostFrom = cursor.lostFrom == 0 ? cursor.sequence : cursor.lostFrom;
+        }
+      }
+      if (lost > 0) {
+        log.warn("{} notices are lost to subscription {}", lost, subscription.name());
+      }
+    }
+    for (int i = 0; i < pages.size(); i++) {
+      storeProgress(i);
+    }
+  }
+
+  /**
+   * Stores how far subscribers are once that is worth a change of the store. What is not stored is
+   * sent again by the next leader, which does no harm; a change for each notice would.
+   */
+  private void moved(Cursor cursor) {
+    if (cursor.number - cursor.stored.number() >= (long) PACE * pages.size()) {
+      storeProgress(cursor.page);
+    }
+  }
+
+  private void storeProgress(int index) {
+    if (writing.get(index)) {
+      again.set(index, true);
+      return;
+    }
+    writing.set(index, true);
+    again.set(index, false);
+    Map<Cursor, Progress> rendered = new HashMap<>();
+    commit.accept(
+        Mutation.of(
+            Mutation.Priority.TIDY,
+            List.of(new Mutation.Write(Keys.DELIVERED + index, () -> render(index, rendered))),
+            () -> {
+              writing.set(index, false);
+              rendered.forEach((cursor, at) -> cursor.stored = at);
+              trim();
+              if (again.get(index)) {
+                storeProgress(index);
+              }
+            }));
+  }
+
+  private JsonNode render(int index, Map<Cursor, Progress> rendered) {
+    again.set(index, false);
+    rendered.clear();
+    Map<String, Progress> page = new LinkedHashMap<>();
+    pages
+        .get(index)
+        .forEach(
+            (source, cursor) -> {
+              rendered.put(cursor, cursor.now());
+              page.put(source, cursor.now());
+            });
+    return DeliveryWire.progress(page);
+  }
+
+  /** Lets go of what nobody needs, as far as the store knows that. */
+  private void trim() {
+    long needless = committed;
+    for (Subscription subscription : subscriptions.values()) {
+      if (subscription.isKept()) {
+        Cursor cursor = cursor(subscription);
+        needless = Math.min(needless, Math.min(cursor.stored.number(), cursor.number));
+      }
+    }
+    // The newest stays in any case: the next leader counts on from it.
+    while (head < entries.size() - 1 && at(head) <= needless) {
+      entries.get(head++).drop.run();
+    }
+    if (head > entries.size() / 2) {
+      entries.subList(0, head).clear();
+      head = 0;
+    }
+  }
+
+  /** How many notices are kept. */
+  public int kept() {
+    return entries.size() - head;
+  }
+}
--- /dev/null
+++ b/src/main/java/io/pineladder/delivery/receiver/Journal.java
@@ -0,0 +1,178 @@
+package io.pineladder.delivery.receiver;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.pineladder.wire.DeliveryWire;
+import io.pineladder.wire.DeliveryWire.Event;
+import io.pineladder.wire.Json;
+import io.pineladder.wire.MalformedException;
+import java.io.BufferedInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
+import java.nio.channels.OverlappingFileLockException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.util.HashMap;
+import java.util.HexFormat;
+import java.util.Map;
+import java.util.zip.CRC32C;
+
+/**
+ * A file of JSON lines, one for each notice, with a checksum. The line is the effect and, since it
+ * holds the event's sequence, the position as well: one write, forced to the disk before it counts.
+ */
+public final class Journal implements NoticeStore {
+  private static final byte[] HEAD = "{\"crc32c\":\"".getBytes(StandardCharsets.US_ASCII);
+  private static final byte[] MIDDLE = "\",\"event\":".getBytes(StandardCharsets.US_ASCII);
+  private static final int DIGITS = 8;
+
+  private final Path file;
+  private final FileChannel channel;
+  private final Map<String, Long> positions = new HashMap<>();
+  private boolean broken;
+
+  /**
+   * Opens a journal, or begins one.
+   *
+   * @throws IOException when it is in use, or damaged other than by a torn last line; the message
+   *     names the place
+   */
+  public Journal(Path file) throws IOException {
+    this.file = file;
+    this.channel =
+        FileChannel.open(file, StandardOpenOption.CREATE, StandardOpenOption.WRITE);
+    try {
+      lock();
+      long good = read();
+      // A crash in the middle of a write leaves part of a line, of which nobody was told.
+      channel.truncate(good);
+      channel.position(good);
+      // A line may be there that its writer had no time to force. From here on it counts.
+      channel.force(true);
+      forceDirectory();
+    } catch (IOException | RuntimeException e) {
+      channel.close();
+      throw e;
+    }
+  }
+
+  private void lock() throws IOException {
+    try {
+      if (channel.tryLock() != null) {
+        return;
+      }
+    } catch (OverlappingFileLockException e) {
+      // As below: it is in use, by this very process.
+    }
+    throw new IOException(file + " is in use by another receiver");
+  }
+
+  private void forceDirectory() throws IOException {
+    Path directory = file.toAbsolutePath().getParent();
+    try (FileChannel folder = FileChannel.open(directory, StandardOpenOption.READ)) {
+      folder.force(true);
+    }
+  }
+
+  /** Reads all lines; returns where the last good one ends. */
+  private long read() throws IOException {
+    long good = 0;
+    long lines = 0;
+    try (InputStream in = new BufferedInputStream(Files.newInputStream(file))) {
+      ByteArrayOutputStream line = new ByteArrayOutputStream();
+      for (int next = in.read(); next >= 0; next = in.read()) {
+        if (next != '\n') {
+          line.write(next);
+          continue;
+        }
+        lines++;
+        Event event;
+        try {
+          event = parse(line.toByteArray());
+          take(event);
+        } catch (MalformedException e) {
+          if (in.read() < 0) {
+            return good;
+          }
+          throw new IOException(
+              file + ", line " + lines + ", byte " + good + ": " + e.getMessage());
+        }
+        good += line.size() + 1;
+        line.reset();
+      }
+    }
+    return good;
+  }
+
+  private void take(Event event) throws MalformedException {
+    long before = positions.getOrDefault(event.source(), 0L);
+    if (event.first() > before + 1 || event.sequence() <= before) {
+      throw new MalformedException(
+          "sequence " + event.sequence() + " of " + event.source() + " follows " + before);
+    }
+    positions.put(event.source(), event.sequence());
+  }
+
+  private static String checksum(byte[] data, int from, int count) {
+    CRC32C crc = new CRC32C();
+    crc.update(data, from, count);
+    return HexFormat.of().toHexDigits((int) crc.getValue());
+  }
+
+  private static byte[] line(ObjectNode event) {
+    byte[] body = Json.bytes(event);
+    byte[] sum = checksum(body, 0, body.length).getBytes(StandardCharsets.US_ASCII);
+    return ByteBuffer.allocate(HEAD.length + DIGITS + MIDDLE.length + body.length + 2)
+        .put(HEAD)
+        .put(sum)
+        .put(MIDDLE)
+        .put(body)
+        .put((byte) '}')
+        .put((byte) '\n')
+        .array();
+  }
+
+  private static Event parse(byte[] line) throws MalformedException {
+    int from = HEAD.length + DIGITS + MIDDLE.length;
+    int count = line.length - from - 1;
+    if (count <= 0) {
+      throw new MalformedException("too short");
+    }
+    String claimed = new String(line, HEAD.length, DIGITS, StandardCharsets.US_ASCII);
+    if (!claimed.equals(checksum(line, from, count))) {
+      throw new MalformedException("the checksum does not fit");
+    }
+    return DeliveryWire.parseEvent(
+        new String(line, from, count, StandardCharsets.UTF_8).getBytes(StandardCharsets.UTF_8));
+  }
+
+  @Override
+  public synchronized long position(String source) {
+    return positions.getOrDefault(source, 0L);
+  }
+
+  @Override
+  public synchronized void apply(Event event) throws IOException {
+    if (broken) {
+      throw new IOException(file + " cannot be written");
+    }
+    // After a write or force that failed nobody knows what the disk holds: it must be read anew.
+    broken = true;
+    ByteBuffer line = ByteBuffer.wrap(line(event.json()));
+    while (line.hasRemaining()) {
+      channel.write(line);
+    }
+    channel.force(false);
+    broken = false;
+    positions.put(event.source(), event.sequence());
+  }
+
+  @Override
+  public synchronized void close() throws IOException {
+    channel.close();
+  }
+}
--- a/src/main/java/io/pineladder/model/Settings.java
+++ b/src/main/java/io/pineladder/model/Settings.java
@@ -18,7 +18,8 @@
     WorkerTimes workers,
     StoreLimits store,
     CloudLimits cloud,
-    int maxSockets) {
+    int maxSockets,
+    double coreShare) {
 
   /** Another controller. */
   public record Peer(String member, String zone, String address) {}
--- a/src/main/java/io/pineladder/net/Connector.java
+++ b/src/main/java/io/pineladder/net/Connector.java
@@ -1,5 +1,6 @@
 package io.pineladder.net;
 
+import io.undertow.UndertowOptions;
 import io.undertow.client.ClientCallback;
 import io.undertow.client.ClientConnection;
 import io.undertow.client.UndertowClient;
@@ -10,8 +11,10 @@
 import org.xnio.ChannelListener;
 import org.xnio.IoFuture;
 import org.xnio.OptionMap;
+import org.xnio.Options;
 import org.xnio.StreamConnection;
 import org.xnio.XnioIoThread;
+import org.xnio.ssl.XnioSsl;
 
 /**
  * Makes connections that can be given up. Undertow's client keeps to itself the connection that it is
@@ -36,6 +39,28 @@
     return made;
   }
 
+  /**
+   * Begins a connection with TLS, as {@link #connect}.
+   *
+   * @param address with the address to connect to, so that nothing is looked up
+   * @param host whom the other side's certificate must name
+   */
+  IoFuture<StreamConnection> connect(
+      URI address,
+      String host,
+      XnioSsl ssl,
+      ByteBufferPool buffers,
+      ClientCallback<ClientConnection> onMade) {
+    made = null;
+    OptionMap options =
+        OptionMap.builder()
+            .set(Options.SSL_PEER_HOST_NAME, host)
+            .set(UndertowOptions.ENDPOINT_IDENTIFICATION_ALGORITHM, "HTTPS")
+            .getMap();
+    UndertowClient.getInstance().connect(onMade, address, this, ssl, buffers, options);
+    return made;
+  }
+
   @Override
   public IoFuture<StreamConnection> openStreamConnection(
       SocketAddress destination,
--- a/src/main/java/io/pineladder/net/Sockets.java
+++ b/src/main/java/io/pineladder/net/Sockets.java
@@ -39,7 +39,9 @@
     /** To the state service and the cloud. */
     SERVICES(0.04, 0.12, Duration.ofSeconds(20)),
     /** Commands straight to workers. */
-    ORDERS(0.08, 0.15, Duration.ofSeconds(20));
+    ORDERS(0.08, 0.15, Duration.ofSeconds(20)),
+    /** To subscribers, who come after everybody else: nothing is kept for them. */
+    NOTICES(0, 0.03, Duration.ofSeconds(20));
 
     private final double kept;
     private final double most;
@@ -88,8 +90,8 @@
     this.limit = limit - RESERVED;
     Duration silent = report.multipliedBy(2).plusSeconds(2);
     for (Part part : Part.values()) {
-      int kept = Math.max(4, (int) (this.limit * part.kept));
-      int most = Math.max(kept, (int) (this.limit * part.most));
+      int kept = part.kept == 0 ? 0 : Math.max(4, (int) (this.limit * part.kept));
+      int most = Math.max(Math.max(1, kept), (int) (this.limit * part.most));
       shares.put(part, new Share(kept, most, part.stale == null ? silent : part.stale));
     }
   }
--- a/src/main/java/io/pineladder/net/UndertowCaller.java
+++ b/src/main/java/io/pineladder/net/UndertowCaller.java
@@ -2,16 +2,14 @@
 
 import io.undertow.client.ClientCallback;
 import io.undertow.client.ClientConnection;
-import io.undertow.client.ClientExchange;
 import io.undertow.client.ClientRequest;
+import io.undertow.client.ClientResponse;
 import io.undertow.connector.ByteBufferPool;
 import io.undertow.server.DefaultByteBufferPool;
 import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.net.URI;
-import java.nio.ByteBuffer;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayDeque;
@@ -24,13 +22,10 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Function;
-import org.xnio.ChannelListener;
 import org.xnio.IoFuture;
 import org.xnio.IoUtils;
 import org.xnio.StreamConnection;
 import org.xnio.XnioExecutor;
-import org.xnio.channels.StreamSinkChannel;
-import org.xnio.channels.StreamSourceChannel;
 
 /**
  * The HTTP client: a few idle connections kept for each address, one request on each at a time. A
@@ -255,121 +250,26 @@
         out.getRequestHeaders().put(Headers.CONTENT_TYPE, "application/json");
         out.getRequestHeaders().put(Headers.CONTENT_LENGTH, body.length);
       }
-      try {
-        made.connection.sendRequest(out, onExchange(body));
-      } catch (RuntimeException e) {
-        // The client throws when its peer has closed the connection just now. Whether any of the
-        // request left is not known; ending the process for it would cost far more than a retry.
-        finish(Reply.UNKNOWN);
-      }
-    }
-
-    private ClientCallback<ClientExchange> onExchange(byte[] body) {
-      return new ClientCallback<>() {
-        @Override
-        public void completed(ClientExchange exchange) {
-          exchange.setResponseListener(
-              new ClientCallback<>() {
-                @Override
-                public void completed(ClientExchange answered) {
-                  XnioRuntime.guarded(() -> receive(answered));
-                }
-
-                @Override
-                public void failed(IOException e) {
-                  XnioRuntime.guarded(() -> finish(Reply.UNKNOWN));
-                }
-              });
-          try {
-            write(exchange.getRequestChannel(), body);
-          } catch (IOException e) {
-            finish(Reply.UNKNOWN);
-          }
-        }
-
-        @Override
-        public void failed(IOException e) {
-          XnioRuntime.guarded(() -> finish(Reply.UNKNOWN));
-        }
-      };
-    }
-
-    private void write(StreamSinkChannel sink, byte[] body) throws IOException {
-      ByteBuffer left = ByteBuffer.wrap(body == null ? new byte[0] : body);
-      if (pump(sink, left)) {
-        return;
-      }
-      sink.getWriteSetter()
-          .set(
-              (ChannelListener<StreamSinkChannel>)
-                  channel -> {
-                    try {
-                      if (pump(channel, left)) {
-                        channel.suspendWrites();
-                      }
-                    } catch (IOException e) {
-                      channel.suspendWrites();
-                      XnioRuntime.guarded(() -> finish(Reply.UNKNOWN));
-                    }
-                  });
-      sink.resumeWrites();
-    }
-
-    private boolean pump(StreamSinkChannel sink, ByteBuffer left) throws IOException {
-      while (left.hasRemaining()) {
-        if (sink.write(left) == 0) {
-          return false;
-        }
-      }
-      sink.shutdownWrites();
-      return sink.flush();
-    }
-
-    private void receive(ClientExchange exchange) {
-      StreamSourceChannel source = exchange.getResponseChannel();
-      ByteArrayOutputStream collected = new ByteArrayOutputStream(512);
-      int status = exchange.getResponse().getResponseCode();
-      if (drain(source, collected, status)) {
-        return;
-      }
-      source
-          .getReadSetter()
-          .set(
-              (ChannelListener<StreamSourceChannel>)
-                  channel ->
-                      XnioRuntime.guarded(
-                          () -> {
-                            if (drain(channel, collected, status)) {
-                              channel.suspendReads();
-                            }
-                          }));
-      source.resumeReads();
-    }
+      Exchange.begin(
+          made.connection,
+          out,
+          body,
+          Integer.MAX_VALUE,
+          new Exchange.Listener() {
+            @Override
+            public void answered(ClientResponse response, byte[] answer) {
+              if (state != State.DONE) {
+                // Let the client finish its own end of the exchange before the connection is reused.
+                runtime.execute(() -> giveBack(request.address(), made));
+              }
+              finish(Reply.answered(response.getResponseCode(), answer));
+            }
 
-    /** Reads what is there; true once the call is over. */
-    private boolean drain(StreamSourceChannel source, ByteArrayOutputStream into, int status) {
-      ByteBuffer buffer = ByteBuffer.allocate(8 * 1024);
-      try {
-        while (true) {
-          int read = source.read(buffer);
-          if (read == 0) {
-            return state == State.DONE;
-          }
-          if (read < 0) {
-            if (state != State.DONE) {
-              // Let the client finish its own end of the exchange before the connection is reused.
-              runtime.execute(() -> giveBack(request.address(), made));
+            @Override
+            public void failed(String why) {
+              finish(Reply.UNKNOWN);
             }
-            finish(Reply.answered(status, into.toByteArray()));
-            return true;
-          }
-          into.write(buffer.array(), 0, read);
-          buffer.clear();
-        }
-      } catch (IOException e) {
-        finish(Reply.UNKNOWN);
-        return true;
-      }
+          });
     }
   }
 }
--- a/src/main/java/io/pineladder/net/XnioRuntime.java
+++ b/src/main/java/io/pineladder/net/XnioRuntime.java
@@ -19,7 +19,9 @@
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.Function;
+import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -35,7 +37,7 @@
 import org.xnio.channels.AcceptingChannel;
 
 /** The one XNIO thread, on which everything runs: servers, the client, timers, the core. */
-public final class XnioRuntime implements Timeline {
+public final class XnioRuntime implements Timeline, Background {
   private static final Logger log = LoggerFactory.getLogger(XnioRuntime.class);
   /** Larger bodies than a user may send; reports of full machines stay below it. */
   private static final int MAX_BODY = 1 << 20;
@@ -112,6 +114,21 @@
     thread.execute(() -> guarded(action));
   }
 
+  @Override
+  public <T> void run(Supplier<T> work, Consumer<T> then) {
+    worker.execute(
+        () ->
+            guarded(
+                () -> {
+                  T result = work.get();
+                  execute(() -> then.accept(result));
+                }));
+  }
+
+  Xnio xnio() {
+    return worker.getXnio();
+  }
+
   /**
    * A fault in one message must not end the event thread, yet the state it left is not to be
    * trusted: the process ends and its successor starts from the stored state.
--- a/src/main/java/io/pineladder/recovery/TermLoader.java
+++ b/src/main/java/io/pineladder/recovery/TermLoader.java
@@ -1,16 +1,19 @@
 package io.pineladder.recovery;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import io.pineladder.delivery.Outbox;
 import io.pineladder.model.Attempt;
 import io.pineladder.model.Job;
 import io.pineladder.model.Machine;
 import io.pineladder.model.MachineType;
+import io.pineladder.model.Notice;
 import io.pineladder.net.Timeline;
 import io.pineladder.scheduling.Cluster;
 import io.pineladder.store.Committer;
 import io.pineladder.store.Keys;
 import io.pineladder.store.Records;
 import io.pineladder.store.StoreClient;
+import io.pineladder.wire.DeliveryWire;
 import io.pineladder.wire.MalformedException;
 import io.pineladder.wire.RecordWire;
 import io.pineladder.wire.StoreWire;
@@ -53,6 +56,7 @@
   private final Cluster cluster;
   private final Committer committer;
   private final Records records;
+  private final Outbox outbox;
   private final Listener listener;
 
   public TermLoader(
@@ -61,12 +65,14 @@
       Cluster cluster,
       Committer committer,
       Records records,
+      Outbox outbox,
       Listener listener) {
     this.store = store;
     this.time = time;
     this.cluster = cluster;
     this.committer = committer;
     this.records = records;
+    this.outbox = outbox;
     this.listener = listener;
   }
 
@@ -82,10 +88,24 @@
         conf -> {
           conf.entries().forEach(e -> committer.known(e.key(), e.version()));
           listener.onConf(conf.entries());
+          loadSubscriptions(conf.entries());
           loadRecords(wanted);
         });
   }
 
+  private void loadSubscriptions(List<StoreWire.Entry> conf) {
+    for (StoreWire.Entry entry : conf) {
+      if (entry.key().startsWith(Keys.SUBSCRIPTION)) {
+        try {
+          outbox.known(DeliveryWire.parseSubscription(entry.value()));
+        } catch (MalformedException e) {
+          // Scheduling for all goes before the notices of one.
+          log.error("{} cannot be read and is left out: {}", entry.key(), e.getMessage());
+        }
+      }
+    }
+  }
+
   private void loadRecords(BooleanSupplier wanted) {
     // The inbox is read before the jobs, so that a job is in the one or the other.
     store.list(
@@ -100,6 +120,9 @@
           rest.put(Keys.DONE, listing -> stored.done = listing);
           rest.put(Keys.PLACED, listing -> stored.placed = listing);
           rest.put(Keys.IMAGES, listing -> stored.images = listing);
+          if (outbox.isWanted()) {
+            rest.put(Keys.DELIVERED, listing -> stored.delivered = listing);
+          }
           int[] left = {rest.size()};
           rest.forEach(
               (prefix, onRead) ->
@@ -122,6 +145,9 @@
     StoreClient.Listing done;
     StoreClient.Listing placed;
     StoreClient.Listing images;
+
+    /** Read only where somebody subscribes. */
+    StoreClient.Listing delivered = new StoreClient.Listing(List.of(), 0);
   }
 
   /** A page's entry with the page it stands in. */
@@ -158,7 +184,17 @@
           return;
         }
       }
-      stored.accepted.entries().forEach(page -> records.knownJobs(page.key()));
+      for (StoreWire.Entry page : stored.accepted.entries()) {
+        records.knownJobs(page.key());
+        for (Notice notice : RecordWire.notices(page.value())) {
+          records.knownNotice(page.key(), notice);
+        }
+      }
+      for (StoreWire.Entry page : stored.delivered.entries()) {
+        committer.known(page.key(), page.version());
+        outbox.known(page.key(), DeliveryWire.parseProgress(page.value()));
+      }
+      outbox.loaded();
       for (Paged<JsonNode> record : readPages(stored.accepted, entry -> entry)) {
         Job job = toJob(record.entry);
         records.knownJob(record.page, job, record.entry);
--- a/src/main/java/io/pineladder/store/Committer.java
+++ b/src/main/java/io/pineladder/store/Committer.java
@@ -62,6 +62,7 @@
   private State state = State.IDLE;
   private Batch batch;
   private final Backoff retry;
+  private NoticeBook book = NoticeBook.NONE;
 
   private static final class Batch {
     final List<Mutation> mutations = new ArrayList<>();
@@ -93,6 +94,11 @@
     }
   }
 
+  /** Has notices numbered by the book, in the order in which they go into transactions. */
+  public void number(NoticeBook by) {
+    book = by;
+  }
+
   /** Tells the revision of a key that was read. */
   public void known(String key, long version) {
     versions.put(key, version);
@@ -152,12 +158,18 @@
 
   /** How many keys the mutation changes that the transaction does not change already. */
   private static int cost(Mutation mutation, Map<JobPages.Page, List<JobPages.Edit>> pages) {
-    long more = mutation.edits().stream().filter(e -> !pages.containsKey(e.page)).count();
+    long more =
+        mutation.edits().stream()
+            .map(e -> e.page)
+            .filter(page -> !pages.containsKey(page))
+            .distinct()
+            .count();
     return mutation.writes().size() + (int) more;
   }
 
   private Batch gather(int ops) {
     Batch made = new Batch();
+    book.begin();
     StoreWire.Transaction transaction =
         new StoreWire.Transaction().require(Keys.LEADER, term);
     Set<String> keys = new HashSet<>();
@@ -296,6 +308,7 @@
         });
     moveTo(State.WAITING);
     over.pages.forEach((page, edits) -> page.committed(edits));
+    book.committed();
     for (Mutation mutation : over.mutations) {
       mutation.onCommitted().run();
     }
--- a/src/main/java/io/pineladder/store/Keys.java
+++ b/src/main/java/io/pineladder/store/Keys.java
@@ -32,6 +32,15 @@
   public static final String TYPES = "conf/types";
   public static final String OPERATOR = "conf/operator";
 
+  /** Who is to be told of final states; a value each. */
+  public static final String SUBSCRIPTION = "conf/subscription/";
+
+  /** Where notices may be sent. */
+  public static final String NETWORKS = "conf/networks";
+
+  /** What subscribers have confirmed, many in one value. */
+  public static final String DELIVERED = "delivered/";
+
   private Keys() {}
 
   /** The number of a page's key, which follows its prefix; -1 when there is none. */
--- a/src/main/java/io/pineladder/store/Mutation.java
+++ b/src/main/java/io/pineladder/store/Mutation.java
@@ -42,11 +42,11 @@
   static Mutation editing(
       Priority priority,
       List<Write> writes,
-      JobPages.Edit edit,
+      List<JobPages.Edit> edits,
       List<String> absent,
       Runnable onCommitted,
       Runnable onExists) {
     return new Mutation(
-        priority, writes, List.of(edit), absent, () -> true, onCommitted, onExists);
+        priority, writes, edits, absent, () -> true, onCommitted, onExists);
   }
 }
--- /dev/null
+++ b/src/main/java/io/pineladder/store/NoticeBook.java
@@ -0,0 +1,49 @@
+package io.pineladder.store;
+
+import io.pineladder.model.Job;
+import io.pineladder.model.Notice;
+
+/** Numbers the notices of final states, and is told which are stored. */
+public interface NoticeBook {
+  /** Nobody is to be told anything. */
+  NoticeBook NONE =
+      new NoticeBook() {
+        @Override
+        public boolean isWanted() {
+          return false;
+        }
+
+        @Override
+        public void begin() {}
+
+        @Override
+        public Notice next(Job job) {
+          return null;
+        }
+
+        @Override
+        public void stored(Notice notice, Runnable drop) {}
+
+        @Override
+        public void committed() {}
+      };
+
+  /** Whether anybody may want to be told of any job. */
+  boolean isWanted();
+
+  /** A transaction is put together: numbers given since the last commit are free again. */
+  void begin();
+
+  /** The next notice, for a job whose end goes into the transaction; null when nobody wants it. */
+  Notice next(Job job);
+
+  /**
+   * The transaction with the notice has committed.
+   *
+   * @param drop takes the notice out of its page, with the page's next write
+   */
+  void stored(Notice notice, Runnable drop);
+
+  /** All notices of the transaction have been told; they may have come in any order. */
+  void committed();
+}
--- a/src/main/java/io/pineladder/store/Records.java
+++ b/src/main/java/io/pineladder/store/Records.java
@@ -6,6 +6,7 @@
 import io.pineladder.model.Job;
 import io.pineladder.model.JobSpec;
 import io.pineladder.model.Machine;
+import io.pineladder.model.Notice;
 import io.pineladder.net.Timeline;
 import io.pineladder.store.Mutation.Priority;
 import io.pineladder.store.Mutation.Write;
@@ -60,6 +61,7 @@
 
   private final Consumer<Mutation> commit;
   private final Listener listener;
+  private final NoticeBook book;
   private final int valueBytes;
   private final JobPages jobs;
 
@@ -86,11 +88,16 @@
   }
 
   public Records(
-      int valueBytes, Timeline time, Consumer<Mutation> commit, Listener listener) {
+      int valueBytes,
+      Timeline time,
+      Consumer<Mutation> commit,
+      Listener listener,
+      NoticeBook book) {
+    this.book = book;
     this.commit = commit;
     this.listener = listener;
     this.valueBytes = valueBytes;
-    this.jobs = new JobPages(valueBytes);
+    this.jobs = new JobPages(valueBytes, book);
     this.chunkTasks = chunkTasks(valueBytes);
     this.placements =
         new Pages<>(
@@ -255,7 +262,7 @@
         Mutation.editing(
             Priority.ACCEPT,
             List.of(),
-            jobs.add(job, () -> jobValue(job)),
+            List.of(jobs.add(job, () -> jobValue(job))),
             List.of(Keys.JOB + id, Keys.END + id),
             onStored,
             () -> {
@@ -274,6 +281,11 @@
     jobs.known(jobs.known(page), job, record);
   }
 
+  /** A notice in a page read at the start of a term. */
+  public void knownNotice(String page, Notice notice) {
+    jobs.known(jobs.known(page), notice);
+  }
+
   /** The job has a record of its own as well as one in a page. */
   public void knownTwice(Job job, boolean is) {
     if (is) {
@@ -316,10 +328,15 @@
           }
         };
     if (jobs.homeOf(job) == null) {
-      commit.accept(Mutation.of(Priority.END, List.of(ownRecord(job)), onStored));
+      commit.accept(
+          Mutation.editing(
+              Priority.END, List.of(ownRecord(job)), note(job, false), List.of(), onStored, null));
     } else {
       // The final state has its own key at once: nodes without a leader look for it there.
-      endPaged(job, () -> jobs.replace(job, () -> jobValue(job)), onStored);
+      endPaged(
+          job,
+          () -> with(jobs.replace(job, () -> jobValue(job)), note(job, false)),
+          onStored);
     }
   }
 
@@ -338,35 +355,54 @@
         };
     if (jobs.homeOf(job) == null) {
       commit.accept(
-          Mutation.of(
-              Priority.END, List.of(finalState(job), noOwnRecord(job)), onStored));
+          Mutation.editing(
+              Priority.END,
+              List.of(finalState(job), noOwnRecord(job)),
+              note(job, true),
+              List.of(),
+              onStored,
+              null));
     } else if (job.endStored) {
       commit.accept(
           Mutation.editing(
-              Priority.TIDY, List.of(), jobs.remove(job), List.of(), onStored, null));
+              Priority.TIDY, List.of(), List.of(jobs.remove(job)), List.of(), onStored, null));
     } else {
-      endPaged(job, () -> jobs.remove(job), onStored);
+      endPaged(job, () -> with(jobs.remove(job), note(job, true)), onStored);
     }
   }
 
+  private static List<JobPages.Edit> with(JobPages.Edit edit, List<JobPages.Edit> more) {
+    List<JobPages.Edit> all = new ArrayList<>(more);
+    all.add(0, edit);
+    return all;
+  }
+
+  /**
+   * The notice of a final state, for the transaction that stores that state first: in one of its own
+   * either could be there without the other.
+   */
+  private List<JobPages.Edit> note(Job job, boolean leaves) {
+    return job.endStored || !book.isWanted() ? List.of() : List.of(jobs.note(job, leaves));
+  }
+
   /**
    * Stores the final state of a job in a page, and sees to it that no record of its own is left: a
    * node that reached the store and not this leader may have stored the job again, and the copy
    * would bring it back to life. Once the final state is there nobody creates another.
    */
-  private void endPaged(Job job, Supplier<JobPages.Edit> edit, Runnable onStored) {
+  private void endPaged(Job job, Supplier<List<JobPages.Edit>> edits, Runnable onStored) {
     boolean copy = twice.contains(job);
     commit.accept(
         Mutation.editing(
             Priority.END,
             copy ? List.of(finalState(job), noOwnRecord(job)) : List.of(finalState(job)),
-            edit.get(),
+            edits.get(),
             copy ? List.of() : List.of(Keys.JOB + job.spec.id()),
             () -> {
               twice.remove(job);
               onStored.run();
             },
-            () -> listener.onStoredTwice(job, () -> endPaged(job, edit, onStored))));
+            () -> listener.onStoredTwice(job, () -> endPaged(job, edits, onStored))));
   }
 
   private static Write finalState(Job job) {
--- /dev/null
+++ b/src/main/java/io/pineladder/wire/DeliveryWire.java
@@ -0,0 +1,232 @@
+package io.pineladder.wire;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.pineladder.model.Notice;
+import io.pineladder.model.Progress;
+import io.pineladder.model.Subscription;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+
+/** Stored subscriptions and their progress, and the events that subscribers get. */
+public final class DeliveryWire {
+  /** CloudEvents 1.0, structured mode in JSON. */
+  public static final String CONTENT_TYPE = "application/cloudevents+json; charset=utf-8";
+
+  public static final String DONE = "io.pineladder.job.done";
+  public static final String CANCELLED = "io.pineladder.job.cancelled";
+
+  /** Notices that were kept for a subscriber for so long that they had to go. */
+  public static final String LOST = "io.pineladder.notices.lost";
+
+  private static final long ANY = Long.MAX_VALUE;
+
+  private DeliveryWire() {}
+
+  // ---- stored records
+
+  private static ArrayNode texts(Collection<String> values) {
+    ArrayNode out = Json.array();
+    values.forEach(out::add);
+    return out;
+  }
+
+  private static List<String> texts(JsonNode node) {
+    List<String> out = new ArrayList<>();
+    node.forEach(each -> out.add(each.asText()));
+    return out;
+  }
+
+  private static Set<String> textSet(JsonNode node) {
+    return Set.copyOf(new LinkedHashSet<>(texts(node)));
+  }
+
+  public static ObjectNode subscription(Subscription from) {
+    ObjectNode out =
+        Json.object()
+            .put("name", from.name())
+            .put("incarnation", from.incarnation())
+            .put("url", from.url())
+            .put("since", from.since());
+    ArrayNode filters = out.putArray("filters");
+    for (Subscription.Filter filter : from.filters()) {
+      ObjectNode one = filters.addObject().put("after", filter.after());
+      one.set("owners", texts(filter.owners().stream().sorted().toList()));
+      one.set("classes", texts(filter.classes().stream().sorted().toList()));
+    }
+    out.set("secrets", texts(from.secrets()));
+    out.put("status", from.status().name().toLowerCase(Locale.ROOT));
+    return from.reason() == null ? out : out.put("reason", from.reason());
+  }
+
+  public static Subscription parseSubscription(JsonNode value) throws MalformedException {
+    Fields in = Fields.of(value);
+    List<Subscription.Filter> filters = new ArrayList<>();
+    for (JsonNode filter : in.node("filters")) {
+      filters.add(
+          new Subscription.Filter(
+              Fields.of(filter).whole("after", 0, ANY),
+              textSet(filter.path("owners")),
+              textSet(filter.path("classes"))));
+    }
+    if (filters.isEmpty()) {
+      throw new MalformedException("filters is empty");
+    }
+    Subscription.Status status;
+    try {
+      status = Subscription.Status.valueOf(in.text("status").toUpperCase(Locale.ROOT));
+    } catch (IllegalArgumentException e) {
+      throw new MalformedException("unknown status");
+    }
+    return new Subscription(
+        in.text("name"),
+        in.text("incarnation"),
+        in.text("url"),
+        in.whole("since", 0, ANY),
+        List.copyOf(filters),
+        texts(in.node("secrets")),
+        status,
+        in.textOr("reason", null));
+  }
+
+  /** A page of what subscribers have confirmed, by their events' source. */
+  public static ObjectNode progress(Map<String, Progress> entries) {
+    ObjectNode out = Json.object();
+    ArrayNode list = out.putArray("progress");
+    entries.forEach(
+        (source, at) ->
+            list.addArray()
+                .add(source)
+                .add(at.number())
+                .add(at.sequence())
+                .add(at.lostFrom()));
+    return out;
+  }
+
+  public static Map<String, Progress> parseProgress(JsonNode value) throws MalformedException {
+    Map<String, Progress> out = new LinkedHashMap<>();
+    for (JsonNode entry : Fields.of(value).node("progress")) {
+      if (entry.size() != 4) {
+        throw new MalformedException("a subscriber's progress does not have its 4 parts");
+      }
+      out.put(
+          entry.get(0).asText(),
+          new Progress(entry.get(1).asLong(), entry.get(2).asLong(), entry.get(3).asLong()));
+    }
+    return out;
+  }
+
+  public static ObjectNode networks(Collection<String> networks) {
+    ObjectNode out = Json.object();
+    out.set("networks", texts(networks));
+    return out;
+  }
+
+  public static List<String> parseNetworks(JsonNode value) throws MalformedException {
+    JsonNode list = Fields.of(value).node("networks");
+    if (!list.isArray()) {
+      throw new MalformedException("networks is not a list");
+    }
+    for (JsonNode each : list) {
+      if (!each.isTextual()) {
+        throw new MalformedException("networks holds something that is not a text");
+      }
+    }
+    return texts(list);
+  }
+
+  // ---- events
+
+  /** An event's id: the same on every repeat, and no other event's. */
+  public static String id(Subscription to, long sequence) {
+    return to.name() + "." + to.incarnation() + "." + sequence;
+  }
+
+  private static ObjectNode event(Subscription to, long sequence, String type) {
+    return Json.object()
+        .put("specversion", "1.0")
+        .put("id", id(to, sequence))
+        .put("source", to.source())
+        .put("type", type);
+  }
+
+  /** The event that tells of a notice; byte for byte the same on every repeat. */
+  public static byte[] event(Subscription to, long sequence, Notice notice) {
+    ObjectNode event =
+        event(to, sequence, RecordWire.word(notice.ended()).equals("done") ? DONE : CANCELLED)
+            .put("subject", notice.job())
+            .put("time", notice.at().toString())
+            .put("datacontenttype", "application/json")
+            // The sequence extension: a text whose order is that of the numbers.
+            .put("sequence", String.format(Locale.ROOT, "%019d", sequence));
+    event
+        .putObject("data")
+        .put("job", notice.job())
+        .put("owner", notice.team())
+        .put("class", notice.jobClass())
+        .put("answer", RecordWire.word(notice.ended()))
+        .put("tasks", notice.tasks());
+    return Json.bytes(event);
+  }
+
+  /** The event that tells which notices will never come. */
+  public static byte[] lost(Subscription to, long first, long last) {
+    ObjectNode event =
+        event(to, last, LOST)
+            .put("datacontenttype", "application/json")
+            .put("sequence", String.format(Locale.ROOT, "%019d", last));
+    event.putObject("data").put("first", first).put("last", last);
+    return Json.bytes(event);
+  }
+
+  /** An event as its receiver sees it; {@code first} is its own sequence unless it tells of a loss. */
+  public record Event(String source, String type, long first, long sequence, ObjectNode json) {}
+
+  /** Reads an event; the reason names what of it is wrong. */
+  public static Event parseEvent(byte[] body) throws MalformedException {
+    ObjectNode json = Json.parseObject(body);
+    Fields in = Fields.of(json);
+    if (!in.text("specversion").equals("1.0")) {
+      throw new MalformedException("specversion is not 1.0");
+    }
+    in.text("id");
+    String source = in.text("source");
+    String type = in.text("type");
+    long sequence;
+    try {
+      sequence = Long.parseLong(in.text("sequence"));
+    } catch (NumberFormatException e) {
+      throw new MalformedException("sequence is not a number");
+    }
+    long first =
+        type.equals(LOST) ? Fields.of(in.node("data")).whole("first", 1, sequence) : sequence;
+    if (sequence < 1) {
+      throw new MalformedException("sequence is below 1");
+    }
+    return new Event(source, type, first, sequence, json);
+  }
+
+  /** What a receiver answers: the last sequence that it has. */
+  public static byte[] position(long position) {
+    return Json.bytes(Json.object().put("position", position));
+  }
+
+  /** The position that a receiver's answer tells, or -1. */
+  public static long parsePosition(byte[] body) {
+    try {
+      JsonNode position = Json.parseObject(body).path("position");
+      return position.canConvertToLong() && position.asLong() >= 0 && position.isIntegralNumber()
+          ? position.asLong()
+          : -1;
+    } catch (MalformedException e) {
+      return -1;
+    }
+  }
+}
--- a/src/main/java/io/pineladder/wire/RecordWire.java
+++ b/src/main/java/io/pineladder/wire/RecordWire.java
@@ -8,11 +8,13 @@
 import io.pineladder.model.JobSpec;
 import io.pineladder.model.Machine;
 import io.pineladder.model.MachineType;
+import io.pineladder.model.Notice;
 import io.pineladder.model.OperatorSettings;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.BitSet;
+import java.util.Collection;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -48,7 +50,8 @@
   /** The leader's key. */
   public record LeaderRecord(String member, String address, String nonce) {}
 
-  private static String word(Job.State state) {
+  /** The word for a job's state, in records and to subscribers. */
+  public static String word(Job.State state) {
     return switch (state) {
       case ACTIVE -> "active";
       case CANCELLED -> "cancelled";
@@ -115,6 +118,45 @@
     return page;
   }
 
+  /** A page of jobs with the notices of those that are over. */
+  public static ObjectNode page(Stream<JsonNode> entries, Collection<Notice> notices) {
+    ObjectNode page = page(entries);
+    if (!notices.isEmpty()) {
+      ArrayNode list = page.putArray("notices");
+      notices.forEach(notice -> list.add(notice(notice)));
+    }
+    return page;
+  }
+
+  public static JsonNode notice(Notice notice) {
+    return Json.array()
+        .add(notice.number())
+        .add(notice.job())
+        .add(notice.team())
+        .add(notice.jobClass())
+        .add(word(notice.ended()))
+        .add(notice.tasks())
+        .add(notice.at().toEpochMilli());
+  }
+
+  /** The notices in a page of jobs. */
+  public static List<Notice> notices(JsonNode page) throws MalformedException {
+    List<Notice> notices = new ArrayList<>();
+    for (JsonNode entry : page.path("notices")) {
+      sized(entry, 7);
+      notices.add(
+          new Notice(
+              entry.get(0).asLong(),
+              entry.get(1).asText(),
+              entry.get(2).asText().intern(),
+              entry.get(3).asText().intern(),
+              state(entry.get(4).asText()),
+              entry.get(5).asInt(),
+              Instant.ofEpochMilli(entry.get(6).asLong())));
+    }
+    return notices;
+  }
+
   /** A page's entries, as {@link #placement}, {@link #done} or {@link #images} wrote them. */
   public static List<JsonNode> entries(JsonNode page) throws MalformedException {
     JsonNode list = Fields.of(page).node("entries");
--- a/src/main/java/io/pineladder/wire/SettingsReader.java
+++ b/src/main/java/io/pineladder/wire/SettingsReader.java
@@ -114,7 +114,10 @@
         new Settings.CloudLimits(cloud.number("rps", 0.01, MAX), cloud.seconds("list_lag_s", 0)),
         deployment.has("resources")
             ? (int) deployment.table("resources").number("max_sockets", 64, MAX)
-            : USUAL_SOCKETS);
+            : USUAL_SOCKETS,
+        deployment.has("resources") && deployment.table("resources").has("core_share")
+            ? deployment.table("resources").number("core_share", 0.001, MAX)
+            : 1);
   }
 
   /** One table of the file, with its place for messages. */
--- a/src/test/java/io/pineladder/net/SocketsTest.java
+++ b/src/test/java/io/pineladder/net/SocketsTest.java
@@ -31,17 +31,17 @@
       new EnumMap<>(
           Map.of(
               Part.ARRIVING, 12, Part.USERS, 24, Part.REPORTS, 40, Part.PEERS, 12,
-              Part.SERVICES, 8, Part.ORDERS, 16));
+              Part.SERVICES, 8, Part.ORDERS, 16, Part.NOTICES, 0));
   private static final Map<Part, Integer> MOST =
       new EnumMap<>(
           Map.of(
               Part.ARRIVING, 40, Part.USERS, 80, Part.REPORTS, 150, Part.PEERS, 30,
-              Part.SERVICES, 24, Part.ORDERS, 30));
+              Part.SERVICES, 24, Part.ORDERS, 30, Part.NOTICES, 6));
   private static final Map<Part, Integer> STALE_SECONDS =
       new EnumMap<>(
           Map.of(
               Part.ARRIVING, 5, Part.USERS, 20, Part.REPORTS, 12, Part.PEERS, 30,
-              Part.SERVICES, 20, Part.ORDERS, 20));
+              Part.SERVICES, 20, Part.ORDERS, 20, Part.NOTICES, 20));
 
   private static final class Clock implements Timeline {
     Instant now = Instant.EPOCH;
--- /dev/null
+++ b/src/test/java/io/pineladder/sim/ReceiverStandIn.java
@@ -0,0 +1,156 @@
+package io.pineladder.sim;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.pineladder.delivery.receiver.NoticeStore;
+import io.pineladder.delivery.receiver.Receiver;
+import io.pineladder.net.HttpAnswer;
+import io.pineladder.net.HttpCaller;
+import io.pineladder.net.HttpHandlerAsync;
+import io.pineladder.net.Outward;
+import io.pineladder.wire.DeliveryWire.Event;
+import io.pineladder.wire.Json;
+import io.pineladder.wire.MalformedException;
+import java.io.IOException;
+import java.time.Clock;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.ZoneId;
+import java.time.ZoneOffset;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+
+/** A receiver in virtual time that is killed at random points and keeps what it has made durable. */
+final class ReceiverStandIn implements HttpHandlerAsync, NoticeStore {
+  private final World world;
+  private final Receiver receiver;
+
+  /** What happened here, in order: the effect. */
+  final List<Event> effects = new ArrayList<>();
+
+  private final Map<String, Long> positions = new HashMap<>();
+
+  /** The part of requests at which it is killed, or answers with trouble. */
+  double trouble;
+
+  /** When a killed one is back. */
+  private Instant backAt = Instant.EPOCH;
+
+  /** It is killed after its next effect and before its answer. */
+  private boolean dying;
+
+  int requests;
+
+  ReceiverStandIn(World world, byte[] secret) {
+    this.world = world;
+    this.receiver =
+        new Receiver(
+            List.of(secret),
+            this,
+            new Clock() {
+              @Override
+              public ZoneId getZone() {
+                return ZoneOffset.UTC;
+              }
+
+              @Override
+              public Clock withZone(ZoneId zone) {
+                return this;
+              }
+
+              @Override
+              public Instant instant() {
+                return world.now();
+              }
+            });
+  }
+
+  @Override
+  public long position(String source) {
+    return positions.getOrDefault(source, 0L);
+  }
+
+  @Override
+  public void apply(Event event) throws IOException {
+    if (world.random.nextDouble() < trouble / 4) {
+      throw new IOException("the disk is full");
+    }
+    effects.add(event);
+    positions.put(event.source(), event.sequence());
+  }
+
+  @Override
+  public void close() {}
+
+  /** It loses its latest effects, as after a return to a copy. */
+  void restore(int keep) {
+    while (effects.size() > keep) {
+      effects.remove(effects.size() - 1);
+    }
+    positions.clear();
+    effects.forEach(event -> positions.put(event.source(), event.sequence()));
+  }
+
+  @Override
+  public void handle(String method, String path, byte[] body, Consumer<HttpAnswer> answer) {
+    requests++;
+    if (world.now().isBefore(backAt)) {
+      return;
+    }
+    double chance = world.random.nextDouble();
+    if (chance < trouble / 4) {
+      kill();
+      return;
+    }
+    if (chance < trouble / 2) {
+      answer.accept(new HttpAnswer(world.random.nextBoolean() ? 503 : 429, new byte[0], 1));
+      return;
+    }
+    dying = chance < trouble * 3 / 4;
+    try {
+      ObjectNode envelope = Json.parseObject(body);
+      Receiver.Reply reply =
+          receiver.receive(
+              name -> envelope.path("headers").path(name).asText(null),
+              Base64.getDecoder().decode(envelope.get("body").asText()));
+      if (dying) {
+        kill();
+        return;
+      }
+      answer.accept(new HttpAnswer(reply.status(), reply.body()));
+    } catch (MalformedException e) {
+      throw new AssertionError(e);
+    }
+  }
+
+  private void kill() {
+    backAt = world.now().plusMillis(500 + world.random.nextInt(20_000));
+  }
+
+  /** What a controller on a host sends through: the simulated network, with its late packets. */
+  static Outward from(World world, String host, BooleanSupplier alive) {
+    HttpCaller http = world.caller(host, alive);
+    return (message, onAnswer) -> {
+      ObjectNode envelope = Json.object();
+      ObjectNode headers = envelope.putObject("headers");
+      message.headers().forEach(headers::put);
+      envelope.put("body", Base64.getEncoder().encodeToString(message.body()));
+      http.call(
+          HttpCaller.Request.post(
+              message.url().getRawAuthority(),
+              message.url().getRawPath(),
+              Json.bytes(envelope),
+              message.timeout()),
+          reply ->
+              onAnswer.accept(
+                  reply.isAnswered()
+                      ? Outward.Answer.answered(
+                          reply.status(), Duration.ofSeconds(1), reply.body())
+                      : Outward.Answer.failed("no answer")));
+    };
+  }
+}
--- a/src/test/java/io/pineladder/sim/SimulatedCluster.java
+++ b/src/test/java/io/pineladder/sim/SimulatedCluster.java
@@ -6,6 +6,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.pineladder.Node;
 import io.pineladder.admin.Metrics;
+import io.pineladder.delivery.Delivery;
 import io.pineladder.front.Front;
 import io.pineladder.model.Settings;
 import io.pineladder.net.HttpCaller;
@@ -98,7 +99,7 @@
     String host = "10.0.0." + (controller.index + 1);
     Timeline time = world.timeline(host, () -> alive[0], rate);
     HttpCaller http = world.caller(host, () -> alive[0]);
-    Node node = new Node(settings, time, http, "nonce-" + world.random.nextLong());
+    Node node = new Node(settings, time, http, "nonce-" + world.random.nextLong(), delivery(host));
     controller.node = node;
     Front front = new Front(node, new Metrics());
     world.serve(settings.frontAddress(), front::handle);
@@ -106,6 +107,11 @@
     node.start();
   }
 
+  /** What the host delivers notices with; null for none. */
+  Delivery delivery(String host) {
+    return null;
+  }
+
   void kill(Controller controller, long backMillis) {
     if (!controller.alive[0]) {
       return;
--- a/src/test/java/io/pineladder/sim/StoreStandIn.java
+++ b/src/test/java/io/pineladder/sim/StoreStandIn.java
@@ -62,6 +62,18 @@
     return (int) keys.keySet().stream().filter(k -> k.startsWith(prefix)).count();
   }
 
+  /** The final states that are stored, by job. */
+  Map<String, String> ends() {
+    Map<String, String> found = new TreeMap<>();
+    keys.forEach(
+        (key, value) -> {
+          if (key.startsWith("end/")) {
+            found.put(key.substring("end/".length()), value.value.toString());
+          }
+        });
+    return found;
+  }
+
   /** The ids of all jobs that a leader would take up, in pages or with a record of their own. */
   Set<String> jobs() {
     Set<String> found = new TreeSet<>();
--- a/src/test/java/io/pineladder/store/PagesTest.java
+++ b/src/test/java/io/pineladder/store/PagesTest.java
@@ -229,7 +229,8 @@
 
               @Override
               public void onStoredTwice(Job job, Runnable again) {}
-            });
+            },
+            NoticeBook.NONE);
     RandomGenerator random = RandomGeneratorFactory.of("L64X128MixRandom").create(7);
     Set<Attempt> done = new LinkedHashSet<>();
     // Every other task of the first half makes for the most ranges.
--- a/src/test/java/io/pineladder/workers/LeaderHarness.java
+++ b/src/test/java/io/pineladder/workers/LeaderHarness.java
@@ -15,6 +15,7 @@
 import io.pineladder.net.Timeline;
 import io.pineladder.scheduling.Cluster;
 import io.pineladder.scheduling.Scheduler;
+import io.pineladder.store.NoticeBook;
 import io.pineladder.store.Records;
 import io.pineladder.wire.SettingsReader;
 import io.pineladder.wire.SettingsReaderTest;
@@ -119,7 +120,8 @@
 
               @Override
               public void onStoredTwice(Job job, Runnable again) {}
-            });
+            },
+            NoticeBook.NONE);
     scheduler.useRecords(records);
     fleet =
         new Fleet(
