A peer that hangs holds our socket no longer than the call; TLS outward

Cause: closing a connection through Undertow's client goes on reading for up to 10 s, to end in peace; a peer that hangs with our request says nothing, so each call given up kept its socket for that time. And TLS connections ended the process: UndertowXnioSsl opens them by another method of the I/O thread, which our stand-in for it did not pass on. Both were found by tests of receivers that never answer and of certificates.

Change: a call that is given up closes the connection beneath the client's; the connector passes the other method on.

Certificates are checked for trust and name; redirects are not followed; answers that drip, never end or are too long are given up.

--- a/src/main/java/io/pineladder/net/Connector.java
+++ b/src/main/java/io/pineladder/net/Connector.java
@@ -5,6 +5,7 @@
 import io.undertow.client.ClientConnection;
 import io.undertow.client.UndertowClient;
 import io.undertow.connector.ByteBufferPool;
+import java.io.IOException;
 import java.net.SocketAddress;
 import java.net.URI;
 import java.util.concurrent.TimeUnit;
@@ -14,6 +15,7 @@
 import org.xnio.Options;
 import org.xnio.StreamConnection;
 import org.xnio.XnioIoThread;
+import org.xnio.channels.BoundChannel;
 import org.xnio.ssl.XnioSsl;
 
 /**
@@ -70,6 +72,27 @@
     return made;
   }
 
+  @Override
+  public IoFuture<StreamConnection> openStreamConnection(
+      SocketAddress bindAddress,
+      SocketAddress destination,
+      ChannelListener<? super StreamConnection> openListener,
+      ChannelListener<? super BoundChannel> bindListener,
+      OptionMap options) {
+    made =
+        real.openStreamConnection(bindAddress, destination, openListener, bindListener, options);
+    return made;
+  }
+
+  /** The connection that a future holds which has succeeded. */
+  static StreamConnection made(IoFuture<StreamConnection> connecting) {
+    try {
+      return connecting.get();
+    } catch (IOException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
   @Override
   public void execute(Runnable command) {
     real.execute(command);
--- a/src/main/java/io/pineladder/net/OutwardCaller.java
+++ b/src/main/java/io/pineladder/net/OutwardCaller.java
@@ -25,6 +25,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
+import javax.net.ssl.SSLContext;
 import org.xnio.IoFuture;
 import org.xnio.IoUtils;
 import org.xnio.OptionMap;
@@ -45,6 +46,7 @@
 
   private final XnioRuntime runtime;
   private final Predicate<InetAddress> allowed;
+  private final SSLContext context;
   private final Connector connector;
   private final ByteBufferPool buffers = new DefaultByteBufferPool(false, 8 * 1024);
 
@@ -61,7 +63,10 @@
   private XnioSsl ssl;
 
   private record Made(
-      ClientConnection connection, Sockets.Socket socket, InetAddress address) {}
+      ClientConnection connection,
+      Sockets.Socket socket,
+      StreamConnection raw,
+      InetAddress address) {}
 
   private record Idle(Made made, Instant since) {}
 
@@ -71,7 +76,13 @@
    * @param allowed whether an address may be connected to
    */
   public OutwardCaller(XnioRuntime runtime, Predicate<InetAddress> allowed) {
+    this(runtime, allowed, null);
+  }
+
+  /** A caller that trusts what {@code context} does; null for what the Java runtime does. */
+  OutwardCaller(XnioRuntime runtime, Predicate<InetAddress> allowed, SSLContext context) {
     this.runtime = runtime;
+    this.context = context;
     this.allowed = allowed;
     this.connector = new Connector(runtime.thread());
   }
@@ -83,7 +94,11 @@
 
   private XnioSsl ssl() throws GeneralSecurityException {
     if (ssl == null) {
-      ssl = new UndertowXnioSsl(runtime.xnio(), OptionMap.EMPTY);
+      ssl =
+          new UndertowXnioSsl(
+              runtime.xnio(),
+              OptionMap.EMPTY,
+              context == null ? SSLContext.getDefault() : context);
     }
     return ssl;
   }
@@ -213,7 +228,7 @@
       return new ClientCallback<>() {
         @Override
         public void completed(ClientConnection connection) {
-          Made now = new Made(connection, socket, to);
+          Made now = new Made(connection, socket, Connector.made(connecting), to);
           connection.addCloseListener(closed -> now.socket.closed());
           XnioRuntime.guarded(() -> send(now));
         }
@@ -239,7 +254,7 @@
       timer.remove();
       if (answer.outcome() != Outcome.ANSWERED) {
         if (made != null) {
-          IoUtils.safeClose(made.connection);
+          IoUtils.safeClose(made.raw);
         } else if (connecting != null) {
           connecting.cancel();
           socket.closed();
--- a/src/main/java/io/pineladder/net/UndertowCaller.java
+++ b/src/main/java/io/pineladder/net/UndertowCaller.java
@@ -51,7 +51,9 @@
   /** Calls without a socket, by part. */
   private final Map<Sockets.Part, Deque<Call>> waiting = new EnumMap<>(Sockets.Part.class);
 
-  private record Made(ClientConnection connection, Sockets.Socket socket) {}
+  /** A connection; {@code raw} is what closes it at once, where the client would wait for its peer. */
+  private record Made(
+      ClientConnection connection, Sockets.Socket socket, StreamConnection raw) {}
 
   private record Idle(String address, Made made, Instant since) {}
 
@@ -191,7 +193,7 @@
               new ClientCallback<>() {
                 @Override
                 public void completed(ClientConnection connection) {
-                  Made now = new Made(connection, socket);
+                  Made now = new Made(connection, socket, Connector.made(connecting));
                   connection.addCloseListener(closed -> released(now.socket));
                   XnioRuntime.guarded(() -> send(now));
                 }
@@ -224,7 +226,8 @@
         timer.remove();
       }
       if (made != null && reply.outcome() != Outcome.ANSWERED) {
-        IoUtils.safeClose(made.connection);
+        // The client's own close goes on reading for 10 s, and a peer that hangs says nothing.
+        IoUtils.safeClose(made.raw);
       } else if (made == null && connecting != null && reply.outcome() != Outcome.ANSWERED) {
         connecting.cancel();
         released(socket);
--- /dev/null
+++ b/src/test/java/io/pineladder/net/OutwardCallerTest.java
@@ -0,0 +1,237 @@
+package io.pineladder.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.pineladder.net.Outward.Answer;
+import io.pineladder.net.Outward.Outcome;
+import io.undertow.Undertow;
+import io.undertow.util.HttpString;
+import java.io.File;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.security.KeyStore;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Predicate;
+import javax.net.ssl.KeyManagerFactory;
+import javax.net.ssl.SSLContext;
+import javax.net.ssl.TrustManagerFactory;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Receivers on loopback that refuse, redirect, drip, never answer, or are not who they say. */
+class OutwardCallerTest {
+  private static final Predicate<InetAddress> ALL = address -> true;
+  private static final char[] PASSWORD = "changeit".toCharArray();
+
+  @TempDir Path folder;
+  private XnioRuntime runtime;
+
+  @BeforeEach
+  void start() throws Exception {
+    runtime = new XnioRuntime(1_000, Duration.ofSeconds(3));
+  }
+
+  @AfterEach
+  void stop() {
+    runtime.stop();
+  }
+
+  private Answer post(OutwardCaller caller, String url, Duration timeout) throws Exception {
+    CompletableFuture<Answer> got = new CompletableFuture<>();
+    Outward.Message message =
+        new Outward.Message(
+            URI.create(url), Map.of("webhook-id", "x"), new byte[] {'{', '}'}, timeout);
+    runtime.execute(() -> caller.post(message, got::complete));
+    return got.get(20, TimeUnit.SECONDS);
+  }
+
+  private Answer post(Predicate<InetAddress> allowed, String url) throws Exception {
+    return post(new OutwardCaller(runtime, allowed), url, Duration.ofSeconds(10));
+  }
+
+  private static int port(Undertow server) {
+    return ((InetSocketAddress) server.getListenerInfo().get(0).getAddress()).getPort();
+  }
+
+  @Test
+  void redirectsAreAnswersAndConnectionsAreKept() throws Exception {
+    AtomicInteger requests = new AtomicInteger();
+    AtomicInteger connections = new AtomicInteger();
+    Undertow server =
+        Undertow.builder()
+            .addHttpListener(0, "127.0.0.1")
+            .setHandler(
+                exchange -> {
+                  requests.incrementAndGet();
+                  exchange.getConnection().addCloseListener(c -> connections.incrementAndGet());
+                  exchange.getResponseHeaders().put(new HttpString("Location"), "/elsewhere");
+                  exchange.getResponseHeaders().put(new HttpString("Retry-After"), "7");
+                  exchange.setStatusCode(307).getResponseSender().send("moved");
+                })
+            .build();
+    server.start();
+    try {
+      OutwardCaller caller = new OutwardCaller(runtime, ALL);
+      for (int i = 1; i <= 3; i++) {
+        Answer answer =
+            post(caller, "http://localhost:" + port(server) + "/a?b=c", Duration.ofSeconds(10));
+        assertEquals(307, answer.status());
+        assertEquals(Duration.ofSeconds(7), answer.retryAfter());
+        assertEquals("moved", new String(answer.body(), StandardCharsets.UTF_8));
+        assertEquals(i, requests.get());
+      }
+      assertEquals(1, runtime.sockets().usage().get(Sockets.Part.NOTICES).peak());
+    } finally {
+      server.stop();
+    }
+  }
+
+  /** The address that was checked is the one connected to; one that is not allowed sees nothing. */
+  @Test
+  void whatIsNotAllowedIsNotConnectedTo() throws Exception {
+    try (ServerSocket server = new ServerSocket(0, 5, InetAddress.getByName("127.0.0.1"))) {
+      Answer answer =
+          post(address -> false, "http://localhost:" + server.getLocalPort() + "/");
+      assertEquals(Outcome.NOT_ALLOWED, answer.outcome());
+      server.setSoTimeout(300);
+      boolean connected;
+      try {
+        server.accept().close();
+        connected = true;
+      } catch (java.net.SocketTimeoutException e) {
+        connected = false;
+      }
+      assertTrue(!connected);
+    }
+    Answer unknown = post(ALL, "http://no-such-name.invalid/");
+    assertEquals(Outcome.FAILED, unknown.outcome());
+  }
+
+  /** Serves one connection with bytes that come one by one, and then no end. */
+  private Thread drip(ServerSocket server, String head, Duration pause, int count) {
+    Thread thread =
+        new Thread(
+            () -> {
+              try (Socket socket = server.accept();
+                  InputStream in = socket.getInputStream()) {
+                in.read(new byte[4_096]);
+                socket.getOutputStream().write(head.getBytes(StandardCharsets.US_ASCII));
+                for (int i = 0; i < count; i++) {
+                  socket.getOutputStream().write('x');
+                  socket.getOutputStream().flush();
+                  Thread.sleep(pause.toMillis());
+                }
+                Thread.sleep(20_000);
+              } catch (java.io.IOException | InterruptedException e) {
+                // The other side has closed, as it should.
+              }
+            });
+    thread.setDaemon(true);
+    thread.start();
+    return thread;
+  }
+
+  @Test
+  void answersThatDripNeverEndOrAreTooLongAreGivenUp() throws Exception {
+    OutwardCaller caller = new OutwardCaller(runtime, ALL);
+    String head = "HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n";
+    for (int kind = 0; kind < 3; kind++) {
+      try (ServerSocket server = new ServerSocket(0, 5, InetAddress.getByName("127.0.0.1"))) {
+        drip(
+            server,
+            kind == 0 ? "" : head,
+            Duration.ofMillis(kind == 2 ? 0 : 50),
+            kind == 2 ? 50_000 : kind * 1_000);
+        Instant begun = Instant.now();
+        Answer answer =
+            post(
+                caller,
+                "http://127.0.0.1:" + server.getLocalPort() + "/",
+                Duration.ofMillis(kind == 2 ? 15_000 : 800));
+        assertEquals(Outcome.FAILED, answer.outcome());
+        assertTrue(Duration.between(begun, Instant.now()).toSeconds() < 8, answer.fault());
+        assertEquals(
+            kind == 2 ? "the answer is longer than 4096 bytes" : "no answer in time",
+            answer.fault());
+      }
+    }
+    // The sockets are given up with the calls.
+    for (int i = 0; i < 50 && open() > 0; i++) {
+      Thread.sleep(20);
+    }
+    assertEquals(0, open());
+  }
+
+  private int open() throws Exception {
+    CompletableFuture<Integer> got = new CompletableFuture<>();
+    runtime.execute(
+        () -> got.complete(runtime.sockets().usage().get(Sockets.Part.NOTICES).open()));
+    return got.get(5, TimeUnit.SECONDS);
+  }
+
+  /** A certificate for the name {@code localhost}, signed by itself. */
+  private SSLContext context() throws Exception {
+    Path file = folder.resolve("keys.p12");
+    Process keytool =
+        new ProcessBuilder(
+                System.getProperty("java.home") + File.separator + "bin/keytool",
+                "-genkeypair", "-alias", "a", "-keyalg", "EC", "-dname", "CN=localhost", "-ext",
+                "san=dns:localhost", "-validity", "2", "-storetype", "PKCS12", "-keystore",
+                file.toString(), "-storepass", new String(PASSWORD))
+            .redirectErrorStream(true)
+            .redirectOutput(ProcessBuilder.Redirect.DISCARD)
+            .start();
+    assertEquals(0, keytool.waitFor());
+    KeyStore store = KeyStore.getInstance("PKCS12");
+    try (InputStream in = Files.newInputStream(file)) {
+      store.load(in, PASSWORD);
+    }
+    KeyManagerFactory keys =
+        KeyManagerFactory.getInstance(KeyManagerFactory.getDefaultAlgorithm());
+    keys.init(store, PASSWORD);
+    TrustManagerFactory trust =
+        TrustManagerFactory.getInstance(TrustManagerFactory.getDefaultAlgorithm());
+    trust.init(store);
+    SSLContext context = SSLContext.getInstance("TLS");
+    context.init(keys.getKeyManagers(), trust.getTrustManagers(), null);
+    return context;
+  }
+
+  @Test
+  void tlsIsCheckedAgainstTrustAndName() throws Exception {
+    SSLContext context = context();
+    Undertow server =
+        Undertow.builder()
+            .addHttpsListener(0, "127.0.0.1", context)
+            .setHandler(exchange -> exchange.setStatusCode(204).endExchange())
+            .build();
+    server.start();
+    try {
+      int port = port(server);
+      OutwardCaller trusting = new OutwardCaller(runtime, ALL, context);
+      Duration timeout = Duration.ofSeconds(10);
+      assertEquals(204, post(trusting, "https://localhost:" + port + "/", timeout).status());
+      Answer wrongName = post(trusting, "https://127.0.0.1:" + port + "/", timeout);
+      assertEquals(Outcome.FAILED, wrongName.outcome(), "the certificate is for localhost");
+      Answer untrusted = post(ALL, "https://localhost:" + port + "/");
+      assertEquals(Outcome.FAILED, untrusted.outcome(), "nobody vouches for the certificate");
+    } finally {
+      server.stop();
+    }
+  }
+}
--- a/src/test/java/io/pineladder/net/SocketsTest.java
+++ b/src/test/java/io/pineladder/net/SocketsTest.java
@@ -276,6 +276,31 @@
     }
   }
 
+  /** A peer that hangs with our request must not hold our socket for longer than the call lasts. */
+  @Test
+  void aRequestThatIsNeverAnsweredLeavesNoSocketBehind() throws Exception {
+    XnioRuntime runtime = new XnioRuntime(100, Duration.ofSeconds(1));
+    try (ServerSocket hanging = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
+      UndertowCaller caller = new UndertowCaller(runtime, address -> Part.ORDERS);
+      CompletableFuture<HttpCaller.Reply> got = new CompletableFuture<>();
+      runtime.execute(
+          () ->
+              caller.call(
+                  HttpCaller.Request.get(
+                      "127.0.0.1:" + hanging.getLocalPort(), "/", Duration.ofMillis(300)),
+                  got::complete));
+      assertEquals(HttpCaller.Reply.UNKNOWN, got.get(10, TimeUnit.SECONDS));
+      int open = 1;
+      for (int i = 0; i < 50 && open > 0; i++) {
+        Thread.sleep(20);
+        open = onThread(runtime, () -> runtime.sockets().usage().get(Part.ORDERS).open());
+      }
+      assertEquals(0, open);
+    } finally {
+      runtime.stop();
+    }
+  }
+
   private static String freeAddress() throws IOException {
     try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
       return "127.0.0.1:" + free.getLocalPort();
