--- a/src/main/java/io/pineladder/cli/AdminCommand.java
+++ b/src/main/java/io/pineladder/cli/AdminCommand.java
@@ -1,12 +1,15 @@
 package io.pineladder.cli;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.pineladder.wire.DeliveryWire;
 import io.pineladder.wire.Json;
 import java.io.IOException;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
@@ -20,7 +23,15 @@
 final class AdminCommand {
   private static final Duration TIMEOUT = Duration.ofSeconds(5);
   private static final Set<String> TOPICS =
-      Set.of("status", "queue", "machines", "metrics", "takeovers", "settings");
+      Set.of(
+          "status",
+          "queue",
+          "machines",
+          "metrics",
+          "takeovers",
+          "settings",
+          "subscriptions",
+          "networks");
 
   private AdminCommand() {}
 
@@ -43,38 +54,128 @@
                     .auxiliaryTypes(String.class, Double.class)
                     .description("with settings: change one; may be repeated")
                     .build())
+            .addOption(
+                OptionSpec.builder("--file")
+                    .paramLabel("FILE")
+                    .type(Path.class)
+                    .description("with subscriptions put: the subscription in JSON")
+                    .build())
+            .addOption(
+                OptionSpec.builder("--from")
+                    .paramLabel("SEQUENCE")
+                    .type(Long.class)
+                    .description("with subscriptions resume: the first notice to send")
+                    .build())
             .addPositional(
                 PositionalParamSpec.builder()
+                    .index("0")
                     .paramLabel("TOPIC")
                     .type(String.class)
                     .arity("1")
-                    .description("status, queue, machines, metrics, takeovers or settings")
+                    .description(
+                        "status, queue, machines, metrics, takeovers, settings, subscriptions or"
+                            + " networks")
+                    .build())
+            .addPositional(
+                PositionalParamSpec.builder()
+                    .index("1..*")
+                    .paramLabel("WORD")
+                    .type(List.class)
+                    .auxiliaryTypes(String.class)
+                    .arity("0..*")
+                    .description(
+                        "with subscriptions: nothing for all, schema, or show, put, pause, resume or"
+                            + " delete with a name; with networks: nothing to show them, none, or"
+                            + " all that notices may be sent to")
                     .build());
-    spec.usageMessage().description("Asks a controller, or changes the operators' settings.");
+    spec.usageMessage()
+        .description("Asks a controller, or changes the operators' settings and subscriptions.");
     return spec;
   }
 
+  private record Call(String method, String path, byte[] body) {}
+
+  private static Call networks(List<String> words) {
+    List<String> networks = words.equals(List.of("none")) ? List.of() : words;
+    return new Call("PUT", "networks", Json.bytes(DeliveryWire.networks(networks)));
+  }
+
+  /** The call that the words ask for, or null when they ask for none. */
+  private static Call subscriptions(List<String> words, Path file, Long from)
+      throws IOException {
+    String path = "subscriptions";
+    if (words.isEmpty()) {
+      return new Call("GET", path, null);
+    }
+    String action = words.get(0);
+    if (words.size() == 1) {
+      return action.equals("schema") ? new Call("GET", path + "/schema", null) : null;
+    }
+    if (words.size() > 2 || (file == null) == action.equals("put")) {
+      return null;
+    }
+    String one = path + "/" + words.get(1);
+    return switch (action) {
+      case "show" -> new Call("GET", one, null);
+      case "put" -> new Call("PUT", one, Files.readAllBytes(file));
+      case "delete" -> new Call("DELETE", one, null);
+      case "pause" -> new Call("POST", one + "/pause", null);
+      case "resume" ->
+          new Call(
+              "POST",
+              one + "/resume",
+              from == null ? null : Json.bytes(Json.object().put("sequence", from)));
+      default -> null;
+    };
+  }
+
   static int run(ParseResult parsed) {
     String topic = parsed.matchedPositionalValue(0, "");
     Map<String, Double> changes = parsed.matchedOptionValue("--set", Map.of());
+    List<String> words = parsed.matchedPositionalValue(1, List.of());
     if (!TOPICS.contains(topic) || (!changes.isEmpty() && !topic.equals("settings"))) {
       System.err.println("TOPIC is one of " + List.copyOf(TOPICS) + "; --set goes with settings");
       return Main.EXIT_USAGE;
     }
     String address = parsed.matchedOptionValue("--address", "");
     try {
-      HttpRequest.Builder request =
-          HttpRequest.newBuilder(URI.create("http://" + address + "/admin/v1/" + topic))
-              .timeout(TIMEOUT);
-      if (!changes.isEmpty()) {
-        ObjectNode body = Json.object();
-        changes.forEach(body::put);
-        request.PUT(HttpRequest.BodyPublishers.ofByteArray(Json.bytes(body)));
+      Call call =
+          switch (topic) {
+            case "subscriptions" ->
+                subscriptions(
+                    words,
+                    parsed.matchedOptionValue("--file", null),
+                    parsed.matchedOptionValue("--from", null));
+            case "networks" ->
+                words.isEmpty() ? new Call("GET", topic, null) : networks(words);
+            default -> {
+              ObjectNode body = Json.object();
+              changes.forEach(body::put);
+              yield changes.isEmpty()
+                  ? new Call("GET", topic, null)
+                  : new Call("PUT", topic, Json.bytes(body));
+            }
+          };
+      if (call == null) {
+        System.err.println(
+            "subscriptions [schema | show NAME | put NAME --file FILE | pause NAME"
+                + " | resume NAME [--from SEQUENCE] | delete NAME]");
+        return Main.EXIT_USAGE;
       }
+      HttpRequest request =
+          HttpRequest.newBuilder(URI.create("http://" + address + "/admin/v1/" + call.path))
+              .timeout(TIMEOUT)
+              .method(
+                  call.method,
+                  call.body == null
+                      ? HttpRequest.BodyPublishers.noBody()
+                      : HttpRequest.BodyPublishers.ofByteArray(call.body))
+              .build();
       HttpResponse<String> response =
-          HttpClient.newHttpClient().send(request.build(), HttpResponse.BodyHandlers.ofString());
-      (response.statusCode() == 200 ? System.out : System.err).println(response.body());
-      return response.statusCode() == 200 ? Main.EXIT_OK : Main.EXIT_FAILURE;
+          HttpClient.newHttpClient().send(request, HttpResponse.BodyHandlers.ofString());
+      boolean good = response.statusCode() == 200 || response.statusCode() == 201;
+      (good ? System.out : System.err).println(response.body());
+      return good ? Main.EXIT_OK : Main.EXIT_FAILURE;
     } catch (IOException | IllegalArgumentException e) {
       System.err.println(address + ": " + e.getMessage());
       return Main.EXIT_FAILURE;
--- /dev/null
+++ b/src/main/java/io/pineladder/cli/KeygenCommand.java
@@ -0,0 +1,37 @@
+package io.pineladder.cli;
+
+import io.pineladder.delivery.Signature;
+import java.security.SecureRandom;
+import java.util.Base64;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Model.OptionSpec;
+import picocli.CommandLine.ParseResult;
+
+/** {@code pineladder keygen}: a new key for the controllers, or a signing secret for a subscriber. */
+final class KeygenCommand {
+  private static final int BYTES = 32;
+
+  private KeygenCommand() {}
+
+  static CommandSpec spec() {
+    CommandSpec spec =
+        CommandSpec.create()
+            .name("keygen")
+            .mixinStandardHelpOptions(true)
+            .addOption(
+                OptionSpec.builder("--secret")
+                    .description("a subscriber's signing secret instead of the controllers' key")
+                    .build());
+    spec.usageMessage().description("Prints a new key of 32 random bytes in Base64.");
+    return spec;
+  }
+
+  static int run(ParseResult parsed) {
+    byte[] key = new byte[BYTES];
+    new SecureRandom().nextBytes(key);
+    System.out.println(
+        (parsed.hasMatchedOption("--secret") ? Signature.SECRET_PREFIX : "")
+            + Base64.getEncoder().encodeToString(key));
+    return Main.EXIT_OK;
+  }
+}
--- a/src/main/java/io/pineladder/cli/Main.java
+++ b/src/main/java/io/pineladder/cli/Main.java
@@ -39,6 +39,8 @@
           case "check" -> check(sub.matchedPositionalValue(0, Path.of("")));
           case "admin" -> AdminCommand.run(sub);
           case "train" -> Training.run();
+          case "receive" -> ReceiveCommand.run(sub);
+          case "keygen" -> KeygenCommand.run(sub);
           default -> EXIT_USAGE;
         };
       }
@@ -91,6 +93,8 @@
                     .build())
             .addSubcommand("check", check)
             .addSubcommand("admin", admin)
+            .addSubcommand("receive", ReceiveCommand.spec())
+            .addSubcommand("keygen", KeygenCommand.spec())
             .addSubcommand("train", train);
     root.usageMessage().description("A cluster scheduler. With --config it serves.");
     return root;
--- a/src/main/java/io/pineladder/delivery/Outbox.java
+++ b/src/main/java/io/pineladder/delivery/Outbox.java
@@ -322,7 +322,7 @@
     fresh.clear();
     committed = at(entries.size() - 1);
     if (kept() > most) {
-      giveUp(first() + most / PARTS);
+      giveUp(committed - most + most / PARTS);
     }
     onStored.run();
   }
--- /dev/null
+++ b/src/test/java/io/pineladder/delivery/OutboxTest.java
@@ -0,0 +1,316 @@
+package io.pineladder.delivery;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.pineladder.model.Job;
+import io.pineladder.model.Notice;
+import io.pineladder.model.Progress;
+import io.pineladder.model.Subscription;
+import io.pineladder.net.Timeline;
+import io.pineladder.store.Mutation;
+import io.pineladder.wire.DeliveryWire;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.random.RandomGenerator;
+import java.util.random.RandomGeneratorFactory;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** The outbox against a plain list of all notices ever, through terms that end at any moment. */
+class OutboxTest {
+  private static final int MOST = 200;
+
+  private final RandomGenerator random;
+  private final Timeline time;
+
+  /** What the state service holds: notices in their pages, subscriptions, progress. */
+  private final TreeMap<Long, Notice> storedNotices = new TreeMap<>();
+
+  private final Map<String, Subscription> storedSubscriptions = new TreeMap<>();
+  private final Map<String, JsonNode> storedProgress = new TreeMap<>();
+  private int puts;
+
+  /** Changes on their way to the store, first come first served. */
+  private final ArrayDeque<Runnable> underWay = new ArrayDeque<>();
+
+  /** Notices that left the log but whose page has not been written since. */
+  private final Set<Long> dropped = new HashSet<>();
+
+  private Outbox outbox;
+
+  OutboxTest() {
+    random = RandomGeneratorFactory.of("L64X128MixRandom").create(3);
+    time =
+        new Timeline() {
+          @Override
+          public Instant now() {
+            return Instant.EPOCH;
+          }
+
+          @Override
+          public Instant timeOfDay() {
+            return Instant.EPOCH;
+          }
+
+          @Override
+          public RandomGenerator random() {
+            return random;
+          }
+
+          @Override
+          public void after(Duration delay, Runnable action) {}
+        };
+    begin();
+  }
+
+  /** A new term, which knows what is stored. */
+  private void begin() {
+    underWay.clear();
+    outbox = new Outbox(MOST, 8192, time, this::commit, () -> {});
+    storedSubscriptions.values().forEach(outbox::known);
+    List<Notice> notices = new ArrayList<>(storedNotices.values());
+    // Pages come in no order of numbers.
+    while (!notices.isEmpty()) {
+      Notice notice = notices.remove(random.nextInt(notices.size()));
+      outbox.stored(notice, () -> dropped.add(notice.number()));
+    }
+    storedProgress.forEach(
+        (key, page) -> {
+          try {
+            outbox.known(key, DeliveryWire.parseProgress(page));
+          } catch (io.pineladder.wire.MalformedException e) {
+            throw new AssertionError(e);
+          }
+        });
+    outbox.loaded();
+    dropped.clear();
+  }
+
+  private void commit(Mutation mutation) {
+    Mutation.Write write = mutation.writes().get(0);
+    underWay.add(
+        () -> {
+          JsonNode value = write.value().get();
+          storedProgress.put(write.key(), value);
+          puts++;
+          mutation.onCommitted().run();
+        });
+  }
+
+  private void storeOne() {
+    Runnable first = underWay.poll();
+    if (first != null) {
+      first.run();
+    }
+  }
+
+  private static Subscription subscription(String name, long since, String owner) {
+    return new Subscription(
+        name,
+        "1",
+        "http://192.0.2.1/",
+        since,
+        List.of(
+            new Subscription.Filter(
+                since, owner == null ? Set.of() : Set.of(owner), Set.of())),
+        List.of(),
+        Subscription.Status.ACTIVE,
+        null);
+  }
+
+  private void subscribe(Subscription subscription) {
+    storedSubscriptions.put(subscription.name(), subscription);
+    outbox.subscribed(subscription);
+  }
+
+  private Notice end(String job, String owner) {
+    outbox.begin();
+    Notice notice =
+        outbox.next(
+            new Job(
+                new io.pineladder.model.JobSpec(
+                    job, "work", owner, null, null, 1, null, null, null, false, false, false,
+                    "img", 1, Duration.ZERO, Duration.ZERO, Duration.ZERO, null),
+                Instant.EPOCH,
+                Job.State.DONE));
+    if (notice != null) {
+      storedNotices.put(notice.number(), notice);
+      outbox.stored(notice, () -> dropped.add(notice.number()));
+      outbox.committed();
+    }
+    return notice;
+  }
+
+  /** What a receiver makes of one sending; it has a position and keeps it. */
+  private static final class Model {
+    /** The jobs that it is to hear of, in order. */
+    final List<String> wanted = new ArrayList<>();
+
+    /** What it was told under each sequence; null where it was told of a loss. */
+    final Map<Long, String> told = new HashMap<>();
+
+    long position;
+    long lost;
+  }
+
+  @ParameterizedTest
+  @ValueSource(ints = {1, 2, 3, 4, 5, 6, 7, 8})
+  void itCountsAsAPlainListDoes(int seed) {
+    for (int i = 0; i < seed * 1_000; i++) {
+      random.nextInt();
+    }
+    Map<String, Model> models = new TreeMap<>();
+    List<String> owners = new ArrayList<>(List.of("red", "blue", "green"));
+    for (String owner : owners) {
+      subscribe(subscription(owner, outbox.last(), owner));
+      models.put(owner, new Model());
+    }
+    subscribe(subscription("all", outbox.last(), null));
+    models.put("all", new Model());
+    int jobs = 0;
+    for (int step = 0; step < 6_000; step++) {
+      int kind = random.nextInt(100);
+      if (kind < 40) {
+        String owner = owners.get(random.nextInt(3));
+        String job = "job-" + ++jobs;
+        assertNotNull(end(job, owner));
+        models.get(owner).wanted.add(job);
+        models.get("all").wanted.add(job);
+      } else if (kind < 85) {
+        List<String> names = new ArrayList<>(models.keySet());
+        // One of them is away for long.
+        String name = names.get(step / 700 % 2 == 0 ? random.nextInt(3) : random.nextInt(4));
+        deliver(outbox.subscriptions().get(name), models.get(name));
+      } else if (kind < 97) {
+        storeOne();
+      } else if (kind < 99) {
+        // Some page was written, without what had left the log.
+        storedNotices.keySet().removeAll(dropped);
+        dropped.clear();
+      } else {
+        begin();
+      }
+      // Nothing is let go that the bound does not ask for, save when a store lags behind it.
+      assertTrue(outbox.kept() <= MOST + 200, outbox.kept() + " are kept");
+    }
+    models.forEach(
+        (name, model) -> {
+          Subscription subscription = outbox.subscriptions().get(name);
+          while (deliver(subscription, model)) {
+            storeOne();
+          }
+          assertEquals(model.wanted.size(), model.position, name + " hears of all, or of a loss");
+          for (long n = 1; n <= model.position; n++) {
+            String told = model.told.get(n);
+            assertTrue(told == null || told.equals(model.wanted.get((int) n - 1)), name + n);
+          }
+        });
+    assertTrue(models.get("all").lost > 0 || models.get("red").lost > 0, "the bound was reached");
+    assertTrue(puts < jobs / 4, puts + " puts for " + jobs + " ends");
+  }
+
+  /** Sends what is next and takes in the answer; false when nothing is. */
+  private boolean deliver(Subscription to, Model model) {
+    Progress at = outbox.cursor(to).now();
+    if (at.lostFrom() > 0) {
+      assertTrue(at.lostFrom() <= model.position + 1, "a loss that begins beyond what it has");
+      for (long n = model.position + 1; n <= at.sequence(); n++) {
+        model.lost++;
+        model.told.put(n, null);
+      }
+      model.position = Math.max(model.position, at.sequence());
+    } else {
+      Notice next = outbox.next(to);
+      if (next == null) {
+        return false;
+      }
+      long sequence = at.sequence() + 1;
+      assertEquals(model.wanted.get((int) sequence - 1), next.job(), "by its own count");
+      if (sequence <= model.position) {
+        String before = model.told.get(sequence);
+        assertTrue(before == null || before.equals(next.job()), "the same on every repeat");
+      } else {
+        assertEquals(model.position + 1, sequence, "without a gap");
+        model.position = sequence;
+        model.told.put(sequence, next.job());
+      }
+    }
+    if (random.nextInt(5) > 0) {
+      assertTrue(outbox.has(to, model.position));
+    }
+    return true;
+  }
+
+  @Test
+  void aFilterHoldsFromItsChangeOn() {
+    subscribe(subscription("desk", outbox.last(), "red"));
+    end("a", "red");
+    end("b", "blue");
+    Subscription before = outbox.subscriptions().get("desk");
+    List<Subscription.Filter> filters = new ArrayList<>(outbox.filters(before));
+    filters.add(new Subscription.Filter(outbox.last(), Set.of("blue"), Set.of()));
+    subscribe(
+        new Subscription(
+            "desk", "1", before.url(), before.since(), filters, List.of(), before.status(), null));
+    end("c", "red");
+    end("d", "blue");
+    Subscription desk = outbox.subscriptions().get("desk");
+    assertEquals("a", outbox.next(desk).job());
+    assertTrue(outbox.has(desk, 1));
+    assertEquals("d", outbox.next(desk).job());
+    begin();
+    assertEquals("a", outbox.next(desk).job(), "a later leader counts the same");
+  }
+
+  /** A receiver that claims what was never sent would pass over all that comes. */
+  @Test
+  void aPositionBeyondAllNoticesIsNotBelieved() {
+    subscribe(subscription("desk", outbox.last(), null));
+    end("a", "red");
+    Subscription desk = outbox.subscriptions().get("desk");
+    assertFalse(outbox.has(desk, 2));
+    assertEquals("a", outbox.next(desk).job());
+  }
+
+  @Test
+  void aReceiverThatLostSomethingGetsItAgain() {
+    subscribe(subscription("desk", outbox.last(), null));
+    for (int i = 1; i <= 10; i++) {
+      end("job-" + i, "red");
+    }
+    Subscription desk = outbox.subscriptions().get("desk");
+    assertTrue(outbox.has(desk, 10));
+    assertNull(outbox.next(desk));
+    assertTrue(outbox.has(desk, 4));
+    assertEquals("job-5", outbox.next(desk).job());
+    assertTrue(outbox.seek(desk, 2));
+    assertEquals("job-2", outbox.next(desk).job());
+    assertFalse(outbox.seek(desk, 12));
+    assertEquals("job-2", outbox.next(desk).job());
+  }
+
+  @Test
+  void nothingIsKeptThatNobodyWants() {
+    assertNull(end("a", "red"));
+    subscribe(subscription("desk", outbox.last(), "blue"));
+    assertNull(end("b", "red"));
+    assertNotNull(end("c", "blue"));
+    outbox.unsubscribed("desk");
+    assertNull(end("d", "blue"));
+    assertEquals(1, outbox.kept(), "the newest, from which the next leader counts on");
+  }
+}
--- a/src/test/java/io/pineladder/sim/DeliverySimulationTest.java
+++ b/src/test/java/io/pineladder/sim/DeliverySimulationTest.java
@@ -9,11 +9,13 @@
 import io.pineladder.delivery.SecretBox;
 import io.pineladder.delivery.Signature;
 import io.pineladder.net.Background;
+import io.pineladder.net.HttpAnswer;
 import io.pineladder.net.HttpCaller;
 import io.pineladder.wire.DeliveryWire;
 import io.pineladder.wire.DeliveryWire.Event;
 import io.pineladder.wire.Json;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.Base64;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -167,7 +169,172 @@
     assertEquals(0, shown("all").get("backlog").asInt());
   }
 
-  /** Twelve days; more by hand with {@code -Dpineladder.days=1000 -Dpineladder.first=1}. */
+  /** Ends jobs in bulk: submitted and cancelled at once. */
+  private void endMany(int count) {
+    List<Rules.Known> all = new ArrayList<>();
+    for (int i = 0; i < count; i++) {
+      all.add(submit(job("array", 1, "red")));
+    }
+    world.runFor(Duration.ofSeconds(20));
+    all.forEach(this::cancel);
+    world.runFor(Duration.ofSeconds(40));
+    all.forEach(job -> assertTrue(job.isOver(), job.id + " is not over"));
+  }
+
+  /** Changes of pages of jobs and of progress while 400 jobs come and end. */
+  private int changesOf400Ends(boolean told) {
+    begin(2);
+    fleet.capacity = 0;
+    world.runFor(Duration.ofSeconds(5));
+    if (told) {
+      subscribe("all", List.of(), List.of());
+      subscribe("blue", List.of("blue"), List.of());
+    }
+    endMany(400);
+    return store.changes.get("accepted/") + store.changes.getOrDefault("delivered/", 0);
+  }
+
+  /** Found while it was designed: a page of notices of its own costs a change for each lone end. */
+  @Test
+  void noticesCostTheStoreNextToNothing() {
+    int without = new DeliverySimulationTest().changesOf400Ends(false);
+    int more = changesOf400Ends(true) - without;
+    assertTrue(more < 0.1 * 400, more + " more changes than " + without + " for 400 ends");
+    assertEquals(400, subscribers.get("all").receiver.effects.size());
+    check();
+  }
+
+  /** The receiver answers as it is told to. */
+  private static ReceiverStandIn answering(World world, int status, byte[] body) {
+    return new ReceiverStandIn(world, SECRET) {
+      @Override
+      public void handle(String method, String path, byte[] sent, Consumer<HttpAnswer> answer) {
+        requests++;
+        answer.accept(new HttpAnswer(status, body));
+      }
+    };
+  }
+
+  private ReceiverStandIn subscribeAnswering(String name, int status, byte[] body) {
+    ReceiverStandIn receiver = answering(world, status, body);
+    String host = "10.8.0." + status % 250;
+    world.serve(host + ":9999", receiver);
+    admin("PUT", "subscriptions/" + name, subscription(host, List.of(), List.of()), 201);
+    return receiver;
+  }
+
+  @Test
+  void refusalsEndParkOrPauseOnlyTheirOwnSubscription() {
+    begin(3);
+    world.runFor(Duration.ofSeconds(5));
+    subscribe("good", List.of(), List.of());
+    ReceiverStandIn gone = subscribeAnswering("gone", 410, new byte[0]);
+    ReceiverStandIn refusing = subscribeAnswering("refusing", 403, new byte[0]);
+    ReceiverStandIn moved = subscribeAnswering("moved", 302, new byte[0]);
+    ReceiverStandIn busy = subscribeAnswering("busy", 503, new byte[0]);
+    ReceiverStandIn behind = subscribeAnswering("behind", 200, DeliveryWire.position(0));
+    ReceiverStandIn ahead = subscribeAnswering("ahead", 202, DeliveryWire.position(1_000_000));
+    ReceiverStandIn plain = subscribeAnswering("plain", 204, new byte[0]);
+    for (int i = 0; i < 6; i++) {
+      submit(job("array", 1, "red"));
+    }
+    world.runFor(Duration.ofSeconds(120));
+    check();
+    assertEquals(6, subscribers.get("good").receiver.effects.size());
+    assertEquals(6, plain.requests, "a receiver without a position gets each once if it answers");
+    assertEquals("ended", shown("gone").get("status").asText());
+    assertEquals(1, gone.requests);
+    for (String parked : List.of("refusing", "moved", "ahead")) {
+      assertEquals("parked", shown(parked).get("status").asText(), parked);
+    }
+    assertEquals("the receiver answered 403", shown("refusing").get("reason").asText());
+    assertEquals("the receiver answered 302", shown("moved").get("reason").asText());
+    assertEquals(3, refusing.requests + moved.requests + ahead.requests);
+    assertEquals("active", shown("busy").get("status").asText());
+    assertEquals("retrying", shown("busy").get("sending").asText());
+    assertEquals(6, shown("busy").get("backlog").asInt());
+    assertTrue(busy.requests <= 12, busy.requests + " tries");
+    assertTrue(behind.requests <= 12, behind.requests + " tries");
+    // What is parked is kept, and goes on from where an operator says.
+    ReceiverStandIn mended = new ReceiverStandIn(world, SECRET);
+    world.serve("10.8.0.153:9999", mended);
+    admin("POST", "subscriptions/refusing/resume", Json.object().put("sequence", 8), 409);
+    admin("POST", "subscriptions/refusing/resume", Json.object().put("sequence", "x"), 400);
+    admin("POST", "subscriptions/refusing/resume", null, 200);
+    world.runFor(Duration.ofSeconds(10));
+    assertEquals(6, mended.effects.size());
+    admin("POST", "subscriptions/gone/resume", null, 409);
+  }
+
+  @Test
+  void whatIsAdministeredHoldsAtOnceAndForLaterLeaders() {
+    begin(4);
+    world.runFor(Duration.ofSeconds(5));
+    ReceiverStandIn receiver = subscribe("desk", List.of(), List.of());
+    ObjectNode faulty = Json.object().put("url", "ftp://example.org/").put("colour", "red");
+    assertEquals(2, admin("PUT", "subscriptions/other", faulty, 400).get("faults").size());
+    admin("PUT", "subscriptions/Other", faulty, 400);
+    admin("GET", "subscriptions/other", null, 404);
+    admin("DELETE", "subscriptions", null, 405);
+    ObjectNode networks = Json.object();
+    networks.putArray("networks").add("10.9.0.0/16").add("010.0.0.0/8");
+    assertEquals(
+        "/networks/1", admin("PUT", "networks", networks, 400).at("/faults/0/pointer").asText());
+    String all = admin("GET", "subscriptions", null, 200).toString();
+    assertTrue(!all.contains("whsec"), all);
+    assertTrue(!store.value("conf/subscription/desk").toString().contains("whsec"));
+    admin("POST", "subscriptions/desk/pause", null, 200);
+    submit(job("array", 1, "red"));
+    world.runFor(Duration.ofSeconds(60));
+    assertEquals(0, receiver.effects.size());
+    kill(controllers.get(leader()), 6_000);
+    world.runFor(Duration.ofSeconds(15));
+    assertEquals("paused", shown("desk").get("status").asText());
+    assertEquals(1, shown("desk").get("backlog").asInt());
+    admin("POST", "subscriptions/desk/resume", null, 200);
+    world.runFor(Duration.ofSeconds(5));
+    assertEquals(1, receiver.effects.size());
+    // A receiver that returns to an older copy is told again what it has lost.
+    submit(job("array", 1, "blue"));
+    world.runFor(Duration.ofSeconds(60));
+    receiver.restore(1);
+    submit(job("array", 1, "red"));
+    world.runFor(Duration.ofSeconds(60));
+    assertEquals(3, receiver.effects.size());
+    check();
+    // Deleted and created anew it counts from 1, as another source.
+    admin("DELETE", "subscriptions/desk", null, 200);
+    submit(job("array", 1, "red"));
+    world.runFor(Duration.ofSeconds(60));
+    assertEquals(3, receiver.effects.size());
+    admin("PUT", "subscriptions/desk", subscription("10.9.0.1", List.of(), List.of()), 201);
+    submit(job("array", 1, "red"));
+    world.runFor(Duration.ofSeconds(150));
+    assertEquals(4, receiver.effects.size());
+    Event last = receiver.effects.get(3);
+    assertEquals(1, last.sequence());
+    assertTrue(!last.source().equals(receiver.effects.get(2).source()));
+  }
+
+  /** The store is out while receivers go on: what they confirm is sent again, and taken once. */
+  @Test
+  void anOutageOfTheStoreRepeatsAndLosesNothing() {
+    begin(5);
+    world.runFor(Duration.ofSeconds(5));
+    subscribe("all", List.of(), List.of());
+    for (int i = 0; i < 30; i++) {
+      submit(job("array", 1, "red"));
+    }
+    world.runFor(Duration.ofSeconds(20));
+    store.outage = true;
+    controllers.forEach(each -> kill(each, 6_000 + each.index * 500L));
+    world.runFor(Duration.ofSeconds(20));
+    store.endOutage();
+    settleAndDeliver(Duration.ofSeconds(200));
+    assertTrue(subscribers.get("all").receiver.requests > 30);
+  }
+
+  /** Eight days; more by hand with {@code -Dpineladder.days=1000 -Dpineladder.first=1}. */
   static LongStream seeds() {
     long first = Long.getLong("pineladder.first", 1);
     return LongStream.range(first, first + Long.getLong("pineladder.days", 8));
--- a/src/test/java/io/pineladder/sim/ReceiverStandIn.java
+++ b/src/test/java/io/pineladder/sim/ReceiverStandIn.java
@@ -25,7 +25,7 @@
 import java.util.function.Consumer;
 
 /** A receiver in virtual time that is killed at random points and keeps what it has made durable. */
-final class ReceiverStandIn implements HttpHandlerAsync, NoticeStore {
+class ReceiverStandIn implements HttpHandlerAsync, NoticeStore {
   private final World world;
   private final Receiver receiver;
 
