--- a/src/main/java/io/pineladder/admin/AdminApi.java
+++ b/src/main/java/io/pineladder/admin/AdminApi.java
@@ -83,7 +83,7 @@
               200,
               switch (path) {
                 case PREFIX + "status" -> status();
-                case PREFIX + "metrics" -> metrics.read();
+                case PREFIX + "metrics" -> metrics();
                 case PREFIX + "takeovers" -> takeovers();
                 default -> RecordWire.operator(node.operator());
               }));
@@ -117,6 +117,15 @@
     return out;
   }
 
+  private ObjectNode metrics() {
+    ObjectNode out = metrics.read();
+    Leader leader = node.actingLeader();
+    if (leader != null) {
+      out.set("notices", leader.subscriptions().figures());
+    }
+    return out;
+  }
+
   /** How long takeovers took here, by phase, and the latest ones. */
   private ObjectNode takeovers() {
     ObjectNode out = Json.object();
--- a/src/main/java/io/pineladder/cli/Controller.java
+++ b/src/main/java/io/pineladder/cli/Controller.java
@@ -108,7 +108,12 @@
             settings.peers().stream().map(Settings.Peer::address))
         .forEach(address -> own.add(address.substring(0, address.lastIndexOf(':'))));
     Delivery delivery =
-        new Delivery(runtime, SecretBox.read(key), own, settings.coreShare());
+        new Delivery(
+            runtime,
+            SecretBox.read(key),
+            own,
+            settings.coreShare(),
+            runtime.sockets().usage().get(Sockets.Part.NOTICES).most());
     delivery.sendThrough(new OutwardCaller(runtime, delivery::allows));
     return delivery;
   }
--- a/src/main/java/io/pineladder/delivery/Deliveries.java
+++ b/src/main/java/io/pineladder/delivery/Deliveries.java
@@ -19,10 +19,8 @@
  * part of the turns, so that the dead do not delay the others.
  */
 public final class Deliveries {
-  /** So many requests are under way at a time, and so many of them to receivers that fail. */
-  private static final int MOST_UNDER_WAY = 32;
-
-  private static final int MOST_FAILING = 8;
+  /** The part of the turns that receivers which fail have. */
+  private static final double FAILING_PART = 0.25;
 
   /** Stores that a subscription's status has changed. */
   interface Settling {
@@ -35,6 +33,8 @@
   private final BooleanSupplier mayAct;
   private final Settling settling;
   private final RateBudget rate;
+  private final int mostUnderWay;
+  private final int mostFailing;
   private final Map<String, Subscriber> subscribers = new HashMap<>();
 
   /** Secrets that have been decrypted, by what they were encrypted to. */
@@ -45,6 +45,8 @@
   private int underWay;
   private int failingUnderWay;
   private boolean pumpSet;
+  private long sent;
+  private long failed;
 
   /** From a job's end to the receiver's answer, in milliseconds. */
   private final Histogram delays = new Histogram(TimeUnit.DAYS.toMillis(2), 2);
@@ -60,6 +62,8 @@
     this.time = time;
     this.mayAct = mayAct;
     this.settling = settling;
+    this.mostUnderWay = delivery.underWay();
+    this.mostFailing = Math.max(1, (int) (mostUnderWay * FAILING_PART));
     this.rate = new RateBudget(delivery.perSecond(), delivery.perSecond(), time.now());
   }
 
@@ -87,6 +91,18 @@
     return subscribers.get(subscription.source());
   }
 
+  long sent() {
+    return sent;
+  }
+
+  long failed() {
+    return failed;
+  }
+
+  int underWay() {
+    return underWay;
+  }
+
   Histogram delays() {
     return delays;
   }
@@ -98,9 +114,9 @@
 
   private void pump() {
     Instant now = time.now();
-    while (underWay < MOST_UNDER_WAY && rate.available(now) >= 1) {
+    while (underWay < mostUnderWay && rate.available(now) >= 1) {
       Turns next = ready.pollFirst();
-      if (next == null && failingUnderWay < MOST_FAILING) {
+      if (next == null && failingUnderWay < mostFailing) {
         next = failing.pollFirst();
         failingUnderWay += next == null ? 0 : 1;
       }
@@ -111,7 +127,7 @@
       underWay++;
       next.send();
     }
-    if (underWay < MOST_UNDER_WAY && !pumpSet) {
+    if (underWay < mostUnderWay && !pumpSet) {
       pumpSet = true;
       time.after(
           rate.until(1, now).plusMillis(1),
@@ -157,6 +173,16 @@
       pump();
     }
 
+    @Override
+    public void sent() {
+      sent++;
+    }
+
+    @Override
+    public void failed() {
+      failed++;
+    }
+
     @Override
     public void confirmed(Instant endedAt) {
       long millis = Duration.between(endedAt, time.timeOfDay()).toMillis();
--- a/src/main/java/io/pineladder/delivery/Delivery.java
+++ b/src/main/java/io/pineladder/delivery/Delivery.java
@@ -18,10 +18,14 @@
   /** Notices sent in a second by a process that has a whole core. */
   private static final double PER_CORE = 1_500;
 
+  /** So many requests are under way at a time at most. */
+  private static final int MOST_UNDER_WAY = 32;
+
   private final Background background;
   private final SecretBox box;
   private final Collection<String> own;
   private final double perSecond;
+  private final int underWay;
   private Outward outward;
   private Destinations destinations;
 
@@ -30,9 +34,16 @@
    *
    * @param own the addresses of the cluster's own parts, without ports
    * @param coreShare how much of a core the process has
+   * @param sockets how many sockets there are for it
    */
   public Delivery(
-      Background background, SecretBox box, Collection<String> own, double coreShare) {
+      Background background,
+      SecretBox box,
+      Collection<String> own,
+      double coreShare,
+      int sockets) {
+    // The rest is for connections that are being closed, or kept for the next notice.
+    this.underWay = Math.max(1, Math.min(MOST_UNDER_WAY, sockets * 3 / 4));
     this.background = background;
     this.box = box;
     this.own = List.copyOf(own);
@@ -56,6 +67,10 @@
     return box;
   }
 
+  int underWay() {
+    return underWay;
+  }
+
   double perSecond() {
     return perSecond;
   }
--- a/src/main/java/io/pineladder/delivery/Outbox.java
+++ b/src/main/java/io/pineladder/delivery/Outbox.java
@@ -41,7 +41,10 @@
   /** At the bound so large a part of what is kept goes at once. */
   private static final int PARTS = 64;
 
-  /** Progress is stored once a subscriber is so many notices further, for each page of progress. */
+  /**
+   * A page of progress is stored once its subscribers are so many notices further on average, for each
+   * page there is. By the one that is furthest, a hundred who take turns would each have it stored.
+   */
   private static final int PACE = 40;
 
   private static final Comparator<Entry> BY_NUMBER =
@@ -61,11 +64,15 @@
     /** What the store holds. */
     private Progress stored;
 
+    /** The number up to which its page's advance counts it. */
+    private long counted;
+
     private int page = -1;
 
     private Cursor(Progress at) {
       moveTo(at);
       stored = at;
+      counted = at.number();
     }
 
     private void moveTo(Progress at) {
@@ -109,6 +116,9 @@
 
   private final List<Boolean> again = new ArrayList<>();
 
+  /** By how many notices the subscribers of each page are further, added up, than when it was stored. */
+  private final List<Long> advances = new ArrayList<>();
+
   /** Notices of the transaction that has just committed. */
   private final List<Entry> fresh = new ArrayList<>();
 
@@ -211,6 +221,7 @@
       pages.add(new LinkedHashMap<>());
       writing.add(false);
       again.add(false);
+      advances.add(0L);
     }
     pages.get(page).put(source, cursor);
     cursor.page = page;
@@ -443,18 +454,29 @@
    * sent again by the next leader, which does no harm; a change for each notice would.
    */
   private void moved(Cursor cursor) {
-    if (cursor.number - cursor.stored.number() >= (long) PACE * pages.size()) {
-      storeProgress(cursor.page);
+    long by = cursor.number - cursor.counted;
+    cursor.counted = cursor.number;
+    if (by <= 0) {
+      return;
     }
+    int index = cursor.page;
+    advances.set(index, advances.get(index) + by);
+    if (isDue(index) && !writing.get(index)) {
+      storeProgress(index);
+    }
+  }
+
+  private boolean isDue(int index) {
+    return advances.get(index) >= (long) PACE * pages.size() * pages.get(index).size();
   }
 
+  /** Stores a page of progress, once more if it is on its way already. */
   private void storeProgress(int index) {
     if (writing.get(index)) {
       again.set(index, true);
       return;
     }
     writing.set(index, true);
-    again.set(index, false);
     Map<Cursor, Progress> rendered = new HashMap<>();
     commit.accept(
         Mutation.of(
@@ -464,7 +486,7 @@
               writing.set(index, false);
               rendered.forEach((cursor, at) -> cursor.stored = at);
               trim();
-              if (again.get(index)) {
+              if (again.get(index) || isDue(index)) {
                 storeProgress(index);
               }
             }));
@@ -472,6 +494,7 @@
 
   private JsonNode render(int index, Map<Cursor, Progress> rendered) {
     again.set(index, false);
+    advances.set(index, 0L);
     rendered.clear();
     Map<String, Progress> page = new LinkedHashMap<>();
     pages
--- a/src/main/java/io/pineladder/delivery/Subscriber.java
+++ b/src/main/java/io/pineladder/delivery/Subscriber.java
@@ -55,6 +55,12 @@
     /** Its turn is over. */
     void done();
 
+    /** A request goes out. */
+    void sent();
+
+    /** A try has failed, and another is made. */
+    void failed();
+
     /** The receiver has the notice of a job that ended then. */
     void confirmed(Instant endedAt);
 
@@ -210,6 +216,7 @@
     }
     moveTo(State.SENDING);
     sent++;
+    owner.sent();
     long mine = round;
     outward.post(
         new Outward.Message(URI.create(subscription.url()), headers, body, TIMEOUT),
@@ -274,6 +281,7 @@
 
   private void retry(String why, Duration after) {
     lastError = why;
+    owner.failed();
     Duration pause = backoff.pause();
     if (after != null && after.compareTo(pause) > 0) {
       pause = after.compareTo(MOST_AFTER) < 0 ? after : MOST_AFTER;
--- a/src/main/java/io/pineladder/delivery/Subscriptions.java
+++ b/src/main/java/io/pineladder/delivery/Subscriptions.java
@@ -102,7 +102,6 @@
   /** Changes a record from what it is when the change goes to the store. */
   private void change(String name, UnaryOperator<Subscription> change, Runnable onStored) {
     Subscription[] rendered = new Subscription[1];
-    boolean[] exists = new boolean[1];
     Subscription expected = change.apply(outbox.subscriptions().get(name));
     if (expected != null) {
       outbox.expect(expected);
@@ -249,11 +248,23 @@
     ObjectNode out = Json.object();
     ArrayNode all = out.putArray("subscriptions");
     outbox.subscriptions().values().forEach(each -> all.add(show(each)));
-    out.put("notices_kept", outbox.kept());
-    Metrics.percentiles(out.putObject("delay_s"), deliveries.delays(), 1e3);
     return json(200, out);
   }
 
+  /** What is kept and how sending goes, in figures; those of this term. */
+  public ObjectNode figures() {
+    ObjectNode out =
+        Json.object()
+            .put("subscriptions", outbox.subscriptions().size())
+            .put("notices_kept", outbox.kept());
+    if (deliveries != null) {
+      out.put("sent", deliveries.sent()).put("confirmed", deliveries.delays().getTotalCount());
+      out.put("failed", deliveries.failed()).put("under_way", deliveries.underWay());
+      Metrics.percentiles(out.putObject("delay_s"), deliveries.delays(), 1e3);
+    }
+    return out;
+  }
+
   private HttpAnswer shown(String name) {
     Subscription found = outbox.subscriptions().get(name);
     return found == null ? error(404, "no such subscription") : json(200, show(found));
--- a/src/main/java/io/pineladder/net/OutwardCaller.java
+++ b/src/main/java/io/pineladder/net/OutwardCaller.java
@@ -18,7 +18,8 @@
 import java.security.GeneralSecurityException;
 import java.time.Duration;
 import java.time.Instant;
-import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -59,7 +60,8 @@
             return thread;
           });
 
-  private final Map<String, Idle> idle = new HashMap<>();
+  /** A connection for each origin, the longest idle first. */
+  private final Map<String, Idle> idle = new LinkedHashMap<>();
   private XnioSsl ssl;
 
   private record Made(
@@ -120,7 +122,7 @@
       kept.made.socket.busy();
       return kept.made;
     }
-    IoUtils.safeClose(kept.made.connection);
+    IoUtils.safeClose(kept.made.raw);
     return null;
   }
 
@@ -129,12 +131,26 @@
       return;
     }
     made.socket.idle();
-    Idle before = idle.put(origin, new Idle(made, runtime.now()));
+    Idle before = idle.remove(origin);
+    idle.put(origin, new Idle(made, runtime.now()));
     if (before != null) {
-      IoUtils.safeClose(before.made.connection);
+      IoUtils.safeClose(before.made.raw);
     }
   }
 
+  /** Makes room for a connection that is needed; false when none is idle. */
+  private boolean closeLongestIdle() {
+    Iterator<Idle> all = idle.values().iterator();
+    if (!all.hasNext()) {
+      return false;
+    }
+    Made longest = all.next().made;
+    all.remove();
+    IoUtils.safeClose(longest.raw);
+    longest.socket.closed();
+    return true;
+  }
+
   /** One request under way. */
   private final class Call {
     private final Message message;
@@ -199,6 +215,9 @@
         return;
       }
       socket = runtime.sockets().open(Sockets.Part.NOTICES, this::close);
+      if (socket == null && closeLongestIdle()) {
+        socket = runtime.sockets().open(Sockets.Part.NOTICES, this::close);
+      }
       if (socket == null) {
         finish(Answer.failed("no socket is free for notices"));
         return;
@@ -243,7 +262,7 @@
 
     /** Called by the socket's owner when it must go. */
     private void close() {
-      IoUtils.safeClose(made == null ? null : made.connection);
+      IoUtils.safeClose(made == null ? null : made.raw);
     }
 
     private void finish(Answer answer) {
@@ -265,7 +284,7 @@
 
     private void send(Made on) {
       if (over) {
-        IoUtils.safeClose(on.connection);
+        IoUtils.safeClose(on.raw);
         return;
       }
       made = on;
--- a/src/test/java/io/pineladder/sim/DeliveryProcessTest.java
+++ b/src/test/java/io/pineladder/sim/DeliveryProcessTest.java
@@ -53,7 +53,7 @@
   }
 
   /** Submits a job that can't be placed, and cancels it: a final answer. */
-  private static String end(LoopbackCluster cluster, int index) throws InterruptedException {
+  static String end(LoopbackCluster cluster, int index) throws InterruptedException {
     String id = String.format("req-%06d", index);
     ObjectNode spec =
         Json.object()
@@ -96,10 +96,12 @@
     int subscribers = Integer.getInteger("pineladder.subscribers", 2);
     Files.writeString(folder.resolve("key"), Base64.getEncoder().encodeToString(new byte[32]));
     Files.writeString(folder.resolve("secrets"), SECRET + "\n");
-    RandomGenerator random = RandomGeneratorFactory.of("L64X128MixRandom").create(5);
+    RandomGenerator random = RandomGeneratorFactory.of("L64X128MixRandom")
+        .create(
+            Integer.getInteger("pineladder.seed", 5));
     try (LoopbackCluster cluster =
         new LoopbackCluster(
-            folder, 3, List.of("--delivery", folder.resolve("key").toString()))) {
+            folder, 3, 1, List.of("--delivery", folder.resolve("key").toString()))) {
       ObjectNode networks = Json.object();
       networks.putArray("networks").add("127.0.0.1");
       cluster.insist(true, "PUT", "/admin/v1/networks", networks);
@@ -129,7 +131,7 @@
                           n = next.getAndIncrement()) {
                         end(cluster, n);
                         // So that the ends are spread over the kills.
-                        Thread.sleep(20);
+                        Thread.sleep(Integer.getInteger("pineladder.pause", 20));
                       }
                       return null;
                     }));
--- a/src/test/java/io/pineladder/sim/DeliverySimulationTest.java
+++ b/src/test/java/io/pineladder/sim/DeliverySimulationTest.java
@@ -47,25 +47,30 @@
 
   @Override
   Delivery delivery(String host) {
-    Delivery delivery = new Delivery(DIRECT, new SecretBox(new byte[32]), List.of(), 1);
+    Delivery delivery = new Delivery(DIRECT, new SecretBox(new byte[32]), List.of(), 1, 32);
     delivery.sendThrough(ReceiverStandIn.from(world, host, () -> true));
     return delivery;
   }
 
+  private HttpCaller.Reply[] tell(String method, String path, ObjectNode body, int node) {
+    HttpCaller.Reply[] got = new HttpCaller.Reply[1];
+    world
+        .caller("admin", () -> true)
+        .call(
+            new HttpCaller.Request(
+                "10.0.0." + node + ":8081",
+                method,
+                "/admin/v1/" + path,
+                body == null ? null : Json.bytes(body),
+                Duration.ofSeconds(5)),
+            reply -> got[0] = reply);
+    return got;
+  }
+
   /** Asks any node until it says what is wanted. */
   private ObjectNode admin(String method, String path, ObjectNode body, int wanted) {
     for (int tries = 0; tries < 300; tries++) {
-      HttpCaller.Reply[] got = new HttpCaller.Reply[1];
-      world
-          .caller("admin", () -> true)
-          .call(
-              new HttpCaller.Request(
-                  "10.0.0." + (1 + tries % 3) + ":8081",
-                  method,
-                  "/admin/v1/" + path,
-                  body == null ? null : Json.bytes(body),
-                  Duration.ofSeconds(5)),
-              reply -> got[0] = reply);
+      HttpCaller.Reply[] got = tell(method, path, body, 1 + tries % 3);
       world.runFor(Duration.ofMillis(200));
       for (int i = 0; i < 60 && got[0] == null; i++) {
         world.runFor(Duration.ofMillis(100));
@@ -357,9 +362,50 @@
       if (!open.isEmpty() && world.random.nextInt(2) == 0) {
         cancel(open.get(world.random.nextInt(open.size())));
       }
+      if (world.random.nextInt(6) == 0) {
+        // An operator stops one and lets it go on, whatever becomes of the requests.
+        boolean pause = world.random.nextBoolean();
+        tell("POST", "subscriptions/blue/" + (pause ? "pause" : "resume"), null, 1);
+      }
       trouble(world.random.nextInt(18));
       world.runFor(Duration.ofMillis(1_000 + world.random.nextInt(4_000)));
     }
+    world.runFor(Duration.ofSeconds(30));
+    store.outage = false;
+    admin("POST", "subscriptions/blue/resume", null, 200);
     settleAndDeliver(Duration.ofSeconds(600));
   }
+
+  /** While one secret replaces the other both sign, so that nothing is refused on the way. */
+  @Test
+  void secretsAreReplacedWhileNoticesAreUnderWay() {
+    byte[] fresh = SECRET.clone();
+    fresh[0] = 1;
+    begin(6);
+    fleet.capacity = 0;
+    world.runFor(Duration.ofSeconds(5));
+    ReceiverStandIn receiver = subscribe("desk", List.of(), List.of());
+    receiver.trouble = 0.2;
+    endMany(20);
+    admin("PUT", "subscriptions/desk", secrets(fresh, SECRET), 200);
+    endMany(20);
+    receiver.replace(fresh);
+    endMany(20);
+    admin("PUT", "subscriptions/desk", secrets(fresh), 200);
+    endMany(20);
+    receiver.trouble = 0;
+    world.runFor(Duration.ofSeconds(700));
+    assertEquals("active", shown("desk").get("status").asText());
+    assertEquals(80, receiver.effects.size());
+    check();
+  }
+
+  private static ObjectNode secrets(byte[]... secrets) {
+    ObjectNode body = subscription("10.9.0.1", List.of(), List.of());
+    ArrayNode list = body.putArray("secrets");
+    for (byte[] secret : secrets) {
+      list.add(Signature.SECRET_PREFIX + Base64.getEncoder().encodeToString(secret));
+    }
+    return body;
+  }
 }
--- a/src/test/java/io/pineladder/sim/LoopbackCluster.java
+++ b/src/test/java/io/pineladder/sim/LoopbackCluster.java
@@ -34,6 +34,7 @@
   private final List<String> fronts = new ArrayList<>();
   private final List<String> clusters = new ArrayList<>();
   private final List<String> options;
+  private final double coreShare;
   private final HttpClient http =
       HttpClient.newBuilder().connectTimeout(Duration.ofSeconds(1)).build();
   private volatile boolean closed;
@@ -41,10 +42,13 @@
   /**
    * A cluster.
    *
+   * @param coreShare how much of a core their settings say that each has
    * @param options the controllers' arguments before the settings file
    */
-  LoopbackCluster(Path folder, int controllers, List<String> options) throws IOException {
+  LoopbackCluster(Path folder, int controllers, double coreShare, List<String> options)
+      throws IOException {
     this.folder = folder;
+    this.coreShare = coreShare;
     this.options = options;
     runtime = new XnioRuntime(4_000, Duration.ofSeconds(3));
     FleetStandIn fleet = new FleetStandIn(world, new Rules(world), List.of());
@@ -106,7 +110,7 @@
         .replace("10.0.0.1:8081", clusters.get(index))
         .replace("write_rps = 60.0", "write_rps = 2000.0")
         .replace("rps = 100.0", "rps = 5000.0")
-        .replace("core_share = 0.2", "core_share = 1.0");
+        .replace("core_share = 0.2", "core_share = " + coreShare);
   }
 
   /** A process of this program's classes, ended with this one. */
--- a/src/test/java/io/pineladder/sim/ReceiverStandIn.java
+++ b/src/test/java/io/pineladder/sim/ReceiverStandIn.java
@@ -27,7 +27,7 @@
 /** A receiver in virtual time that is killed at random points and keeps what it has made durable. */
 class ReceiverStandIn implements HttpHandlerAsync, NoticeStore {
   private final World world;
-  private final Receiver receiver;
+  private Receiver receiver;
 
   /** What happened here, in order: the effect. */
   final List<Event> effects = new ArrayList<>();
@@ -47,7 +47,12 @@
 
   ReceiverStandIn(World world, byte[] secret) {
     this.world = world;
-    this.receiver =
+    replace(secret);
+  }
+
+  /** It knows another secret from here on. */
+  final void replace(byte[] secret) {
+    receiver =
         new Receiver(
             List.of(secret),
             this,
--- a/src/test/java/io/pineladder/sim/StoreStandIn.java
+++ b/src/test/java/io/pineladder/sim/StoreStandIn.java
@@ -27,7 +27,21 @@
     long life;
   }
 
-  private record Watch(String prefix, long since, Consumer<HttpAnswer> answer, boolean[] over) {}
+  private static final class Watch {
+    final String prefix;
+    final Consumer<HttpAnswer> answer;
+
+    /** The first entry of the log that it has not been looked at for. */
+    int from;
+
+    boolean over;
+
+    Watch(String prefix, int from, Consumer<HttpAnswer> answer) {
+      this.prefix = prefix;
+      this.from = from;
+      this.answer = answer;
+    }
+  }
 
   private final World world;
   private final int txnOps;
@@ -269,9 +283,12 @@
 
   private void follow(Map<String, String> query, Consumer<HttpAnswer> answer) {
     long wait = Long.parseLong(query.get("wait_ms"));
-    Watch watch =
-        new Watch(
-            query.get("prefix"), Long.parseLong(query.get("since")), answer, new boolean[1]);
+    long since = Long.parseLong(query.get("since"));
+    int from = log.size();
+    while (from > 0 && log.get(from - 1).get("stamp").asLong() > since) {
+      from--;
+    }
+    Watch watch = new Watch(query.get("prefix"), from, answer);
     watches.add(watch);
     tryAnswer(watch, false);
     world.after(wait, () -> tryAnswer(watch, true));
@@ -282,19 +299,20 @@
   }
 
   private void tryAnswer(Watch watch, boolean last) {
-    if (watch.over[0] || (outage && !last)) {
+    if (watch.over || (outage && !last)) {
       return;
     }
     ObjectNode out = Json.object().put("epoch", revision);
     ArrayNode events = out.putArray("log");
-    for (ObjectNode event : log) {
+    for (; watch.from < log.size(); watch.from++) {
+      ObjectNode event = log.get(watch.from);
       JsonNode key = event.has("write") ? event.get("write") : event.get("remove");
-      if (event.get("stamp").asLong() > watch.since && key.asText().startsWith(watch.prefix)) {
+      if (key.asText().startsWith(watch.prefix)) {
         events.add(event);
       }
     }
     if (last || !events.isEmpty()) {
-      watch.over[0] = true;
+      watch.over = true;
       watches.remove(watch);
       watch.answer.accept(answer(200, out));
     }
