An event tells the time to the millisecond, as its record does

Seen by hand: the leader that stored a notice told its time to the nanosecond, the next leader, which read the record, to the millisecond; the same event was not the same to the byte. The test fails without the change.

--- a/src/main/java/io/pineladder/delivery/Outbox.java
+++ b/src/main/java/io/pineladder/delivery/Outbox.java
@@ -10,6 +10,7 @@
 import io.pineladder.store.Mutation;
 import io.pineladder.store.NoticeBook;
 import io.pineladder.wire.DeliveryWire;
+import java.time.temporal.ChronoUnit;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -313,7 +314,8 @@
             jobClass,
             job.state(),
             job.spec.tasks(),
-            time.timeOfDay())
+            // As it is stored, or a later leader's event would not be the same.
+            time.timeOfDay().truncatedTo(ChronoUnit.MILLIS))
         : null;
   }
 
--- a/src/test/java/io/pineladder/delivery/OutboxTest.java
+++ b/src/test/java/io/pineladder/delivery/OutboxTest.java
@@ -1,5 +1,6 @@
 package io.pineladder.delivery;
 
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
@@ -14,6 +15,7 @@
 import io.pineladder.net.Timeline;
 import io.pineladder.store.Mutation;
 import io.pineladder.wire.DeliveryWire;
+import io.pineladder.wire.RecordWire;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayDeque;
@@ -63,7 +65,7 @@
 
           @Override
           public Instant timeOfDay() {
-            return Instant.EPOCH;
+            return Instant.ofEpochSecond(1_790_000_000, 123_456_789);
           }
 
           @Override
@@ -303,6 +305,18 @@
     assertEquals("job-2", outbox.next(desk).job());
   }
 
+  /** Seen by hand: the leader that stored it told the time to the nanosecond, the next one did not. */
+  @Test
+  void aLaterLeaderTellsTheSameToTheByte() throws io.pineladder.wire.MalformedException {
+    subscribe(subscription("desk", outbox.last(), null));
+    Notice first = end("a", "red");
+    JsonNode page = RecordWire.page(java.util.stream.Stream.of(), List.of(first));
+    Notice later = RecordWire.notices(page).get(0);
+    Subscription desk = outbox.subscriptions().get("desk");
+    assertArrayEquals(
+        DeliveryWire.event(desk, 1, first), DeliveryWire.event(desk, 1, later));
+  }
+
   @Test
   void nothingIsKeptThatNobodyWants() {
     assertNull(end("a", "red"));
