Notices that wait move by what they take, among the ends

Cause: counted in notices, more than a page of jobs was full of them before any moved; and with the tidying they waited behind every end of a rush.

Change: they move once they take half a value, with the priority of ends. Progress is stored every fifty notices on average.

--- a/src/main/java/io/pineladder/delivery/Outbox.java
+++ b/src/main/java/io/pineladder/delivery/Outbox.java
@@ -38,8 +38,8 @@
  * count on from where the record of a subscriber stands.
  *
  * <p>A notice stands in its job's page at first. Where many wait they move, the oldest first, to pages of
- * their own: job pages that are half full of notices would each take in few jobs, and a new leader
- * would have to read them all before it begins. It needs the newest only, from which it counts on, and
+ * their own: job pages that are full of notices take in no jobs, and a new leader would have to read them
+ * all before it begins. It needs the newest only, from which it counts on, and
  * reads the rest once it leads.
  */
 public final class Outbox implements NoticeBook {
@@ -55,7 +55,7 @@
    * A page of progress is stored once its subscribers are so many notices further on average, for each
    * page there is. By the one that is furthest, a hundred who take turns would each have it stored.
    */
-  private static final int PACE = 40;
+  private static final int PACE = 50;
 
   private static final Comparator<Entry> BY_NUMBER =
       Comparator.comparingLong(entry -> entry.notice.number());
@@ -66,26 +66,27 @@
   /** The most bytes of one subscriber's progress in JSON. */
   private static final int PROGRESS_BYTES = 180;
 
-  /** So large a part of what is kept may wait in the pages of jobs. */
-  private static final double IN_JOBS = 0.005;
+  /**
+   * So large a part of one value may wait in the pages of jobs. With more the page that takes in new jobs
+   * would fill up, and jobs that end together would be in several pages.
+   */
+  private static final double IN_JOBS = 0.5;
+
+  /** So many of the newest stay there in any case. */
+  private static final int NEWEST = 8;
 
   private static final class Entry {
     final Notice notice;
+    final int bytes;
 
     /** Takes it out of its job's page; null once that has been asked for. */
     private Runnable drop;
 
     Entry(Notice notice, Runnable drop) {
       this.notice = notice;
+      this.bytes = Json.bytes(RecordWire.notice(notice)).length + 1;
       this.drop = drop;
     }
-
-    void leaveJobs() {
-      if (drop != null) {
-        drop.run();
-        drop = null;
-      }
-    }
   }
 
   /** Where a subscriber is. */
@@ -152,6 +153,9 @@
 
   private boolean sealing;
 
+  /** What the notices in the pages of jobs take. */
+  private long bytesInJobs;
+
   private final Map<String, Subscription> subscriptions = new LinkedHashMap<>();
 
   /** Subscriptions being created, and filters being changed, which want notices from here on. */
@@ -225,7 +229,7 @@
             if (twice == null) {
               entries.add(new Entry(notice, null));
             } else {
-              twice.leaveJobs();
+              leaveJobs(twice);
             }
           }
           sealed.put(Long.parseLong(key.substring(Keys.BACKLOG.length())), last);
@@ -410,7 +414,9 @@
 
   @Override
   public void stored(Notice notice, Runnable drop) {
-    (state == State.READING_JOBS ? entries : fresh).add(new Entry(notice, drop));
+    Entry entry = new Entry(notice, drop);
+    bytesInJobs += entry.bytes;
+    (state == State.READING_JOBS ? entries : fresh).add(entry);
   }
 
   @Override
@@ -435,27 +441,30 @@
 
   /** Moves the oldest notices in pages of jobs to a page of their own, where too many wait there. */
   private void seal() {
-    int from = head + (int) Math.max(0, sealedTo + 1 - first());
-    int waiting = entries.size() - from;
-    if (sealing || waiting <= Math.max(64, most * IN_JOBS)) {
+    if (sealing || bytesInJobs <= valueBytes * IN_JOBS) {
       return;
     }
     List<Notice> chunk = new ArrayList<>();
     int left = valueBytes - FRAME_BYTES;
     // Never the newest, which a new leader looks for in the pages of jobs.
-    for (int i = from; i < from + waiting / 2 && left > 0; i++) {
-      Notice notice = entries.get(i).notice;
-      left -= Json.bytes(RecordWire.notice(notice)).length + 1;
-      if (left >= 0) {
-        chunk.add(notice);
+    int to = entries.size() - NEWEST;
+    for (int i = head + (int) Math.max(0, sealedTo + 1 - first()); i < to; i++) {
+      left -= entries.get(i).bytes;
+      if (left < 0) {
+        break;
       }
+      chunk.add(entries.get(i).notice);
+    }
+    if (chunk.isEmpty()) {
+      return;
     }
     long page = sealed.isEmpty() ? 0 : sealed.lastKey() + 1;
     long last = chunk.get(chunk.size() - 1).number();
     sealing = true;
     commit.accept(
         Mutation.of(
-            Mutation.Priority.TIDY,
+            // Among the ends: put off in a rush it would leave them ever more pages to change.
+            Mutation.Priority.END,
             List.of(
                 new Mutation.Write(
                     Keys.BACKLOG + page, () -> RecordWire.page(Stream.of(), chunk))),
@@ -464,7 +473,7 @@
               sealed.put(page, last);
               for (Notice notice : chunk) {
                 if (notice.number() >= first()) {
-                  entries.get(head + (int) (notice.number() - first())).leaveJobs();
+                  leaveJobs(entries.get(head + (int) (notice.number() - first())));
                 }
               }
               sealedTo = last;
@@ -473,6 +482,14 @@
             }));
   }
 
+  private void leaveJobs(Entry entry) {
+    if (entry.drop != null) {
+      entry.drop.run();
+      entry.drop = null;
+      bytesInJobs -= entry.bytes;
+    }
+  }
+
   /** Deletes pages of which nothing is wanted any more. */
   private void dropPages() {
     while (!sealed.isEmpty() && sealed.firstEntry().getValue() < first()) {
@@ -665,7 +682,7 @@
     }
     // The newest stays in any case: the next leader counts on from it.
     while (head < entries.size() - 1 && at(head) <= needless) {
-      entries.get(head++).leaveJobs();
+      leaveJobs(entries.get(head++));
     }
     if (head > entries.size() / 2) {
       entries.subList(0, head).clear();
--- a/src/main/java/io/pineladder/store/JobPages.java
+++ b/src/main/java/io/pineladder/store/JobPages.java
@@ -134,8 +134,9 @@
       if (notice == null) {
         page.bytes -= room;
       } else {
-        long number = notice.number();
-        book.stored(notice, () -> drop(page, number, room));
+        int taken = room(notice);
+        page.bytes -= room - taken;
+        book.stored(notice, () -> drop(page, notice.number(), taken));
       }
     }
   }
