--- a/src/main/java/io/pineladder/delivery/receiver/Journal.java
+++ b/src/main/java/io/pineladder/delivery/receiver/Journal.java
@@ -1,5 +1,6 @@
 package io.pineladder.delivery.receiver;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.pineladder.wire.DeliveryWire;
 import io.pineladder.wire.DeliveryWire.Event;
@@ -12,7 +13,6 @@
 import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
 import java.nio.channels.OverlappingFileLockException;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
@@ -26,10 +26,6 @@
  * holds the event's sequence, the position as well: one write, forced to the disk before it counts.
  */
 public final class Journal implements NoticeStore {
-  private static final byte[] HEAD = "{\"crc32c\":\"".getBytes(StandardCharsets.US_ASCII);
-  private static final byte[] MIDDLE = "\",\"event\":".getBytes(StandardCharsets.US_ASCII);
-  private static final int DIGITS = 8;
-
   private final Path file;
   private final FileChannel channel;
   private final Map<String, Long> positions = new HashMap<>();
@@ -90,16 +86,14 @@
           continue;
         }
         lines++;
-        Event event;
+        String place = file + ", line " + lines + ", byte " + good + ": ";
         try {
-          event = parse(line.toByteArray());
-          take(event);
+          take(parse(line.toByteArray()), place);
         } catch (MalformedException e) {
           if (in.read() < 0) {
             return good;
           }
-          throw new IOException(
-              file + ", line " + lines + ", byte " + good + ": " + e.getMessage());
+          throw new IOException(place + e.getMessage());
         }
         good += line.size() + 1;
         line.reset();
@@ -108,46 +102,35 @@
     return good;
   }
 
-  private void take(Event event) throws MalformedException {
+  private void take(Event event, String place) throws IOException {
     long before = positions.getOrDefault(event.source(), 0L);
     if (event.first() > before + 1 || event.sequence() <= before) {
-      throw new MalformedException(
-          "sequence " + event.sequence() + " of " + event.source() + " follows " + before);
+      throw new IOException(
+          place + "sequence " + event.sequence() + " of " + event.source() + " follows " + before);
     }
     positions.put(event.source(), event.sequence());
   }
 
-  private static String checksum(byte[] data, int from, int count) {
+  private static String checksum(JsonNode event) {
     CRC32C crc = new CRC32C();
-    crc.update(data, from, count);
+    crc.update(Json.bytes(event));
     return HexFormat.of().toHexDigits((int) crc.getValue());
   }
 
   private static byte[] line(ObjectNode event) {
-    byte[] body = Json.bytes(event);
-    byte[] sum = checksum(body, 0, body.length).getBytes(StandardCharsets.US_ASCII);
-    return ByteBuffer.allocate(HEAD.length + DIGITS + MIDDLE.length + body.length + 2)
-        .put(HEAD)
-        .put(sum)
-        .put(MIDDLE)
-        .put(body)
-        .put((byte) '}')
-        .put((byte) '\n')
-        .array();
+    ObjectNode line = Json.object().put("crc32c", checksum(event));
+    line.set("event", event);
+    byte[] json = Json.bytes(line);
+    return ByteBuffer.allocate(json.length + 1).put(json).put((byte) '\n').array();
   }
 
   private static Event parse(byte[] line) throws MalformedException {
-    int from = HEAD.length + DIGITS + MIDDLE.length;
-    int count = line.length - from - 1;
-    if (count <= 0) {
-      throw new MalformedException("too short");
-    }
-    String claimed = new String(line, HEAD.length, DIGITS, StandardCharsets.US_ASCII);
-    if (!claimed.equals(checksum(line, from, count))) {
+    ObjectNode json = Json.parseObject(line);
+    JsonNode event = json.path("event");
+    if (!json.path("crc32c").asText().equals(checksum(event))) {
       throw new MalformedException("the checksum does not fit");
     }
-    return DeliveryWire.parseEvent(
-        new String(line, from, count, StandardCharsets.UTF_8).getBytes(StandardCharsets.UTF_8));
+    return DeliveryWire.parseEvent(Json.bytes(event));
   }
 
   @Override
