One way to answer in time, one class for a page of progress

Need: on rereading, the answer that is given once or as "not stored yet" was written for the third time, beside front's own; where subscribers are was kept in four lists side by side; a notice was encoded twice to learn its size, and again for each of a backlog that is read; a branch for a subscription that changes its source could not be reached.

Change: Answers moves to net and takes what is said when it is late; a page of progress has its cursors, its way to the store and its advance; the size of a notice is told by the page that holds it. Tests register a user's job in one place. What is answered, sent and stored stays as it is.

--- a/src/main/java/io/pineladder/admin/AdminApi.java
+++ b/src/main/java/io/pineladder/admin/AdminApi.java
@@ -1,5 +1,7 @@
 package io.pineladder.admin;
 
+import static io.pineladder.net.Answers.error;
+
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.pineladder.Leader;
@@ -8,6 +10,7 @@
 import io.pineladder.membership.Membership;
 import io.pineladder.model.Machine;
 import io.pineladder.model.OperatorSettings;
+import io.pineladder.net.Answers;
 import io.pineladder.net.HttpAnswer;
 import io.pineladder.recovery.Takeovers;
 import io.pineladder.wire.Json;
@@ -57,10 +60,6 @@
     return new HttpAnswer(status, Json.bytes(body));
   }
 
-  private static HttpAnswer error(int status, String reason) {
-    return json(status, Json.object().put("error", reason));
-  }
-
   /** What any node can answer itself. */
   public void handle(String method, String path, Consumer<HttpAnswer> answer) {
     boolean known =
@@ -211,23 +210,8 @@
       answer.accept(error(400, e.getMessage()));
       return;
     }
-    boolean[] given = new boolean[1];
-    leader.storeOperator(
-        wanted,
-        () -> {
-          if (!given[0]) {
-            given[0] = true;
-            answer.accept(json(200, RecordWire.operator(wanted)));
-          }
-        });
-    node.time()
-        .after(
-            STORE_TIMEOUT,
-            () -> {
-              if (!given[0]) {
-                given[0] = true;
-                answer.accept(error(503, "not stored yet"));
-              }
-            });
+    Consumer<HttpAnswer> first =
+        Answers.once(node.time(), answer, STORE_TIMEOUT, error(503, "not stored yet"));
+    leader.storeOperator(wanted, () -> first.accept(json(200, RecordWire.operator(wanted))));
   }
 }
--- a/src/main/java/io/pineladder/delivery/Outbox.java
+++ b/src/main/java/io/pineladder/delivery/Outbox.java
@@ -10,7 +10,6 @@
 import io.pineladder.store.Mutation;
 import io.pineladder.store.NoticeBook;
 import io.pineladder.wire.DeliveryWire;
-import io.pineladder.wire.Json;
 import io.pineladder.wire.RecordWire;
 import java.time.temporal.ChronoUnit;
 import java.util.ArrayList;
@@ -39,8 +38,8 @@
  *
  * <p>A notice stands in its job's page at first. Where many wait they move, the oldest first, to pages of
  * their own: job pages that are full of notices take in no jobs, and a new leader would have to read them
- * all before it begins. It needs the newest only, from which it counts on, and
- * reads the rest once it leads.
+ * all before it begins. It needs the newest only, from which it counts on, and reads the rest once it
+ * leads.
  */
 public final class Outbox implements NoticeBook {
   private static final Logger log = LoggerFactory.getLogger(Outbox.class);
@@ -77,14 +76,16 @@
 
   private static final class Entry {
     final Notice notice;
+
+    /** What it takes in its job's page. */
     final int bytes;
 
     /** Takes it out of its job's page; null once that has been asked for. */
     private Runnable drop;
 
-    Entry(Notice notice, Runnable drop) {
+    Entry(Notice notice, int bytes, Runnable drop) {
       this.notice = notice;
-      this.bytes = Json.bytes(RecordWire.notice(notice)).length + 1;
+      this.bytes = bytes;
       this.drop = drop;
     }
   }
@@ -101,7 +102,7 @@
     /** The number up to which its page's advance counts it. */
     private long counted;
 
-    private int page = -1;
+    private ProgressPage page;
 
     private Cursor(Progress at) {
       moveTo(at);
@@ -121,6 +122,24 @@
     }
   }
 
+  /** A value with where some subscribers are. */
+  private static final class ProgressPage {
+    final String key;
+    final Map<String, Cursor> cursors = new LinkedHashMap<>();
+
+    /** It is on its way to the store, and is to go there once more. */
+    private boolean writing;
+
+    private boolean again;
+
+    /** By how many notices its subscribers are further, added up, than when it was stored. */
+    private long advance;
+
+    ProgressPage(String key) {
+      this.key = key;
+    }
+  }
+
   /** What is known of the log. */
   private enum State {
     /** The pages of jobs are being read. */
@@ -163,16 +182,7 @@
 
   private final Map<String, Cursor> cursors = new HashMap<>();
 
-  /** The subscribers in each page of progress, by their events' source. */
-  private final List<Map<String, Cursor>> pages = new ArrayList<>();
-
-  /** Pages on their way to the store, and those that are to go there once more. */
-  private final List<Boolean> writing = new ArrayList<>();
-
-  private final List<Boolean> again = new ArrayList<>();
-
-  /** By how many notices the subscribers of each page are further, added up, than when it was stored. */
-  private final List<Long> advances = new ArrayList<>();
+  private final List<ProgressPage> pages = new ArrayList<>();
 
   /** Notices of the transaction that has just committed. */
   private final List<Entry> fresh = new ArrayList<>();
@@ -227,7 +237,7 @@
             last = Math.max(last, notice.number());
             Entry twice = inJobs.get(notice.number());
             if (twice == null) {
-              entries.add(new Entry(notice, null));
+              entries.add(new Entry(notice, 0, null));
             } else {
               leaveJobs(twice);
             }
@@ -240,14 +250,11 @@
     subscriptions.values().forEach(subscription -> sources.add(subscription.source()));
     progress.forEach(
         (key, page) -> {
-          int index = Integer.parseInt(key.substring(Keys.DELIVERED.length()));
-          room(index);
+          ProgressPage known = page(Integer.parseInt(key.substring(Keys.DELIVERED.length())));
           page.forEach(
               (source, at) -> {
                 if (sources.contains(source)) {
-                  Cursor cursor = new Cursor(at);
-                  cursors.put(source, cursor);
-                  settle(source, cursor, index);
+                  cursors.put(source, settle(known, source, at));
                 }
               });
         });
@@ -269,7 +276,7 @@
    */
   private void mend() {
     int from = entries.size() - 1;
-    while (from > head && entries.get(from - 1).notice.number() + 1 == at(from)) {
+    while (from > head && at(from - 1) + 1 == at(from)) {
       from--;
     }
     if (from > head) {
@@ -296,29 +303,26 @@
     return cursors.computeIfAbsent(
         subscription.source(),
         source -> {
-          Cursor cursor = new Cursor(new Progress(subscription.since(), 0, 0));
-          int page = 0;
-          while (page < pages.size() && pages.get(page).size() >= perPage) {
-            page++;
+          int index = 0;
+          while (index < pages.size() && pages.get(index).cursors.size() >= perPage) {
+            index++;
           }
-          settle(source, cursor, page);
-          return cursor;
+          return settle(page(index), source, new Progress(subscription.since(), 0, 0));
         });
   }
 
-  private void settle(String source, Cursor cursor, int page) {
-    room(page);
-    pages.get(page).put(source, cursor);
+  private static Cursor settle(ProgressPage page, String source, Progress at) {
+    Cursor cursor = new Cursor(at);
     cursor.page = page;
+    page.cursors.put(source, cursor);
+    return cursor;
   }
 
-  private void room(int page) {
-    while (pages.size() <= page) {
-      pages.add(new LinkedHashMap<>());
-      writing.add(false);
-      again.add(false);
-      advances.add(0L);
+  private ProgressPage page(int index) {
+    while (pages.size() <= index) {
+      pages.add(new ProgressPage(Keys.DELIVERED + pages.size()));
     }
+    return pages.get(index);
   }
 
   // ---- subscriptions
@@ -340,10 +344,7 @@
   /** Its record, as it now stands, is stored. */
   public void subscribed(Subscription subscription) {
     coming.remove(subscription.name());
-    Subscription before = subscriptions.put(subscription.name(), subscription);
-    if (before != null && !before.source().equals(subscription.source())) {
-      forget(before);
-    }
+    subscriptions.put(subscription.name(), subscription);
     begin(subscription);
     trim();
     onStored.run();
@@ -364,18 +365,11 @@
     coming.remove(name);
     Subscription before = subscriptions.remove(name);
     if (before != null) {
-      forget(before);
+      cursors.remove(before.source()).page.cursors.remove(before.source());
       trim();
     }
   }
 
-  private void forget(Subscription subscription) {
-    Cursor cursor = cursors.remove(subscription.source());
-    if (cursor != null) {
-      pages.get(cursor.page).remove(subscription.source());
-    }
-  }
-
   public Cursor cursor(Subscription subscription) {
     return cursors.get(subscription.source());
   }
@@ -413,9 +407,9 @@
   }
 
   @Override
-  public void stored(Notice notice, Runnable drop) {
-    Entry entry = new Entry(notice, drop);
-    bytesInJobs += entry.bytes;
+  public void stored(Notice notice, int bytes, Runnable drop) {
+    Entry entry = new Entry(notice, bytes, drop);
+    bytesInJobs += bytes;
     (state == State.READING_JOBS ? entries : fresh).add(entry);
   }
 
@@ -473,7 +467,7 @@
               sealed.put(page, last);
               for (Notice notice : chunk) {
                 if (notice.number() >= first()) {
-                  leaveJobs(entries.get(head + (int) (notice.number() - first())));
+                  leaveJobs(entry(notice.number()));
                 }
               }
               sealedTo = last;
@@ -506,8 +500,12 @@
     return head < entries.size() ? at(head) : committed + 1;
   }
 
+  private Entry entry(long number) {
+    return entries.get(head + (int) (number - first()));
+  }
+
   private Notice at(long number) {
-    return entries.get(head + (int) (number - first())).notice;
+    return entry(number).notice;
   }
 
   /** The subscriber's next notice, or null; what is not for it is passed over. */
@@ -608,9 +606,7 @@
         log.warn("{} notices are lost to subscription {}", lost, subscription.name());
       }
     }
-    for (int i = 0; i < pages.size(); i++) {
-      storeProgress(i);
-    }
+    pages.forEach(this::storeProgress);
   }
 
   /**
@@ -623,52 +619,49 @@
     if (by <= 0) {
       return;
     }
-    int index = cursor.page;
-    advances.set(index, advances.get(index) + by);
-    if (isDue(index) && !writing.get(index)) {
-      storeProgress(index);
+    cursor.page.advance += by;
+    if (isDue(cursor.page) && !cursor.page.writing) {
+      storeProgress(cursor.page);
     }
   }
 
-  private boolean isDue(int index) {
-    return advances.get(index) >= (long) PACE * pages.size() * pages.get(index).size();
+  private boolean isDue(ProgressPage page) {
+    return page.advance >= (long) PACE * pages.size() * page.cursors.size();
   }
 
   /** Stores a page of progress, once more if it is on its way already. */
-  private void storeProgress(int index) {
-    if (writing.get(index)) {
-      again.set(index, true);
+  private void storeProgress(ProgressPage page) {
+    if (page.writing) {
+      page.again = true;
       return;
     }
-    writing.set(index, true);
+    page.writing = true;
     Map<Cursor, Progress> rendered = new HashMap<>();
     commit.accept(
         Mutation.of(
             Mutation.Priority.TIDY,
-            List.of(new Mutation.Write(Keys.DELIVERED + index, () -> render(index, rendered))),
+            List.of(new Mutation.Write(page.key, () -> render(page, rendered))),
             () -> {
-              writing.set(index, false);
+              page.writing = false;
               rendered.forEach((cursor, at) -> cursor.stored = at);
               trim();
-              if (again.get(index) || isDue(index)) {
-                storeProgress(index);
+              if (page.again || isDue(page)) {
+                storeProgress(page);
               }
             }));
   }
 
-  private JsonNode render(int index, Map<Cursor, Progress> rendered) {
-    again.set(index, false);
-    advances.set(index, 0L);
+  private static JsonNode render(ProgressPage page, Map<Cursor, Progress> rendered) {
+    page.again = false;
+    page.advance = 0;
     rendered.clear();
-    Map<String, Progress> page = new LinkedHashMap<>();
-    pages
-        .get(index)
-        .forEach(
-            (source, cursor) -> {
-              rendered.put(cursor, cursor.now());
-              page.put(source, cursor.now());
-            });
-    return DeliveryWire.progress(page);
+    Map<String, Progress> entries = new LinkedHashMap<>();
+    page.cursors.forEach(
+        (source, cursor) -> {
+          rendered.put(cursor, cursor.now());
+          entries.put(source, cursor.now());
+        });
+    return DeliveryWire.progress(entries);
   }
 
   /** Lets go of what nobody needs, as far as the store knows that. */
--- a/src/main/java/io/pineladder/delivery/Subscriber.java
+++ b/src/main/java/io/pineladder/delivery/Subscriber.java
@@ -3,8 +3,8 @@
 import io.pineladder.model.Notice;
 import io.pineladder.model.Progress;
 import io.pineladder.model.Subscription;
-import io.pineladder.net.Outward.Answer;
 import io.pineladder.net.Outward;
+import io.pineladder.net.Outward.Answer;
 import io.pineladder.net.Timeline;
 import io.pineladder.retry.Backoff;
 import io.pineladder.wire.DeliveryWire;
@@ -112,10 +112,6 @@
     return state;
   }
 
-  Subscription subscription() {
-    return subscription;
-  }
-
   boolean isFailing() {
     return failing;
   }
--- a/src/main/java/io/pineladder/delivery/Subscriptions.java
+++ b/src/main/java/io/pineladder/delivery/Subscriptions.java
@@ -1,10 +1,13 @@
 package io.pineladder.delivery;
 
+import static io.pineladder.net.Answers.error;
+
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.pineladder.admin.Metrics;
 import io.pineladder.model.Progress;
 import io.pineladder.model.Subscription;
+import io.pineladder.net.Answers;
 import io.pineladder.net.HttpAnswer;
 import io.pineladder.net.Timeline;
 import io.pineladder.store.Keys;
@@ -18,7 +21,6 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HexFormat;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Set;
@@ -143,7 +145,7 @@
     } else {
       outbox.subscribed(now);
     }
-    if (before != null && (now == null || before.status() != now.status()) || before == null) {
+    if (before == null || now == null || before.status() != now.status()) {
       log.info(
           "subscription {} is {}{}",
           name,
@@ -179,10 +181,6 @@
     return new HttpAnswer(status, Json.bytes(body));
   }
 
-  private static HttpAnswer error(int status, String reason) {
-    return json(status, Json.object().put("error", reason));
-  }
-
   private static HttpAnswer later(String reason) {
     return new HttpAnswer(503, Json.bytes(Json.object().put("error", reason)), 2);
   }
@@ -196,21 +194,9 @@
 
   /** Answers at the first of both: the change is stored, or has taken too long. */
   private Runnable within(Consumer<HttpAnswer> answer, Supplier<HttpAnswer> good) {
-    boolean[] given = new boolean[1];
-    time.after(
-        STORE_TIMEOUT,
-        () -> {
-          if (!given[0]) {
-            given[0] = true;
-            answer.accept(later("not stored yet"));
-          }
-        });
-    return () -> {
-      if (!given[0]) {
-        given[0] = true;
-        answer.accept(good.get());
-      }
-    };
+    Consumer<HttpAnswer> first =
+        Answers.once(time, answer, STORE_TIMEOUT, later("not stored yet"));
+    return () -> first.accept(good.get());
   }
 
   /** Answers a request; {@code path} is what follows the administration API's prefix. */
@@ -383,12 +369,6 @@
     return faults;
   }
 
-  private static Set<String> texts(ObjectNode wanted, String name) {
-    Set<String> out = new LinkedHashSet<>();
-    wanted.path(name).forEach(each -> out.add(each.textValue()));
-    return Set.copyOf(out);
-  }
-
   private void apply(
       String name, ObjectNode wanted, boolean isNew, Consumer<HttpAnswer> answer) {
     List<String> sealed = new ArrayList<>();
@@ -399,8 +379,8 @@
                 sealed.add(delivery.box().seal(name, Signature.secret(secret.textValue()))));
     String incarnation = HexFormat.of().toHexDigits(time.random().nextInt());
     String url = wanted.get("url").textValue();
-    Set<String> owners = texts(wanted, "owners");
-    Set<String> classes = texts(wanted, "classes");
+    Set<String> owners = DeliveryWire.texts(wanted.path("owners"));
+    Set<String> classes = DeliveryWire.texts(wanted.path("classes"));
     UnaryOperator<Subscription> change =
         now -> {
           if (now == null && !isNew) {
--- a/src/main/java/io/pineladder/front/Leaderless.java
+++ b/src/main/java/io/pineladder/front/Leaderless.java
@@ -1,8 +1,8 @@
 package io.pineladder.front;
 
-import static io.pineladder.front.Answers.error;
-import static io.pineladder.front.Answers.later;
-import static io.pineladder.front.Answers.ok;
+import static io.pineladder.net.Answers.error;
+import static io.pineladder.net.Answers.later;
+import static io.pineladder.net.Answers.ok;
 
 import io.pineladder.Leader;
 import io.pineladder.Node;
--- a/src/main/java/io/pineladder/store/JobPages.java
+++ b/src/main/java/io/pineladder/store/JobPages.java
@@ -136,7 +136,7 @@
       } else {
         int taken = room(notice);
         page.bytes -= room - taken;
-        book.stored(notice, () -> drop(page, notice.number(), taken));
+        book.stored(notice, taken, () -> drop(page, notice.number(), taken));
       }
     }
   }
@@ -196,7 +196,7 @@
     int room = room(notice);
     page.notices.put(notice.number(), notice);
     page.bytes += room;
-    book.stored(notice, () -> drop(page, notice.number(), room));
+    book.stored(notice, room, () -> drop(page, notice.number(), room));
   }
 
   private static void drop(Page page, long number, int room) {
--- a/src/main/java/io/pineladder/store/NoticeBook.java
+++ b/src/main/java/io/pineladder/store/NoticeBook.java
@@ -22,7 +22,7 @@
         }
 
         @Override
-        public void stored(Notice notice, Runnable drop) {}
+        public void stored(Notice notice, int bytes, Runnable drop) {}
 
         @Override
         public void committed() {}
@@ -40,9 +40,10 @@
   /**
    * The transaction with the notice has committed.
    *
+   * @param bytes what it takes in its page
    * @param drop takes the notice out of its page, with the page's next write
    */
-  void stored(Notice notice, Runnable drop);
+  void stored(Notice notice, int bytes, Runnable drop);
 
   /** All notices of the transaction have been told; they may have come in any order. */
   void committed();
--- a/src/main/java/io/pineladder/wire/DeliveryWire.java
+++ b/src/main/java/io/pineladder/wire/DeliveryWire.java
@@ -3,13 +3,13 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.pineladder.model.Job;
 import io.pineladder.model.Notice;
 import io.pineladder.model.Progress;
 import io.pineladder.model.Subscription;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.LinkedHashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -38,14 +38,15 @@
     return out;
   }
 
-  private static List<String> texts(JsonNode node) {
+  private static List<String> textList(JsonNode node) {
     List<String> out = new ArrayList<>();
     node.forEach(each -> out.add(each.asText()));
     return out;
   }
 
-  private static Set<String> textSet(JsonNode node) {
-    return Set.copyOf(new LinkedHashSet<>(texts(node)));
+  /** The texts of a list, each once. */
+  public static Set<String> texts(JsonNode node) {
+    return Set.copyOf(textList(node));
   }
 
   public static ObjectNode subscription(Subscription from) {
@@ -73,8 +74,8 @@
       filters.add(
           new Subscription.Filter(
               Fields.of(filter).whole("after", 0, ANY),
-              textSet(filter.path("owners")),
-              textSet(filter.path("classes"))));
+              texts(filter.path("owners")),
+              texts(filter.path("classes"))));
     }
     if (filters.isEmpty()) {
       throw new MalformedException("filters is empty");
@@ -91,7 +92,7 @@
         in.text("url"),
         in.whole("since", 0, ANY),
         List.copyOf(filters),
-        texts(in.node("secrets")),
+        textList(in.node("secrets")),
         status,
         in.textOr("reason", null));
   }
@@ -139,7 +140,7 @@
         throw new MalformedException("networks holds something that is not a text");
       }
     }
-    return texts(list);
+    return textList(list);
   }
 
   // ---- events
@@ -160,7 +161,7 @@
   /** The event that tells of a notice; byte for byte the same on every repeat. */
   public static byte[] event(Subscription to, long sequence, Notice notice) {
     ObjectNode event =
-        event(to, sequence, RecordWire.word(notice.ended()).equals("done") ? DONE : CANCELLED)
+        event(to, sequence, notice.ended() == Job.State.DONE ? DONE : CANCELLED)
             .put("subject", notice.job())
             .put("time", notice.at().toString())
             .put("datacontenttype", "application/json")
--- a/src/test/java/io/pineladder/delivery/OutboxTest.java
+++ b/src/test/java/io/pineladder/delivery/OutboxTest.java
@@ -91,7 +91,7 @@
     // Pages come in no order of numbers.
     while (!notices.isEmpty()) {
       Notice notice = notices.remove(random.nextInt(notices.size()));
-      outbox.stored(notice, () -> dropped.add(notice.number()));
+      outbox.stored(notice, Json.bytes(RecordWire.notice(notice)).length + 1, () -> dropped.add(notice.number()));
     }
     outbox.loaded();
     dropped.clear();
@@ -166,7 +166,7 @@
                 Job.State.DONE));
     if (notice != null) {
       storedNotices.put(notice.number(), notice);
-      outbox.stored(notice, () -> dropped.add(notice.number()));
+      outbox.stored(notice, Json.bytes(RecordWire.notice(notice)).length + 1, () -> dropped.add(notice.number()));
       outbox.committed();
     }
     return notice;
--- a/src/test/java/io/pineladder/sim/ClusterSimulationTest.java
+++ b/src/test/java/io/pineladder/sim/ClusterSimulationTest.java
@@ -49,8 +49,7 @@
     world.runFor(Duration.ofSeconds(8));
     int[] status = new int[1];
     ObjectNode spec = job("array", 2, "red");
-    Rules.Known job = new Rules.Known(spec.get("ref").asText(), spec);
-    rules.jobs.put(job.id, job);
+    Rules.Known job = known(spec);
     world
         .caller("user", () -> true)
         .call(
--- a/src/test/java/io/pineladder/sim/RecoverySimulationTest.java
+++ b/src/test/java/io/pineladder/sim/RecoverySimulationTest.java
@@ -103,8 +103,7 @@
     begin(13);
     world.runFor(Duration.ofSeconds(5));
     ObjectNode spec = job("service", 1, "red");
-    Rules.Known job = new Rules.Known(spec.get("ref").asText(), spec);
-    rules.jobs.put(job.id, job);
+    Rules.Known job = known(spec);
     int leader = leader();
     assertEquals(
         201, ask(host(leader), "POST", "/v1/jobs", Json.bytes(spec)).status(), "stored in a page");
@@ -131,8 +130,7 @@
     begin(14);
     world.runFor(Duration.ofSeconds(5));
     ObjectNode spec = job("service", 1, "red");
-    Rules.Known job = new Rules.Known(spec.get("ref").asText(), spec);
-    rules.jobs.put(job.id, job);
+    Rules.Known job = known(spec);
     int leader = leader();
     assertEquals(201, ask(host(leader), "POST", "/v1/jobs", Json.bytes(spec)).status());
     job.accepted = true;
--- a/src/test/java/io/pineladder/sim/SimulatedCluster.java
+++ b/src/test/java/io/pineladder/sim/SimulatedCluster.java
@@ -147,9 +147,15 @@
     return spec;
   }
 
-  Rules.Known submit(ObjectNode spec) {
+  /** A job that its user knows of from here on. */
+  Rules.Known known(ObjectNode spec) {
     Rules.Known job = new Rules.Known(spec.get("ref").asText(), spec);
     rules.jobs.put(job.id, job);
+    return job;
+  }
+
+  Rules.Known submit(ObjectNode spec) {
+    Rules.Known job = known(spec);
     send(job, "POST", "/v1/jobs", Json.bytes(spec));
     return job;
   }
