--- a/src/main/java/io/pineladder/Leader.java
+++ b/src/main/java/io/pineladder/Leader.java
@@ -1,5 +1,6 @@
 package io.pineladder;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import io.pineladder.delivery.Delivery;
 import io.pineladder.delivery.Outbox;
 import io.pineladder.delivery.Subscriptions;
@@ -14,6 +15,7 @@
 import io.pineladder.net.HttpCaller;
 import io.pineladder.net.Timeline;
 import io.pineladder.recovery.Adoption;
+import io.pineladder.recovery.LiveCopy;
 import io.pineladder.recovery.Takeovers;
 import io.pineladder.recovery.TermLoader;
 import io.pineladder.scheduling.Cluster;
@@ -66,7 +68,7 @@
     /** Others can do what this node cannot: the term ends, and this node does not stand at once. */
     void handOver(String reason);
 
-    void superseded();
+    void superseded(long token);
 
     void onFinal(String job, JobWire.Status status);
 
@@ -74,8 +76,24 @@
 
     /** Stored settings were read. */
     void onConf(List<StoreWire.Entry> entries);
+
+    /** The records are read, and this node leads. */
+    void onBegun(LiveCopy copy);
+
+    /** A record is missing or older than this leader stored it. */
+    void onLost(String reason);
+
+    /** A job that nothing is known of may have been lost with data. */
+    boolean mayBeLost(String job);
+
+    /** For how long something may be missing from the records; null when nothing can be. */
+    Duration incompleteFor();
   }
 
+  /** Between two looks whether the store still holds what was stored. */
+  private static final Duration AUDIT = Duration.ofSeconds(1);
+
+  private final LiveCopy copy;
   private final Settings settings;
   private final StoreClient store;
   private final Timeline time;
@@ -110,10 +128,13 @@
       HttpCaller http,
       Timeline time,
       long term,
+      long version,
+      LiveCopy copy,
       OperatorSettings operator,
       Takeovers.Takeover takeover,
       Delivery delivery,
       Host host) {
+    this.copy = copy;
     this.settings = settings;
     this.store = store;
     this.time = time;
@@ -123,7 +144,7 @@
     this.takeover = takeover;
     this.cluster = new Cluster(settings);
     cluster.setTypes(host.types());
-    this.committer = new Committer(store, time, term, host::resign);
+    this.committer = new Committer(store, time, version, new Storing());
     int valueBytes = settings.store().valueBytes();
     this.outbox =
         new Outbox(Outbox.MOST_KEPT, valueBytes, time, committer::submit, this::onNotices);
@@ -197,7 +218,7 @@
               @Override
               public void onSuperseded(long token) {
                 log.warn("a worker has seen token {}, ours is {}", token, term);
-                host.superseded();
+                host.superseded(token);
               }
 
               @Override
@@ -247,6 +268,24 @@
             });
   }
 
+  /** What becomes of what is stored. */
+  private final class Storing implements Committer.Listener {
+    @Override
+    public void onFenced(String reason) {
+      host.resign(reason);
+    }
+
+    @Override
+    public void onLost(String reason) {
+      host.onLost(reason);
+    }
+
+    @Override
+    public void onStored(String key, JsonNode value, long revision) {
+      copy.put(key, value, revision, false);
+    }
+  }
+
   private void moveTo(State next) {
     if (state != State.OVER) {
       state = next;
@@ -365,6 +404,12 @@
       return host.types();
     }
 
+    @Override
+    public StoreClient.Listing onRead(String prefix, StoreClient.Listing listing) {
+      return new StoreClient.Listing(
+          copy.read(prefix, listing.entries()), listing.revision());
+    }
+
     @Override
     public void onUnreadable(String reason) {
       host.resign(reason);
@@ -397,11 +442,35 @@
     public void onFinal(String id, Job.State ended) {
       host.onFinal(id, toStatus(ended));
     }
+
+    @Override
+    public Job.State ended(String id) {
+      return copy.end(id);
+    }
+
+    @Override
+    public void onRead(StoreWire.Entry entry) {
+      copy.put(entry.key(), entry.value(), entry.version(), false);
+    }
+
+    @Override
+    public boolean mayBeLost(String id) {
+      return host.mayBeLost(id);
+    }
+  }
+
+  /** Has the records compared with what was stored, some at a time, for as long as the term lasts. */
+  private void audit(String after) {
+    if (state == State.LEADING) {
+      committer.audit(after, last -> time.after(AUDIT, () -> audit(last)));
+    }
   }
 
   private void begin(List<Job> jobs, StoreClient.Listing inbox) {
     moveTo(State.LEADING);
+    host.onBegun(copy);
     takeover.passed(Takeovers.Phase.STORE_READ);
+    time.after(AUDIT, () -> audit(null));
     takeover.awaits(cluster.machines().size());
     for (Job job : jobs) {
       scheduler.add(job);
@@ -484,6 +553,12 @@
       waiting.add(onDone);
       return;
     }
+    Job.State ended = copy.end(id);
+    if (ended != null) {
+      // Its own record of that may be lost, or be one of many in a value of the generation before.
+      onKnown.accept(new View(toStatus(ended), 0, 0));
+      return;
+    }
     List<Consumer<JobWire.Status>> first = new ArrayList<>();
     first.add(onDone);
     accepting.put(id, first);
--- a/src/main/java/io/pineladder/Node.java
+++ b/src/main/java/io/pineladder/Node.java
@@ -5,12 +5,16 @@
 import io.pineladder.delivery.Delivery;
 import io.pineladder.leadership.Election;
 import io.pineladder.membership.Membership;
+import io.pineladder.model.Generation;
 import io.pineladder.model.MachineType;
 import io.pineladder.model.OperatorSettings;
 import io.pineladder.model.Settings;
 import io.pineladder.net.HttpCaller;
 import io.pineladder.net.HttpCaller.Request;
 import io.pineladder.net.Timeline;
+import io.pineladder.recovery.Follower;
+import io.pineladder.recovery.Generations;
+import io.pineladder.recovery.LiveCopy;
 import io.pineladder.recovery.Takeovers;
 import io.pineladder.retry.Backoff;
 import io.pineladder.store.JobIndex;
@@ -24,7 +28,10 @@
 import io.pineladder.wire.StoreWire;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.List;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -43,6 +50,14 @@
   private static final Duration CLOUD_TIMEOUT = Duration.ofSeconds(3);
   private static final int FINALS_KEPT = 20_000;
 
+  /** What was accepted here without a leader in this time is stored again after a loss. */
+  private static final Duration ACCEPTED_AGAIN = Duration.ofMinutes(10);
+
+  private static final int MOST_ACCEPTED_AGAIN = 2_000;
+
+  /** For so long after an incomplete rebuild nobody is told that a job does not exist. */
+  private static final Duration DOUBT = Duration.ofMinutes(2);
+
   private final Settings settings;
   private final Timeline time;
   private final HttpCaller http;
@@ -58,6 +73,14 @@
   private final Cache<String, JobWire.Status> finals =
       Caffeine.newBuilder().maximumSize(FINALS_KEPT).executor(Runnable::run).build();
 
+  private final Generations generations;
+  private final Follower follower;
+  private final Deque<Accepted> acceptedHere = new ArrayDeque<>();
+  private LiveCopy copy = new LiveCopy(0);
+
+  /** The copy that this node fed when it last led, or null. */
+  private LiveCopy ledWith;
+
   private Leader leader;
   private List<MachineType> types = List.of();
   private OperatorSettings operator = OperatorSettings.DEFAULTS;
@@ -84,17 +107,133 @@
     this.accepted = new JobIndex(store, time);
     this.takeovers = new Takeovers(time);
     this.membership = new Membership(settings, nonce, time, this::sendBeat, this::own);
-    this.election = new Election(store, time, settings, nonce, new Part());
+    this.election = new Election(store, time, settings, nonce, this::mayStand, new Part());
+    this.generations =
+        new Generations(store, time, settings.member(), nonce, new RecordsHost());
+    this.follower = new Follower(store, time, new Copying());
   }
 
   public void start() {
     log.info("controller {} starts in zone {}", settings.member(), settings.zone());
-    election.start();
     membership.start();
-    readConf();
+    generations.start();
     tick();
   }
 
+  /**
+   * Whether a missing leader may be replaced: not before the peers were asked which revisions they have
+   * seen, or a process that has just begun would lead in a store that has lost its data.
+   */
+  private boolean mayStand() {
+    return membership.hasAskedAll() && generations.hearsPeers() && generations.isTrusted();
+  }
+
+  /** What becomes of a copy that follows the store. */
+  private final class Copying implements Follower.Listener {
+    @Override
+    public void onCopy(LiveCopy whole) {
+      copy = whole;
+    }
+
+    @Override
+    public void onMissing(String job) {
+      generations.lost(
+          Generations.Evidence.RECORD_MISSING, "the final state of " + job + " is gone");
+    }
+  }
+
+  /** What this node does as the records are found to be lost, rebuilt, and whole again. */
+  private final class RecordsHost implements Generations.Host {
+    @Override
+    public LiveCopy copy() {
+      return copy;
+    }
+
+    @Override
+    public boolean leads() {
+      return ledWith == copy && copy.isComplete() && election.leaseHolds();
+    }
+
+    @Override
+    public void onLost() {
+      election.pause();
+      follower.stop();
+      accepted.forget();
+    }
+
+    @Override
+    public void onGeneration(Generation generation) {
+      boolean first = generation.equals(Generation.FIRST);
+      election.pause();
+      follower.stop();
+      accepted.forget();
+      store.use(generation);
+      if (generation.phase() == Generation.Phase.REBUILDING) {
+        return;
+      }
+      if (!first && generation.by().member().equals(settings.member())) {
+        copy.moved(generation);
+      }
+      election.start();
+      follower.follow();
+      readConf();
+      if (!first) {
+        acceptAgain();
+      }
+    }
+
+    @Override
+    public List<Membership.View> peers() {
+      return membership.view();
+    }
+  }
+
+  /**
+   * Stores again what this node accepted without a leader of late: whoever rebuilt the records may not
+   * have had it yet. A job that is there twice is still one job.
+   */
+  private void acceptAgain() {
+    Instant from = time.now().minus(ACCEPTED_AGAIN);
+    acceptedHere.removeIf(each -> each.at.isBefore(from));
+    acceptedHere.forEach(each -> each.again.run());
+  }
+
+  /** This node has accepted a job without a leader. */
+  public void acceptedHere(Runnable again) {
+    acceptedHere.addLast(new Accepted(time.now(), again));
+    if (acceptedHere.size() > MOST_ACCEPTED_AGAIN) {
+      acceptedHere.removeFirst();
+    }
+  }
+
+  /** A job that this node accepted without a leader, and how to store it again. */
+  private record Accepted(Instant at, Runnable again) {}
+
+  public Generations generations() {
+    return generations;
+  }
+
+  /** The records as this node has seen them stored. */
+  public LiveCopy copy() {
+    return copy;
+  }
+
+  public Follower follower() {
+    return follower;
+  }
+
+  /**
+   * Whether nothing certain can be said of a job that the store does not hold: it may have been lost.
+   * What this node itself has seen stored was not removed, or the copy would know of it.
+   */
+  public boolean mayBeLost(String job) {
+    if (!generations.isTrusted() || copy.holdsJob(job) || copy.end(job) != null) {
+      return true;
+    }
+    Duration incomplete = generations.incompleteFor();
+    return incomplete != null && incomplete.compareTo(DOUBT) < 0;
+  }
+
   private void sendBeat(String address, byte[] beat, Consumer<byte[]> onAnswer) {
     http.call(
         Request.post(address, BeatWire.PATH, beat, Membership.TIMEOUT),
@@ -102,12 +241,22 @@
   }
 
   private Membership.Own own() {
-    return new Membership.Own(store.isHealthy(), election.isValid() ? election.term() : 0);
+    return new Membership.Own(
+        store.isHealthy(),
+        election.isValid() ? election.term() : 0,
+        new BeatWire.Stored(
+            store.generation().base(),
+            store.seen(),
+            copy.base(),
+            copy.revision(),
+            copy.isComplete(),
+            generations.highestToken()));
   }
 
   /** Ends all activity, as a killed process would. */
   public void stop() {
     stopped = true;
+    generations.stop();
     if (leader != null) {
       leader.close();
     }
@@ -115,11 +264,24 @@
 
   private final class Part implements Election.Listener {
     @Override
-    public void onElected(long term) {
+    public void onElected(long term, long version) {
       Takeovers.Takeover takeover = takeovers.begin(term, membership.ledAt());
+      long base = store.generation().base();
+      LiveCopy fed = copy.base() == base ? copy : new LiveCopy(base);
+      follower.lead(fed);
       leader =
           new Leader(
-              settings, store, http, time, term, operator, takeover, delivery, new LeaderHost());
+              settings,
+              store,
+              http,
+              time,
+              term,
+              version,
+              fed,
+              operator,
+              takeover,
+              delivery,
+              new LeaderHost());
       leader.load();
       fetchTypes();
     }
@@ -137,6 +299,9 @@
         leader.close();
         leader = null;
       }
+      if (generations.isTrusted()) {
+        follower.follow();
+      }
     }
 
     @Override
@@ -168,8 +333,44 @@
     }
 
     @Override
-    public void superseded() {
-      election.lose("a worker follows a later leader");
+    public void superseded(long token) {
+      generations.learnToken(token);
+      long term = election.term();
+      store.urgentRead(
+          Keys.LEADER,
+          (read, reply) -> {
+            if (!election.holdsTerm() || election.term() != term || !read.certain()) {
+              return;
+            }
+            if (read.found() && store.generation().token(read.entry().version()) == term) {
+              generations.tokenAbove(token);
+            } else {
+              election.lose("a worker follows a later leader");
+            }
+          });
+    }
+
+    @Override
+    public void onBegun(LiveCopy fed) {
+      fed.begun();
+      copy = fed;
+      ledWith = fed;
+    }
+
+    @Override
+    public void onLost(String reason) {
+      generations.lost(Generations.Evidence.RECORD_MISSING, reason);
+    }
+
+    @Override
+    public boolean mayBeLost(String job) {
+      Duration incomplete = generations.incompleteFor();
+      return incomplete != null && incomplete.compareTo(DOUBT) < 0;
+    }
+
+    @Override
+    public Duration incompleteFor() {
+      return generations.incompleteFor();
     }
 
     @Override
@@ -251,36 +452,39 @@
   // ---- settings kept in the store
 
   private void readConf() {
+    long of = store.generation().base();
+    BooleanSupplier wanted = () -> !stopped && store.generation().base() == of;
     store.list(
         Keys.CONF,
-        () -> !stopped,
+        wanted,
         listing -> {
           listing.entries().forEach(this::learnConf);
-          watchConf(listing.revision());
+          watchConf(listing.revision(), wanted);
         });
   }
 
-  private void watchConf(long after) {
-    if (stopped) {
+  private void watchConf(long after, BooleanSupplier wanted) {
+    if (!wanted.getAsBoolean()) {
       return;
     }
     store.watch(
         Keys.CONF,
         after,
         WATCH,
-        reply -> {
-          try {
-            if (reply.is(200)) {
-              StoreWire.Changes changes = StoreWire.parseChanges(reply.body());
-              confRetry.reset();
-              changes.entries().forEach(this::learnConf);
-              watchConf(changes.revision());
-              return;
-            }
-          } catch (MalformedException e) {
-            log.warn("the stored settings cannot be followed: {}", e.getMessage());
+        followed -> {
+          if (!wanted.getAsBoolean()) {
+            return;
+          }
+          StoreWire.Changes changes = followed.changes();
+          if (changes != null) {
+            confRetry.reset();
+            changes.entries().forEach(this::learnConf);
+            watchConf(changes.revision(), wanted);
+          } else {
+            store.retry(
+                confRetry,
+                followed.reply().is(410) ? this::readConf : () -> watchConf(after, wanted));
           }
-          store.retry(confRetry, reply.is(410) ? this::readConf : () -> watchConf(after));
         });
   }
 
--- a/src/main/java/io/pineladder/admin/AdminApi.java
+++ b/src/main/java/io/pineladder/admin/AdminApi.java
@@ -97,7 +97,7 @@
         .put("zone", node.settings().zone())
         .put("leadership", node.election().state().name().toLowerCase(Locale.ROOT))
         .put("leader", known == null ? null : known.member())
-        .put("term", leader == null ? node.election().knownVersion() : leader.term())
+        .put("term", leader == null ? node.election().knownTerm() : leader.term())
         .put("store_healthy", node.store().isHealthy())
         .put("machine_types", node.types().size())
         .put("doubts_itself", node.membership().self() == Membership.Self.DOUBTFUL);
--- a/src/main/java/io/pineladder/cli/Training.java
+++ b/src/main/java/io/pineladder/cli/Training.java
@@ -15,6 +15,7 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
@@ -103,6 +104,9 @@
        "guess_s":1.0,"mark_every_s":0.0,"stow_s":0.0}"""
           .getBytes(StandardCharsets.UTF_8);
 
+  /** The state service's revision; a first leader's key has the next one. */
+  private static final AtomicLong REVISION = new AtomicLong(6);
+
   /** Plays state service and cloud, just well enough to be led and scheduled by. */
   private static void surroundings(
       String method, String path, byte[] body, Consumer<HttpAnswer> answer) {
@@ -113,12 +117,12 @@
     } else if (path.startsWith("/holds/")) {
       text = "{}";
     } else if (path.equals("/multi")) {
-      text = "{\"epoch\":7}";
+      text = "{\"epoch\":" + REVISION.incrementAndGet() + "}";
     } else if (path.startsWith("/keys?")) {
-      text = "{\"entries\":[],\"truncated\":false,\"epoch\":7}";
+      text = "{\"entries\":[],\"truncated\":false,\"epoch\":" + REVISION.get() + "}";
     } else if (path.startsWith("/keys/")) {
       status = 404;
-      text = "{\"epoch\":6}";
+      text = "{\"epoch\":" + REVISION.get() + "}";
     } else if (path.equals("/flavors")) {
       text =
           "{\"hulls\":[{\"sku\":\"t\",\"vcpus\":4,\"cards\":0,\"memory_gb\":8,\"local_gb\":9,"
--- a/src/main/java/io/pineladder/front/Leaderless.java
+++ b/src/main/java/io/pineladder/front/Leaderless.java
@@ -69,15 +69,26 @@
       answer.accept(later("no leader"));
       return;
     }
+    if (!node.generations().isTrusted()
+        || node.store().generation().base() != 0 && !node.copy().knowsEnds()) {
+      // A job that was over before the loss could not be told from a new one.
+      answer.accept(later("the records are rebuilt"));
+      return;
+    }
     String never = neverRuns(spec);
     String id = spec.id();
+    if (node.copy().end(id) != null) {
+      read(id, false, answer);
+      return;
+    }
     if (never != null) {
       read(
           id, false, found -> answer.accept(found.status() == 404 ? error(422, never) : found));
       return;
     }
     byte[] body =
-        new StoreWire.Transaction()
+        node.store()
+            .transaction()
             .require(Keys.JOB + id, 0)
             .require(Keys.END + id, 0)
             .put(
@@ -91,6 +102,7 @@
         reply -> {
           if (reply.is(200)) {
             log.debug("job {} accepted without a leader", id);
+            node.acceptedHere(() -> submit(spec, again -> {}));
             answer.accept(
                 new HttpAnswer(201, JobWire.view(id, JobWire.Status.PENDING)));
           } else if (reply.is(409)) {
@@ -103,6 +115,15 @@
 
   /** Answers from a fresh read of the store; a cancel gets an answer only when the job is over. */
   void read(String id, boolean cancel, Consumer<HttpAnswer> answer) {
+    if (!node.generations().isTrusted()) {
+      answer.accept(later("the records are rebuilt"));
+      return;
+    }
+    Job.State ended = node.copy().end(id);
+    if (ended != null) {
+      tellState(id, cancel, ended, answer);
+      return;
+    }
     // A job goes from its own key or its page to its final state in one transaction, so this order
     // misses none.
     node.store().readForUser(
@@ -141,6 +162,8 @@
         end -> {
           if (!end.certain()) {
             answer.accept(later("no leader"));
+          } else if (!end.found() && node.mayBeLost(id)) {
+            answer.accept(later("not certain yet"));
           } else if (!end.found()) {
             answer.accept(error(404, "no such job"));
           } else {
--- a/src/main/java/io/pineladder/front/Reports.java
+++ b/src/main/java/io/pineladder/front/Reports.java
@@ -65,6 +65,13 @@
       answer.accept(error(400, e.getMessage()));
       return;
     }
+    node.generations().learnToken(report.token());
+    long keeping = node.generations().keepingToken();
+    if (keeping >= report.token() && keeping > 0) {
+      // Nobody leads while the records are rebuilt; what runs must live through it.
+      answer.accept(ok(WorkerWire.reportResponse(keeping, new WorkerWire.Orders())));
+      return;
+    }
     Leader holder = node.termHolder();
     if (holder != null && report.token() <= holder.term()) {
       byte[] response = holder.onReport(report, relayed);
@@ -80,12 +87,12 @@
     if (other
         && node.membership().isUnreachable(known.member())
         && keepsAlive(known, report)
-        && report.token() <= node.election().knownVersion()) {
+        && report.token() <= node.election().knownTerm()) {
       // At once: in a cut the way round the other nodes takes most of a lease.
       answer.accept(
           ok(
               WorkerWire.reportResponse(
-                  node.election().knownVersion(), new WorkerWire.Orders())));
+                  node.election().knownTerm(), new WorkerWire.Orders())));
       return;
     }
     Instant now = node.time().now();
--- a/src/main/java/io/pineladder/leadership/Election.java
+++ b/src/main/java/io/pineladder/leadership/Election.java
@@ -13,13 +13,14 @@
 import io.pineladder.wire.StoreWire;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.function.BooleanSupplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
 /**
  * Who leads. A node that finds no leader takes a lease in the state service and writes the leader's
- * key under it, on condition that there is none. The revision of that key is the term: it is the
- * token toward workers and the condition of every transaction.
+ * key under it, on condition that there is none. The revision of that key is the condition of every
+ * transaction; with the base of its generation added it is the term and the token toward workers.
  */
 public final class Election {
   private static final Logger log = LoggerFactory.getLogger(Election.class);
@@ -55,7 +56,7 @@
 
   /** What the node does when its part changes. */
   public interface Listener {
-    void onElected(long term);
+    void onElected(long term, long version);
 
     /** The lease turned out to hold after all. */
     void onCertain();
@@ -69,21 +70,41 @@
   private final Timeline time;
   private final Duration life;
   private final LeaderRecord self;
+  private final BooleanSupplier mayStand;
   private final Listener listener;
   private final Duration keepAlive;
   private final Backoff retry;
   private State state = State.FOLLOWING;
   private long lease;
   private long term;
+
+  /** The revision of the leader's key, of which the term is made. */
+  private long version;
+
   private Instant leaseUntil = Instant.MIN;
+
+  /** The lease was given up, so another may hold one before it has run out. */
+  private boolean released;
+
   private Instant standFrom = Instant.MIN;
   private LeaderRecord known;
-  private long knownVersion;
+  private long knownTerm;
   /** Changes with every new try, so that late replies of an older one are told apart. */
   private int round;
 
+  /**
+   * A node's part in the election.
+   *
+   * @param mayStand whether the store can be trusted to hold what was stored
+   */
   public Election(
-      StoreClient store, Timeline time, Settings settings, String nonce, Listener listener) {
+      StoreClient store,
+      Timeline time,
+      Settings settings,
+      String nonce,
+      BooleanSupplier mayStand,
+      Listener listener) {
+    this.mayStand = mayStand;
     this.store = store;
     this.time = time;
     this.self = new LeaderRecord(settings.member(), settings.clusterAddress(), nonce);
@@ -150,6 +171,14 @@
     return isValid() || (holdsTerm() && time.now().isBefore(leaseUntil.plus(keepAlive)));
   }
 
+  /**
+   * Whether no other can have been elected yet, as far as the lease goes that this node holds or that
+   * it found gone too soon.
+   */
+  public boolean leaseHolds() {
+    return !released && time.now().isBefore(leaseUntil);
+  }
+
   /** Whether this node holds the term, certain or in doubt. */
   public boolean holdsTerm() {
     return state == State.LEADING || state == State.IN_DOUBT;
@@ -163,15 +192,15 @@
     if (of != round || holdsTerm()) {
       return;
     }
-    store.urgent(
-        store.get(StoreWire.keyPath(Keys.LEADER)),
-        reply -> {
+    store.urgentRead(
+        Keys.LEADER,
+        (read, reply) -> {
           if (of != round) {
             return;
           }
           try {
-            if (reply.is(200)) {
-              StoreWire.Entry entry = StoreWire.parseEntry(reply.body());
+            if (read.found()) {
+              StoreWire.Entry entry = read.entry();
               learn(entry);
               long left = StoreWire.parseAttached(reply.body());
               if (isOfBefore(known) && left != 0) {
@@ -181,9 +210,9 @@
               watch(of, entry.version());
               return;
             }
-            if (reply.is(404)) {
+            if (read.certain()) {
               learn(null);
-              if (time.now().isBefore(standFrom)) {
+              if (!mayStand.getAsBoolean() || time.now().isBefore(standFrom)) {
                 time.after(retry.pause(), () -> look(of));
               } else {
                 stand(of);
@@ -221,7 +250,7 @@
 
   private void learn(StoreWire.Entry entry) throws MalformedException {
     known = entry == null ? null : RecordWire.parseLeader(entry.value());
-    knownVersion = entry == null ? 0 : entry.version();
+    knownTerm = entry == null ? 0 : store.generation().token(entry.version());
     listener.onLeaderKnown(known);
   }
 
@@ -230,11 +259,11 @@
         Keys.LEADER_PREFIX,
         after,
         WATCH,
-        reply -> {
+        followed -> {
           if (of != round) {
             return;
           }
-          if (!reply.is(200)) {
+          if (followed.changes() == null) {
             time.after(retry.pause(), () -> look(of));
             return;
           }
@@ -267,20 +296,28 @@
 
   private void claim(int of, Instant leaseSent, boolean again) {
     byte[] body =
-        new StoreWire.Transaction()
+        store
+            .transaction()
             .require(Keys.LEADER, 0)
             .put(Keys.LEADER, RecordWire.leader(self), lease)
             .bytes();
-    store.urgent(store.post("/multi", body), reply -> onClaim(of, leaseSent, again, reply));
+    long seen = store.seen();
+    store.urgent(
+        store.post("/multi", body), reply -> onClaim(of, leaseSent, again, seen, reply));
   }
 
-  private void onClaim(int of, Instant leaseSent, boolean again, Reply reply) {
+  private void onClaim(int of, Instant leaseSent, boolean again, long seen, Reply reply) {
     if (of != round) {
       return;
     }
     try {
       if (reply.is(200)) {
-        elected(StoreWire.parseRevision(reply.body()), leaseSent);
+        long revision = StoreWire.parseRevision(reply.body());
+        if (store.isAhead(seen, revision)) {
+          elected(revision, leaseSent);
+        } else {
+          giveUp(of);
+        }
         return;
       }
     } catch (MalformedException e) {
@@ -288,8 +325,7 @@
     }
     if (reply.is(409) && again) {
       // The first copy, which got no reply, may be what stands there.
-      store.urgent(
-          store.get(StoreWire.keyPath(Keys.LEADER)), read -> onOwnClaimRead(of, leaseSent, read));
+      store.urgentRead(Keys.LEADER, (read, same) -> onOwnClaimRead(of, leaseSent, read));
       return;
     }
     boolean unknown = reply.outcome() == Outcome.UNKNOWN;
@@ -306,13 +342,13 @@
     }
   }
 
-  private void onOwnClaimRead(int of, Instant leaseSent, Reply read) {
+  private void onOwnClaimRead(int of, Instant leaseSent, StoreClient.Read read) {
     if (of != round) {
       return;
     }
     try {
-      if (read.is(200)) {
-        StoreWire.Entry entry = StoreWire.parseEntry(read.body());
+      if (read.found()) {
+        StoreWire.Entry entry = read.entry();
         if (RecordWire.parseLeader(entry.value()).equals(self)) {
           elected(entry.version(), leaseSent);
           return;
@@ -331,15 +367,17 @@
     time.after(retry.pause(), () -> look(of));
   }
 
-  private void elected(long newTerm, Instant leaseSent) {
-    term = newTerm;
+  private void elected(long newVersion, Instant leaseSent) {
+    version = newVersion;
+    term = store.generation().token(newVersion);
     known = self;
-    knownVersion = newTerm;
+    knownTerm = term;
+    released = false;
     extend(leaseSent);
     int of = ++round;
     moveTo(State.LEADING);
     listener.onLeaderKnown(self);
-    listener.onElected(newTerm);
+    listener.onElected(term, version);
     time.after(life.dividedBy(4), () -> renew(of));
   }
 
@@ -361,25 +399,52 @@
             return;
           }
           if (reply.is(404)) {
-            lose("the lease has ended");
+            end("the lease has ended", false);
             return;
           }
           boolean good = reply.is(200);
           if (good) {
             retry.reset();
-            boolean doubted = state == State.IN_DOUBT;
-            extend(sent);
-            moveTo(State.LEADING);
-            if (doubted && isValid()) {
-              listener.onCertain();
+            if (state == State.IN_DOUBT) {
+              makeSure(of, sent);
+            } else {
+              extend(sent);
             }
           }
           time.after(good ? life.dividedBy(4) : retry.pause(), () -> renew(of));
         });
   }
 
+  /**
+   * The lease was renewed after it had run out here. Where data was lost meanwhile, leases are numbered
+   * anew and it may be another's; so the leader's key tells.
+   */
+  private void makeSure(int of, Instant sent) {
+    store.urgentRead(
+        Keys.LEADER,
+        (read, reply) -> {
+          if (of != round || state != State.IN_DOUBT || !read.certain()) {
+            return;
+          }
+          if (!read.found() || read.entry().version() != version) {
+            end("the leader's key is another's or gone", false);
+            return;
+          }
+          extend(sent);
+          moveTo(State.LEADING);
+          if (isValid()) {
+            listener.onCertain();
+          }
+        });
+  }
+
   /** Gives the term up: it is over, or this node cannot go on. */
   public void lose(String reason) {
+    end(reason, true);
+  }
+
+  /** Ends the term; a lease that may be another's by now is left alone. */
+  private void end(String reason, boolean release) {
     if (!holdsTerm()) {
       return;
     }
@@ -387,7 +452,10 @@
     int of = ++round;
     known = null;
     moveTo(State.FOLLOWING);
-    store.urgent(store.delete("/holds/" + lease), reply -> {});
+    released = release;
+    if (release) {
+      store.urgent(store.delete("/holds/" + lease), reply -> {});
+    }
     listener.onLost(reason);
     time.after(retry.pause(), () -> look(of));
   }
@@ -398,8 +466,17 @@
     lose(reason);
   }
 
-  /** The revision of the leader's key as last read, to tell newer news from older. */
-  public long knownVersion() {
-    return knownVersion;
+  /** The term of the leader that is known, to tell newer news from older; 0 when none is. */
+  public long knownTerm() {
+    return knownTerm;
+  }
+
+  /** Takes no part until it is started again: nobody leads while records are rebuilt. */
+  public void pause() {
+    end("the records are rebuilt", false);
+    round++;
+    known = null;
+    knownTerm = 0;
+    moveTo(State.FOLLOWING);
   }
 }
--- a/src/main/java/io/pineladder/membership/Membership.java
+++ b/src/main/java/io/pineladder/membership/Membership.java
@@ -93,11 +93,18 @@
   }
 
   /** What this node tells about itself. */
-  public record Own(boolean storeOk, long term) {}
+  public record Own(boolean storeOk, long term, BeatWire.Stored stored) {}
 
   /** One peer, as it stands now. */
   public record View(
-      String member, State state, Duration unheard, boolean storeOk, long term, int changes) {}
+      String member,
+      State state,
+      Duration unheard,
+      boolean storeOk,
+      long term,
+      int changes,
+      String nonce,
+      BeatWire.Stored stored) {}
 
   private static final class Peer {
     final Settings.Peer at;
@@ -208,7 +215,8 @@
     }
     made[(int) (++sequence % REMEMBERED)] = now;
     Own mineNow = own.get();
-    return new Beat(self, nonce, sequence, mineNow.storeOk(), mineNow.term(), heard);
+    return new Beat(
+        self, nonce, sequence, mineNow.storeOk(), mineNow.term(), heard, mineNow.stored());
   }
 
   /** When this process made its beat of that number; null if that is too long ago, or never was. */
@@ -408,6 +416,11 @@
     };
   }
 
+  /** Whether each peer has answered a beat or failed to, so that what they know has been asked for. */
+  public boolean hasAskedAll() {
+    return peers.values().stream().allMatch(p -> p.answeredAt != null || p.misses > 0);
+  }
+
   /** When the latest beat that the peer answered was sent; null for never. */
   public Instant answeredAt(String member) {
     Peer peer = peers.get(member);
@@ -460,7 +473,9 @@
               peer.heardAt == null ? null : Duration.between(peer.heardAt, now),
               peer.told != null && peer.told.storeOk(),
               peer.told == null ? 0 : peer.told.term(),
-              peer.changes));
+              peer.changes,
+              peer.nonce,
+              peer.told == null ? BeatWire.Stored.NOTHING : peer.told.stored()));
     }
     return views;
   }
--- a/src/main/java/io/pineladder/recovery/Adoption.java
+++ b/src/main/java/io/pineladder/recovery/Adoption.java
@@ -34,6 +34,15 @@
 
     /** A job was found to be over. */
     void onFinal(String id, Job.State state);
+
+    /** The final state of a job, as the copy of the records has it; null when it has none. */
+    Job.State ended(String id);
+
+    /** A record of another node was read. */
+    void onRead(StoreWire.Entry entry);
+
+    /** Whether a job that nothing is known of may have been lost: then nothing certain can be said. */
+    boolean mayBeLost(String id);
   }
 
   private final StoreClient store;
@@ -80,32 +89,26 @@
         Keys.INBOX,
         after,
         WATCH,
-        reply -> {
+        followed -> {
           if (!listener.isLeading()) {
             return;
           }
-          try {
-            if (reply.is(200)) {
-              StoreWire.Changes changes = StoreWire.parseChanges(reply.body());
-              retry.reset();
-              changes.entries().stream().filter(e -> e.value() != null).forEach(this::takeIn);
-              watchInbox(changes.revision());
-              return;
-            }
-            if (reply.is(410)) {
-              store.list(
-                  Keys.INBOX,
-                  listener::isLeading,
-                  inbox -> {
-                    inbox.entries().forEach(this::takeIn);
-                    watchInbox(inbox.revision());
-                  });
-              return;
-            }
-          } catch (MalformedException e) {
-            log.warn("the inbox cannot be followed: {}", e.getMessage());
+          StoreWire.Changes changes = followed.changes();
+          if (changes != null) {
+            retry.reset();
+            changes.entries().stream().filter(e -> e.value() != null).forEach(this::takeIn);
+            watchInbox(changes.revision());
+          } else if (followed.reply().is(410)) {
+            store.list(
+                Keys.INBOX,
+                listener::isLeading,
+                inbox -> {
+                  inbox.entries().forEach(this::takeIn);
+                  watchInbox(inbox.revision());
+                });
+          } else {
+            store.retry(retry, () -> watchInbox(after));
           }
-          store.retry(retry, () -> watchInbox(after));
         });
   }
 
@@ -115,6 +118,7 @@
     }
     String id = entry.key().substring(Keys.INBOX.length());
     committer.known(entry.key(), entry.version());
+    listener.onRead(entry);
     adopt(
         id,
         lookup -> {
@@ -142,6 +146,12 @@
       onDone.accept(null);
       return;
     }
+    Job.State ended = listener.ended(id);
+    if (ended != null) {
+      listener.onFinal(id, ended);
+      onDone.accept(new Lookup(null, ended));
+      return;
+    }
     long before = removals;
     store.read(
         Keys.JOB + id,
@@ -167,6 +177,7 @@
           try {
             Job job = TermLoader.toJob(read.entry().value());
             committer.known(read.entry().key(), read.entry().version());
+            listener.onRead(read.entry());
             listener.onAdopted(job);
             log.debug("job {} was accepted elsewhere", id);
             onDone.accept(new Lookup(job, null));
@@ -210,7 +221,7 @@
             return;
           }
           if (!read.found()) {
-            onDone.accept(new Lookup(null, null));
+            onDone.accept(listener.mayBeLost(id) ? null : new Lookup(null, null));
             return;
           }
           try {
--- /dev/null
+++ b/src/main/java/io/pineladder/recovery/Generations.java
@@ -0,0 +1,480 @@
+package io.pineladder.recovery;
+
+import io.pineladder.membership.Membership;
+import io.pineladder.model.Generation;
+import io.pineladder.model.Generation.Phase;
+import io.pineladder.net.Timeline;
+import io.pineladder.retry.Backoff;
+import io.pineladder.store.StoreClient;
+import io.pineladder.wire.BeatWire.Stored;
+import io.pineladder.wire.MalformedException;
+import io.pineladder.wire.RecordWire;
+import io.pineladder.wire.StoreWire;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Which generation of the records counts, and what one controller does when the state service has lost
+ * data: it is noticed, held, and written anew from a controller's copy (docs/state-loss.md).
+ *
+ * <p>Whoever rebuilds names a new generation in one transaction, writes its records under names that no
+ * transaction of an earlier generation has, and then says that it is whole. Until then nobody leads.
+ */
+public final class Generations {
+  private static final Logger log = LoggerFactory.getLogger(Generations.class);
+  private static final Duration WATCH = Duration.ofSeconds(20);
+
+  /**
+   * Before this a controller that did not lead names no generation: the leader of before may not have
+   * noticed the loss, and what it tells must be over when another begins. No lease lasts longer.
+   */
+  static final Duration LEASE = Duration.ofSeconds(4);
+
+  /** So much longer whoever has no whole copy leaves it to the others. */
+  private static final Duration WITHOUT_COPY = Duration.ofSeconds(8);
+
+  /** A controller with a better copy that does nothing is waited for so long. */
+  private static final Duration MOST_DEFERRED = Duration.ofSeconds(12);
+
+  /** A controller that rebuilds and cannot be reached is waited for so long. */
+  private static final Duration ABANDONED = Duration.ofSeconds(5);
+
+  /** Where the records stand, as far as this controller knows. */
+  public enum State {
+    /** Which generation counts has not been read. */
+    UNREAD,
+    /** The store holds what was stored. */
+    TRUSTED,
+    /** Something does not fit; it is being looked into. */
+    DOUBTED,
+    /** Data was lost: nothing that the store says counts until a new generation is named. */
+    LOST,
+    /** A controller writes a new generation. */
+    REBUILDING,
+    /** The store holds what was rebuilt; trusted like the first generation. */
+    REBUILT
+  }
+
+  /** What shows that data was lost. */
+  public enum Evidence {
+    /** The service told a revision below one that it had. */
+    REVISION_BACK,
+    /** The generation that counts is older than one that counted before, or none is named. */
+    GENERATION_BACK,
+    /** A record that its only writer stored is missing or older. */
+    RECORD_MISSING,
+    /** Workers have seen a token that no leader of this store can have had. */
+    TOKEN_ABOVE
+  }
+
+  /** What the node does. */
+  public interface Host {
+    /** The copy of the records that would be written. */
+    LiveCopy copy();
+
+    /** Whether this node led when the loss was noticed, with a lease that held then. */
+    boolean leads();
+
+    /** Nothing in the store counts: no leading, no reading, no copying. */
+    void onLost();
+
+    /** Another generation is named; it may be whole or not. */
+    void onGeneration(Generation generation);
+
+    /** The peers, with what they told of the records. */
+    List<Membership.View> peers();
+  }
+
+  private final StoreClient store;
+  private final Timeline time;
+  private final Generation.Writer self;
+  private final Host host;
+  private final Backoff retry;
+  private State state = State.UNREAD;
+  private long highestToken;
+  private boolean exact;
+  private Instant lostAt;
+  private Instant unreachableSince;
+  private ImageWriter writer;
+  private int round;
+  private int losses;
+  private Evidence evidence;
+  private Instant adoptedAt;
+  private boolean stopped;
+
+  public Generations(
+      StoreClient store, Timeline time, String member, String nonce, Host host) {
+    this.store = store;
+    this.time = time;
+    this.self = new Generation.Writer(member, nonce);
+    this.host = host;
+    this.retry = store.backoff();
+    store.onWentBack(
+        revision ->
+            lost(
+                Evidence.REVISION_BACK,
+                "the store tells revision " + revision + " and had " + store.seen()));
+  }
+
+  public void start() {
+    read(++round);
+    watchRebuild();
+  }
+
+  public void stop() {
+    stopped = true;
+  }
+
+  /** The one place where the state changes. */
+  private void moveTo(State next, String why) {
+    if (state != next) {
+      log.info("records: {} -> {} ({})", state, next, why);
+      state = next;
+    }
+  }
+
+  public State state() {
+    return state;
+  }
+
+  /** How often data was found to be lost since this process began. */
+  public int losses() {
+    return losses;
+  }
+
+  /** What showed the latest loss; null when there was none. */
+  public Evidence evidence() {
+    return evidence;
+  }
+
+  /** Whether what the store says counts. */
+  public boolean isTrusted() {
+    return state == State.TRUSTED || state == State.REBUILT;
+  }
+
+  /** Which part of the records is rebuilt by this controller now; 1 when it rebuilds nothing. */
+  public double progress() {
+    return writer == null || writer.all() == 0 ? 1 : (double) writer.written() / writer.all();
+  }
+
+  /**
+   * For how long the generation that counts has done so here, if something may be missing from it; null
+   * when nothing can be.
+   */
+  public Duration incompleteFor() {
+    return store.generation().exact() || adoptedAt == null
+        ? null
+        : Duration.between(adoptedAt, time.now());
+  }
+
+  /** Somebody has used this token. */
+  public void learnToken(long token) {
+    highestToken = Math.max(highestToken, token);
+  }
+
+  /** The highest token that anybody is known to have used. */
+  public long highestToken() {
+    long seen = store.generation().token(store.seen());
+    return Math.max(highestToken, seen);
+  }
+
+  /**
+   * The token with which this controller keeps workers' leases while it rebuilds, without orders; 0 when
+   * it does not. It is above all that were used and below that of the leader to come.
+   */
+  public long keepingToken() {
+    return state == State.REBUILDING && isMine(store.generation())
+        ? store.generation().base()
+        : 0;
+  }
+
+  private boolean isMine(Generation generation) {
+    return generation.by().equals(self);
+  }
+
+  // ---- what peers know
+
+  /** Takes in what peers told; whether the store can be read as they have seen it. */
+  public boolean hearsPeers() {
+    for (Membership.View peer : host.peers()) {
+      Stored told = peer.stored();
+      learnToken(told.token());
+      store.learn(told.base(), told.seen());
+      if (told.base() > store.generation().base()) {
+        look();
+        return false;
+      }
+    }
+    return true;
+  }
+
+  private long highestBase() {
+    long highest = store.generation().base();
+    for (Membership.View peer : host.peers()) {
+      highest = Math.max(highest, peer.stored().base());
+    }
+    return highest;
+  }
+
+  // ---- which generation counts
+
+  /** Reads at once which generation counts. */
+  public void look() {
+    read(++round);
+  }
+
+  private void read(int of) {
+    if (of != round || stopped) {
+      return;
+    }
+    store.readGeneration(
+        found -> {
+          if (of != round || stopped) {
+            return;
+          }
+          if (!found.certain()) {
+            time.after(retry.pause(), () -> read(of));
+            return;
+          }
+          retry.reset();
+          take(found);
+          if (of == round) {
+            goOn(of, found.revision());
+          }
+        });
+  }
+
+  private void goOn(int of, long revision) {
+    if (isTrusted()) {
+      store.watchGeneration(
+          revision,
+          WATCH,
+          reply ->
+              time.after(reply.is(200) ? Duration.ZERO : retry.pause(), () -> read(of)));
+    } else {
+      time.after(ImageWriter.LOOK, () -> read(of));
+    }
+  }
+
+  private void take(StoreClient.Read read) {
+    Generation found;
+    try {
+      found =
+          read.found()
+              ? RecordWire.parseGeneration(read.entry().value(), read.entry().version())
+              : Generation.FIRST;
+    } catch (MalformedException e) {
+      lost(Evidence.GENERATION_BACK, "the generation that counts cannot be read");
+      return;
+    }
+    Generation present = store.generation();
+    if (found.base() > present.base()) {
+      adopt(found);
+    } else if (found.base() < highestBase()) {
+      lost(Evidence.GENERATION_BACK, "generation " + found.base() + " is named");
+    } else if (state == State.UNREAD) {
+      adopt(found);
+    } else if (found.version() > present.version()) {
+      adopt(found);
+    } else if (found.version() < present.version()) {
+      lost(Evidence.GENERATION_BACK, "generation " + found.base() + " is named anew");
+    } else if (state == State.DOUBTED) {
+      moveTo(present.base() == 0 ? State.TRUSTED : State.REBUILT, "nothing is lost");
+    }
+  }
+
+  private void adopt(Generation found) {
+    if (state == State.LOST && found.base() == store.generation().base()) {
+      // The same generation once more, from a backup or a late transaction: it stays lost.
+      return;
+    }
+    boolean whole = found.phase() == Phase.WHOLE;
+    if (found.base() != store.generation().base()) {
+      adoptedAt = time.now();
+    }
+    if (writer != null) {
+      writer.stop();
+      writer = null;
+    }
+    unreachableSince = null;
+    learnToken(found.base());
+    moveTo(
+        !whole ? State.REBUILDING : found.base() == 0 ? State.TRUSTED : State.REBUILT,
+        "generation " + found.base() + " of " + found.by().member());
+    host.onGeneration(found);
+    if (!whole && isMine(found)) {
+      write(found);
+    }
+  }
+
+  // ---- a loss
+
+  /**
+   * A worker has seen a token above ours, while our key as the leader still stands. No later leader can
+   * have been elected in this store, so the token is of one whose key was lost.
+   */
+  public void tokenAbove(long token) {
+    learnToken(token);
+    lost(Evidence.TOKEN_ABOVE, "a worker has seen token " + token);
+  }
+
+  /** Something shows that data was lost. */
+  public void lost(Evidence shown, String detail) {
+    if (state == State.LOST || state == State.UNREAD && shown == Evidence.REVISION_BACK) {
+      return;
+    }
+    losses++;
+    evidence = shown;
+    Generation present = store.generation();
+    boolean rebuilding = state == State.REBUILDING && isMine(present) && present.exact();
+    exact = rebuilding || isTrusted() && host.leads();
+    lostAt = time.now();
+    log.error("the state service has lost data ({}): {}", shown, detail);
+    moveTo(State.LOST, shown.name());
+    if (writer != null) {
+      writer.stop();
+      writer = null;
+    }
+    host.onLost();
+    int of = ++round;
+    time.after(exact ? Duration.ZERO : LEASE, () -> name(of));
+  }
+
+  /** Names a new generation, unless another controller is better placed to. */
+  private void name(int of) {
+    if (of != round || stopped || state != State.LOST) {
+      return;
+    }
+    if (defers()) {
+      lookThen(of, () -> time.after(ImageWriter.LOOK, () -> name(of)));
+    } else {
+      lookThen(of, () -> claim(of));
+    }
+  }
+
+  /** Reads whether another controller has named one; what follows if not. */
+  private void lookThen(int of, Runnable then) {
+    store.readGeneration(
+        found -> {
+          if (of != round || stopped || state != State.LOST) {
+            return;
+          }
+          if (!found.certain()) {
+            time.after(retry.pause(), () -> name(of));
+            return;
+          }
+          pointer = found.found() ? found.entry().version() : 0;
+          take(found);
+          if (state == State.LOST) {
+            then.run();
+          } else if (of == round) {
+            goOn(of, found.revision());
+          }
+        });
+  }
+
+  /** The revision of the record that names a generation, as last read; 0 when there is none. */
+  private long pointer;
+
+  private boolean defers() {
+    Duration waited = Duration.between(lostAt, time.now());
+    if (exact) {
+      return false;
+    }
+    LiveCopy mine = host.copy();
+    if (!mine.isComplete() && waited.compareTo(LEASE.plus(WITHOUT_COPY)) < 0) {
+      return true;
+    }
+    if (waited.compareTo(MOST_DEFERRED) > 0) {
+      return false;
+    }
+    for (Membership.View peer : host.peers()) {
+      Stored told = peer.stored();
+      boolean better =
+          told.copyBase() > mine.base()
+              || (told.copyBase() == mine.base() && told.copied() > mine.revision());
+      if (peer.state() == Membership.State.UP && told.complete() && better) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private void claim(int of) {
+    hearsPeers();
+    long base = Generation.next(Math.max(highestToken(), highestBase()), time.timeOfDay());
+    Generation next = new Generation(base, 0, Phase.REBUILDING, exact, self);
+    byte[] body =
+        new StoreWire.Transaction("")
+            .requireGeneration(pointer)
+            .putGeneration(RecordWire.generation(next))
+            .bytes();
+    store.urgent(
+        store.post("/multi", body),
+        reply -> {
+          if (of != round || stopped) {
+            return;
+          }
+          // Whatever came of it stands in the store now.
+          lookThen(of, () -> time.after(ImageWriter.LOOK, () -> name(of)));
+        });
+  }
+
+  private void write(Generation target) {
+    List<StoreWire.Entry> image = host.copy().image();
+    log.info(
+        "generation {} is written with {} records from a copy of revision {}{}",
+        target.base(),
+        image.size(),
+        host.copy().revision(),
+        target.exact() ? "" : "; what was stored after that may be missing");
+    Instant begun = time.now();
+    writer =
+        new ImageWriter(
+            store,
+            time,
+            target,
+            image,
+            good -> {
+              log.info(
+                  "generation {} {} after {}",
+                  target.base(),
+                  good ? "is whole" : "could not be finished",
+                  Duration.between(begun, time.now()));
+              writer = null;
+              look();
+            });
+    writer.next();
+  }
+
+  /** A controller that rebuilds may end or be cut off; then another names a generation of its own. */
+  private void watchRebuild() {
+    if (stopped) {
+      return;
+    }
+    Generation.Writer by = store.generation().by();
+    if (state == State.REBUILDING && !by.equals(self) && !isAtWork(by)) {
+      Instant now = time.now();
+      unreachableSince = unreachableSince == null ? now : unreachableSince;
+      if (unreachableSince.plus(ABANDONED).isBefore(now)) {
+        unreachableSince = null;
+        lost(Evidence.GENERATION_BACK, by.member() + " has given the rebuild up");
+      }
+    } else {
+      unreachableSince = null;
+    }
+    time.after(Duration.ofSeconds(1), this::watchRebuild);
+  }
+
+  private boolean isAtWork(Generation.Writer by) {
+    for (Membership.View peer : host.peers()) {
+      if (peer.member().equals(by.member())) {
+        return peer.state() == Membership.State.UP && by.nonce().equals(peer.nonce());
+      }
+    }
+    return false;
+  }
+}
--- a/src/main/java/io/pineladder/recovery/TermLoader.java
+++ b/src/main/java/io/pineladder/recovery/TermLoader.java
@@ -45,6 +45,13 @@
 
     List<MachineType> types();
 
+    /**
+     * A prefix was read.
+     *
+     * @return the listing to go on with, where this controller's copy can mend what is damaged
+     */
+    StoreClient.Listing onRead(String prefix, StoreClient.Listing listing);
+
     /** Half a memory could break every rule: the term cannot go on. */
     void onUnreadable(String reason);
 
@@ -83,7 +90,7 @@
       return;
     }
     BooleanSupplier wanted = listener::wanted;
-    store.list(
+    list(
         Keys.CONF,
         wanted,
         conf -> {
@@ -94,6 +101,12 @@
         });
   }
 
+  private void list(
+      String prefix, BooleanSupplier wanted, Consumer<StoreClient.Listing> onDone) {
+    store.list(
+        prefix, wanted, listing -> onDone.accept(listener.onRead(prefix, listing)));
+  }
+
   private void loadSubscriptions(List<StoreWire.Entry> conf) {
     for (StoreWire.Entry entry : conf) {
       if (entry.key().startsWith(Keys.SUBSCRIPTION)) {
@@ -109,7 +122,7 @@
 
   private void loadRecords(BooleanSupplier wanted) {
     // The inbox is read before the jobs, so that a job is in the one or the other.
-    store.list(
+    list(
         Keys.INBOX,
         wanted,
         inbox -> {
@@ -121,10 +134,14 @@
           rest.put(Keys.DONE, listing -> stored.done = listing);
           rest.put(Keys.PLACED, listing -> stored.placed = listing);
           rest.put(Keys.IMAGES, listing -> stored.images = listing);
+          if (store.generation().base() != 0) {
+            // Without them a job that was over before the loss would be taken for a new one.
+            rest.put(Keys.ENDS, listing -> {});
+          }
           int[] left = {rest.size()};
           rest.forEach(
               (prefix, onRead) ->
-                  store.list(
+                  list(
                       prefix,
                       wanted,
                       listing -> {
@@ -141,11 +158,11 @@
    * any case where one may subscribe: what earlier subscribers left behind has revisions too.
    */
   public void loadBacklog(BooleanSupplier wanted, Runnable onDone) {
-    store.list(
+    list(
         Keys.BACKLOG,
         wanted,
         backlog ->
-            store.list(
+            list(
                 Keys.DELIVERED,
                 wanted,
                 delivered -> {
--- a/src/main/java/io/pineladder/store/Committer.java
+++ b/src/main/java/io/pineladder/store/Committer.java
@@ -20,6 +20,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -41,6 +42,9 @@
   private static final Duration FIRST_RETRY = Duration.ofMillis(100);
   private static final Duration MOST_RETRY = Duration.ofSeconds(1);
 
+  /** Records compared at a time; more would take the processor from what waits. */
+  private static final int MOST_AUDITED = 100;
+
   /** Where the committer stands. */
   private enum State {
     IDLE,
@@ -54,9 +58,9 @@
 
   private final StoreClient store;
   private final Timeline time;
-  private final long term;
-  private final Consumer<String> onFenced;
-  private final Map<String, Long> versions = new HashMap<>();
+  private final long version;
+  private final Listener listener;
+  private final TreeMap<String, Long> versions = new TreeMap<>();
   private final EnumMap<Mutation.Priority, Deque<Mutation>> queues =
       new EnumMap<>(Mutation.Priority.class);
   private State state = State.IDLE;
@@ -64,6 +68,21 @@
   private final Backoff retry;
   private NoticeBook book = NoticeBook.NONE;
 
+  /** What the owner of the records learns. */
+  public interface Listener {
+    /** Another holds the store, or this one can write no more. */
+    void onFenced(String reason);
+
+    /**
+     * A record that only this leader writes is not as it stored it, though its key as the leader still
+     * stands: the state service has lost data.
+     */
+    void onLost(String reason);
+
+    /** This value is stored; null for a key that is gone. */
+    void onStored(String key, JsonNode value, long revision);
+  }
+
   private static final class Batch {
     final List<Mutation> mutations = new ArrayList<>();
     final Map<String, JsonNode> values = new HashMap<>();
@@ -75,13 +94,21 @@
 
     /** A copy of it was sent and not answered. */
     boolean ambiguous;
+
+    /** The highest revision that was seen when it was sent last. */
+    long seen;
   }
 
-  public Committer(StoreClient store, Timeline time, long term, Consumer<String> onFenced) {
+  /**
+   * The changes of one leader.
+   *
+   * @param version the revision of its key
+   */
+  public Committer(StoreClient store, Timeline time, long version, Listener listener) {
     this.store = store;
     this.time = time;
-    this.term = term;
-    this.onFenced = onFenced;
+    this.version = version;
+    this.listener = listener;
     this.retry = new Backoff(time, FIRST_RETRY, MOST_RETRY);
     for (Mutation.Priority priority : Mutation.Priority.values()) {
       queues.put(priority, new ArrayDeque<>());
@@ -170,12 +197,11 @@
   private Batch gather(int ops) {
     Batch made = new Batch();
     book.begin();
-    StoreWire.Transaction transaction =
-        new StoreWire.Transaction().require(Keys.LEADER, term);
+    StoreWire.Transaction transaction = store.transaction().require(Keys.LEADER, version);
     Set<String> keys = new HashSet<>();
     int left = ops;
     int bytes = 0;
-    int conditions = 4 * store.limits().transactionOps() - 1;
+    int conditions = 4 * store.limits().transactionOps() - 2;
     for (Deque<Mutation> queue : queues.values()) {
       while (!queue.isEmpty()) {
         Mutation mutation = queue.peekFirst();
@@ -244,6 +270,7 @@
 
   private void sendBatch() {
     moveTo(State.IN_FLIGHT);
+    batch.seen = store.seen();
     store.writes().take(batch.values.size(), time.now());
     store.send(store.post("/multi", batch.body), this::onReply);
   }
@@ -254,12 +281,19 @@
     }
     try {
       if (reply.is(200)) {
-        committed(StoreWire.parseRevision(reply.body()));
+        long revision = StoreWire.parseRevision(reply.body());
+        if (!store.isAhead(batch.seen, revision)) {
+          lost("the revision went back to " + revision);
+          return;
+        }
+        committed(revision);
         return;
       }
       if (reply.is(409)) {
-        List<String> failed = StoreWire.parseFailed(reply.body());
-        if (failed.contains(Keys.LEADER)) {
+        List<String> failed = StoreWire.parseFailed(reply.body(), store.generation().prefix());
+        if (failed.contains(Keys.GENERATION)) {
+          fenced("another generation of the records counts");
+        } else if (failed.contains(Keys.LEADER)) {
           fenced("another leader holds the store");
         } else if (batch.ambiguous) {
           settle();
@@ -305,6 +339,7 @@
           } else {
             versions.put(key, revision);
           }
+          listener.onStored(key, value, revision);
         });
     moveTo(State.WAITING);
     over.pages.forEach((page, edits) -> page.committed(edits));
@@ -326,7 +361,12 @@
           mutation.writes().stream().anyMatch(w -> failed.contains(w.key()))
               || mutation.edits().stream().anyMatch(e -> failed.contains(e.page.key));
       if (changed) {
-        fenced("a record changed under its owner: " + failed);
+        String reason = "a record changed under its owner: " + failed;
+        if (onlyByLoss(failed)) {
+          lost(reason);
+        } else {
+          fenced(reason);
+        }
         return;
       }
       boolean exists = mutation.absent().stream().anyMatch(failed::contains);
@@ -361,8 +401,13 @@
       store.retry(retry, this::settle);
       return;
     }
-    long version = read.found() ? read.entry().version() : 0;
-    if (version != versions.getOrDefault(key, 0L)) {
+    long found = read.found() ? read.entry().version() : 0;
+    long known = versions.getOrDefault(key, 0L);
+    if (found < known && batch.values.get(key) != null) {
+      lost(key + " is missing or older than it was stored");
+      return;
+    }
+    if (found != known) {
       confirmOwn(read.revision());
       return;
     }
@@ -384,7 +429,7 @@
           }
           if (!read.certain()) {
             store.retry(retry, this::settle);
-          } else if (read.found() && read.entry().version() == term) {
+          } else if (read.found() && read.entry().version() == version) {
             committed(revision);
           } else {
             fenced("another leader holds the store");
@@ -394,6 +439,82 @@
 
   private void fenced(String reason) {
     moveTo(State.CLOSED);
-    onFenced.accept(reason);
+    listener.onFenced(reason);
+  }
+
+  private void lost(String reason) {
+    moveTo(State.CLOSED);
+    listener.onLost(reason);
+  }
+
+  /**
+   * Whether a record of these can only differ because data was lost. Other nodes create jobs' own
+   * records and notes of them; all else is written by the leader alone.
+   */
+  private static boolean onlyByLoss(List<String> keys) {
+    return keys.stream().anyMatch(k -> !k.startsWith(Keys.JOB) && !k.startsWith(Keys.INBOX));
+  }
+
+  // ---- the audit
+
+  /**
+   * Compares records with what was stored, some at a time, in a transaction that changes nothing.
+   *
+   * @param after the last key compared before, or null
+   * @param onDone told the last key compared now, or null at the end
+   */
+  public void audit(String after, Consumer<String> onDone) {
+    if (state == State.CLOSED) {
+      return;
+    }
+    Map<String, Long> asked = new LinkedHashMap<>();
+    StoreWire.Transaction compare = store.transaction().require(Keys.LEADER, version);
+    int most = Math.min(MOST_AUDITED, 4 * store.limits().transactionOps() - 2);
+    var rest = after == null ? versions : versions.tailMap(after, false);
+    for (Map.Entry<String, Long> each : rest.entrySet()) {
+      if (asked.size() == most) {
+        break;
+      }
+      if (!isUnderWay(each.getKey())) {
+        asked.put(each.getKey(), each.getValue());
+        compare.require(each.getKey(), each.getValue());
+      }
+    }
+    String last = asked.size() < most ? null : asked.keySet().stream().reduce((a, b) -> b).get();
+    store.send(
+        store.post("/multi", compare.bytes()),
+        reply -> {
+          if (state == State.CLOSED) {
+            return;
+          }
+          onDone.accept(reply.is(200) ? last : reply.is(409) ? last : after);
+          if (reply.is(409)) {
+            audited(asked, reply);
+          }
+        });
+  }
+
+  private boolean isUnderWay(String key) {
+    return batch != null && batch.values.containsKey(key);
+  }
+
+  private void audited(Map<String, Long> asked, Reply reply) {
+    try {
+      List<String> failed = StoreWire.parseFailed(reply.body(), store.generation().prefix());
+      if (failed.contains(Keys.LEADER) || failed.contains(Keys.GENERATION)) {
+        // The next transaction or renewal finds out who leads now.
+        return;
+      }
+      // What was written meanwhile differs, as it should.
+      List<String> differ =
+          failed.stream()
+              .filter(k -> !isUnderWay(k) && asked.get(k).equals(versions.get(k)))
+              .toList();
+      if (onlyByLoss(differ)) {
+        lost("records are missing or older than they were stored: " + differ);
+      }
+    } catch (MalformedException e) {
+      log.warn("the store's answer to the audit is malformed");
+    }
   }
 }
--- a/src/main/java/io/pineladder/store/JobIndex.java
+++ b/src/main/java/io/pineladder/store/JobIndex.java
@@ -44,6 +44,9 @@
   private long revision;
   private Instant usedAt;
 
+  /** Changes with the generation that counts, so that a late answer is told apart. */
+  private int generation;
+
   /** One timer looks whether the index is still in use, however often it is read. */
   private boolean expirySet;
 
@@ -79,6 +82,15 @@
     return null;
   }
 
+  /** Another generation counts: nothing is known of it, and what is being read is of no use. */
+  public void forget() {
+    generation++;
+    List<Consumer<Boolean>> asked = next;
+    next = new ArrayList<>();
+    moveTo(State.EMPTY);
+    asked.forEach(each -> each.accept(false));
+  }
+
   private void moveTo(State to) {
     if (to == State.EMPTY) {
       pages.clear();
@@ -90,11 +102,16 @@
     List<Consumer<Boolean>> asked = next;
     next = new ArrayList<>();
     boolean whole = state == State.EMPTY;
+    int of = generation;
     moveTo(State.READING);
     if (whole) {
       store.listForUser(
           Keys.ACCEPTED,
           listing -> {
+            if (of != generation) {
+              asked.forEach(each -> each.accept(false));
+              return;
+            }
             if (listing == null) {
               finish(State.EMPTY, asked);
               return;
@@ -107,19 +124,19 @@
     store.changesForUser(
         Keys.ACCEPTED,
         revision,
-        reply -> {
-          try {
-            if (reply.is(200)) {
-              StoreWire.Changes changes = StoreWire.parseChanges(reply.body());
-              revision = changes.revision();
-              finish(take(changes.entries()) ? State.KNOWN : State.EMPTY, asked);
-              return;
-            }
-          } catch (MalformedException e) {
-            log.warn("the changes of accepted jobs are malformed: {}", e.getMessage());
+        followed -> {
+          if (of != generation) {
+            asked.forEach(each -> each.accept(false));
+            return;
+          }
+          StoreWire.Changes changes = followed.changes();
+          if (changes != null) {
+            revision = changes.revision();
+            finish(take(changes.entries()) ? State.KNOWN : State.EMPTY, asked);
+            return;
           }
           // 410: what is known is too old to be brought up to date.
-          finish(reply.is(410) ? State.EMPTY : State.KNOWN, asked, false);
+          finish(followed.reply().is(410) ? State.EMPTY : State.KNOWN, asked, false);
         });
   }
 
--- a/src/main/java/io/pineladder/store/Keys.java
+++ b/src/main/java/io/pineladder/store/Keys.java
@@ -1,7 +1,20 @@
 package io.pineladder.store;
 
-/** Where the durable records are kept. */
+import io.pineladder.wire.StoreWire;
+
+/** Where the durable records are kept: names within a generation, but for {@link #GENERATION}. */
 public final class Keys {
+  /** Which generation of the records counts; its name is the same in all of them. */
+  public static final String GENERATION = StoreWire.GENERATION;
+
+  public static final String GENERATION_PREFIX = "generation/";
+
+  /** Final states of earlier generations, many in one value; written when a generation begins. */
+  public static final String ENDS = "ends/";
+
+  /** What could not be read, kept for whoever wants to look at it. */
+  public static final String DAMAGED = "damaged/";
+
   /** The leader, attached to its lease; the revision of this key is the token and the term. */
   public static final String LEADER = "lead/holder";
 
--- a/src/main/java/io/pineladder/store/StoreClient.java
+++ b/src/main/java/io/pineladder/store/StoreClient.java
@@ -1,5 +1,6 @@
 package io.pineladder.store;
 
+import io.pineladder.model.Generation;
 import io.pineladder.model.Settings;
 import io.pineladder.net.HttpCaller;
 import io.pineladder.net.HttpCaller.Reply;
@@ -16,11 +17,16 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
+import java.util.function.BiConsumer;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import java.util.function.LongConsumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** Requests to the state service, within its rate and with what is known of its health. */
 public final class StoreClient {
+  private static final Logger log = LoggerFactory.getLogger(StoreClient.class);
   private static final Duration TIMEOUT = Duration.ofMillis(1500);
   private static final Duration FIRST_RETRY = Duration.ofMillis(250);
   private static final Duration MOST_RETRY = Duration.ofMillis(500);
@@ -51,6 +57,12 @@
   private final RetryBudget retries;
   private Instant answeredAt;
   private boolean healthy;
+  private Generation generation = Generation.FIRST;
+
+  /** The highest revision that the service is known to have had in this generation. */
+  private long seen;
+
+  private LongConsumer onWentBack = revision -> {};
 
   private record Waiting(Request request, Consumer<Reply> onReply) {}
 
@@ -76,11 +88,77 @@
     return new RateBudget(perSecond, Math.max(2, 2 * perSecond), now);
   }
 
+  /** Tells of revisions below what the service is known to have had: it has lost data. */
+  public void onWentBack(LongConsumer listener) {
+    onWentBack = listener;
+  }
+
+  /** The generation whose records are read and written. */
+  public Generation generation() {
+    return generation;
+  }
+
+  /** From here on the records of this generation count; what is under way belongs to the one before. */
+  public void use(Generation next) {
+    if (next.base() != generation.base()) {
+      seen = next.version();
+    }
+    generation = next;
+  }
+
+  /** The highest revision that the service is known to have had in this generation. */
+  public long seen() {
+    return seen;
+  }
+
+  /** The service had this revision in the generation with that base, as a peer knows. */
+  public void learn(long base, long revision) {
+    if (base == generation.base()) {
+      seen = Math.max(seen, revision);
+    }
+  }
+
+  /** What a request was sent with, by which its answer is understood. */
+  private final class Sent {
+    final Generation in = generation;
+    final long before = seen;
+
+    String space() {
+      return in.prefix();
+    }
+
+    /**
+     * The service tells its revision in an answer. It is strongly consistent, so no answer to a request
+     * that was sent after a revision was seen can be below that one, unless data was lost.
+     */
+    boolean isGood(long revision) {
+      if (in.base() != generation.base()) {
+        return false;
+      }
+      if (revision < before) {
+        onWentBack.accept(revision);
+        return false;
+      }
+      seen = Math.max(seen, revision);
+      return true;
+    }
+  }
+
+  /** A transaction on records of this generation, which fails once another one counts. */
+  public StoreWire.Transaction transaction() {
+    return new StoreWire.Transaction(generation.prefix())
+        .requireGeneration(generation.version());
+  }
+
+  public String keyPath(String key) {
+    return StoreWire.keyPath(generation.prefix() + key);
+  }
+
   public Settings.StoreLimits limits() {
     return limits;
   }
 
-  RateBudget writes() {
+  public RateBudget writes() {
     return writes;
   }
 
@@ -139,8 +217,8 @@
 
   /** Reads one key afresh for a user, at once or not at all. */
   public void readForUser(String key, Consumer<Read> onRead) {
-    sendForUser(
-        userReads, 1, get(StoreWire.keyPath(key)), reply -> onRead.accept(toRead(reply)));
+    Sent sent = new Sent();
+    sendForUser(userReads, 1, get(keyPath(key)), reply -> onRead.accept(toRead(reply, sent)));
   }
 
   /** Reads all keys with a prefix for users, at once or not at all; null when that failed. */
@@ -152,7 +230,7 @@
     sendForUser(
         userReads,
         1,
-        get(StoreWire.listPath(prefix, partial.after)),
+        get(partial.path(prefix)),
         reply -> {
           if (!partial.take(reply)) {
             onDone.accept(null);
@@ -165,9 +243,13 @@
   }
 
   /** Asks for the changes under a prefix up to now, for users, at once or not at all. */
-  void changesForUser(String prefix, long after, Consumer<Reply> onReply) {
+  void changesForUser(String prefix, long after, Consumer<Followed> onReply) {
+    Sent sent = new Sent();
     sendForUser(
-        userReads, 1, get(StoreWire.watchPath(prefix, after, Duration.ZERO)), onReply);
+        userReads,
+        1,
+        get(StoreWire.watchPath(sent.space() + prefix, after, Duration.ZERO)),
+        reply -> onReply.accept(toFollowed(reply, sent)));
   }
 
   private void sendForUser(
@@ -228,17 +310,46 @@
 
   /** Reads one key afresh; without certainty nothing may be concluded. */
   public void read(String key, Consumer<Read> onRead) {
-    send(get(StoreWire.keyPath(key)), reply -> onRead.accept(toRead(reply)));
+    Sent sent = new Sent();
+    send(get(keyPath(key)), reply -> onRead.accept(toRead(reply, sent)));
+  }
+
+  /** Reads one key at once, whatever the budget says; told with the reply itself. */
+  public void urgentRead(String key, BiConsumer<Read, Reply> onRead) {
+    Sent sent = new Sent();
+    urgent(get(keyPath(key)), reply -> onRead.accept(toRead(reply, sent), reply));
   }
 
-  private static Read toRead(Reply reply) {
+  /**
+   * Reads which generation counts, at once: everything waits for that. That the service went back makes
+   * this answer no less certain, since whoever rebuilds has to know what stands there now.
+   */
+  public void readGeneration(Consumer<Read> onRead) {
+    Sent sent = new Sent();
+    urgent(
+        get(StoreWire.keyPath(Keys.GENERATION)),
+        reply -> {
+          Read read = toRead(reply, sent);
+          try {
+            if (!read.certain() && reply.is(404)) {
+              read = new Read(true, null, StoreWire.parseRevision(reply.body()));
+            }
+          } catch (MalformedException e) {
+            log.warn("the store's answer on the generation is malformed");
+          }
+          onRead.accept(read);
+        });
+  }
+
+  private static Read toRead(Reply reply, Sent sent) {
     try {
       if (reply.is(200)) {
-        StoreWire.Entry entry = StoreWire.parseEntry(reply.body());
+        StoreWire.Entry entry = StoreWire.parseEntry(reply.body(), sent.space());
         return new Read(true, entry, entry.version());
       }
       if (reply.is(404)) {
-        return new Read(true, null, StoreWire.parseRevision(reply.body()));
+        long revision = StoreWire.parseRevision(reply.body());
+        return sent.isGood(revision) ? new Read(true, null, revision) : Read.FAILED;
       }
     } catch (MalformedException e) {
       return Read.FAILED;
@@ -265,7 +376,7 @@
     }
     Runnable next = () -> listPage(prefix, partial, wanted, backoff, onDone);
     send(
-        get(StoreWire.listPath(prefix, partial.after)),
+        get(partial.path(prefix)),
         reply -> {
           if (!wanted.getAsBoolean()) {
             return;
@@ -284,7 +395,8 @@
   }
 
   /** What has been read of a prefix so far. */
-  private static final class Partial {
+  private final class Partial {
+    private Sent sent;
     final List<StoreWire.Entry> entries = new ArrayList<>();
     long revision = -1;
 
@@ -293,13 +405,23 @@
 
     boolean complete;
 
+    /** The request for the next page. */
+    String path(String prefix) {
+      sent = new Sent();
+      return StoreWire.listPath(
+          sent.space() + prefix, after == null ? null : sent.space() + after);
+    }
+
     /** Takes in an answer; false when it is no page. */
     boolean take(Reply reply) {
       if (!reply.is(200)) {
         return false;
       }
       try {
-        StoreWire.Page page = StoreWire.parsePage(reply.body());
+        StoreWire.Page page = StoreWire.parsePage(reply.body(), sent.space());
+        if (!sent.isGood(page.revision())) {
+          return false;
+        }
         entries.addAll(page.entries());
         // Changes made while later pages are read are seen again by following from the first.
         revision = revision < 0 ? page.revision() : revision;
@@ -318,11 +440,74 @@
     }
   }
 
-  /** Waits for changes under a prefix; the reply is handed on as it came. */
-  public void watch(String prefix, long after, Duration wait, Consumer<Reply> onReply) {
+  /** How changes were followed: the reply, and what changed, or null when it tells of no changes. */
+  public record Followed(Reply reply, StoreWire.Changes changes) {}
+
+  private static Followed toFollowed(Reply reply, Sent sent) {
+    try {
+      if (reply.is(200)) {
+        StoreWire.Changes changes = StoreWire.parseChanges(reply.body(), sent.space());
+        return new Followed(reply, sent.isGood(changes.revision()) ? changes : null);
+      }
+    } catch (MalformedException e) {
+      log.warn("what the store tells of changes is malformed: {}", e.getMessage());
+    }
+    return new Followed(reply, null);
+  }
+
+  /** Waits for changes under a prefix. */
+  public void watch(String prefix, long after, Duration wait, Consumer<Followed> onReply) {
+    Sent sent = new Sent();
+    follow(sent.space() + prefix, after, wait, reply -> onReply.accept(toFollowed(reply, sent)));
+  }
+
+  /** Waits for another generation to count; the reply says no more than that it is time to look. */
+  public void watchGeneration(long after, Duration wait, Consumer<Reply> onReply) {
+    follow(Keys.GENERATION_PREFIX, after, wait, onReply);
+  }
+
+  private void follow(String path, long after, Duration wait, Consumer<Reply> onReply) {
     requests.take(1, time.now());
     http.call(
-        Request.get(address, StoreWire.watchPath(prefix, after, wait), wait.plusSeconds(5)),
+        Request.get(address, StoreWire.watchPath(path, after, wait), wait.plusSeconds(5)),
         onReply);
   }
+
+  /** Everything that changed up to now, for a node that keeps a copy; when the budget allows. */
+  public void changes(long after, Consumer<Followed> onReply) {
+    Sent sent = new Sent();
+    send(
+        get(StoreWire.watchPath(sent.space(), after, Duration.ZERO)),
+        reply -> onReply.accept(toFollowed(reply, sent)));
+  }
+
+  /** One page of everything under a prefix, when the budget allows; null when that failed. */
+  public void page(String prefix, String after, Consumer<StoreWire.Page> onPage) {
+    Sent sent = new Sent();
+    send(
+        get(StoreWire.listPath(
+            sent.space() + prefix, after == null ? null : sent.space() + after)),
+        reply -> {
+          try {
+            if (reply.is(200)) {
+              StoreWire.Page page = StoreWire.parsePage(reply.body(), sent.space());
+              onPage.accept(sent.isGood(page.revision()) ? page : null);
+              return;
+            }
+          } catch (MalformedException e) {
+            log.warn("a page of the store is malformed: {}", e.getMessage());
+          }
+          onPage.accept(null);
+        });
+  }
+
+  /** A transaction has committed at this revision; false when that is not above all that was seen. */
+  public boolean isAhead(long before, long revision) {
+    if (revision <= before) {
+      onWentBack.accept(revision);
+      return false;
+    }
+    seen = Math.max(seen, revision);
+    return true;
+  }
 }
--- a/src/main/java/io/pineladder/wire/BeatWire.java
+++ b/src/main/java/io/pineladder/wire/BeatWire.java
@@ -27,6 +27,20 @@
    */
   public record Heard(Duration ago, String nonce, long sequence) {}
 
+  /**
+   * What a controller knows of the records in the state service.
+   *
+   * @param base the generation that counts for it
+   * @param seen the highest revision that it knows the service to have had in that generation
+   * @param copied up to which revision it has a copy of the records, in the generation {@code copyBase}
+   * @param complete whether nothing is missing from that copy
+   * @param token the highest token that it knows anybody to have used
+   */
+  public record Stored(
+      long base, long seen, long copyBase, long copied, boolean complete, long token) {
+    public static final Stored NOTHING = new Stored(0, 0, 0, 0, false, 0);
+  }
+
   /**
    * One controller's view.
    *
@@ -35,6 +49,7 @@
    * @param storeOk whether the state service answers it
    * @param term the term that it leads in with a valid lease; 0 when it does not lead
    * @param heard what it has of each of its peers, by name
+   * @param stored what it knows of the records
    */
   public record Beat(
       String member,
@@ -42,7 +57,8 @@
       long sequence,
       boolean storeOk,
       long term,
-      Map<String, Heard> heard) {}
+      Map<String, Heard> heard,
+      Stored stored) {}
 
   public static byte[] write(Beat beat) {
     try (MessageBufferPacker out = MessagePack.newDefaultBufferPacker()) {
@@ -59,6 +75,13 @@
         out.packString(each.getValue().nonce());
         out.packLong(each.getValue().sequence());
       }
+      Stored stored = beat.stored();
+      out.packLong(stored.base());
+      out.packLong(stored.seen());
+      out.packLong(stored.copyBase());
+      out.packLong(stored.copied());
+      out.packBoolean(stored.complete());
+      out.packLong(stored.token());
       return out.toByteArray();
     } catch (IOException e) {
       throw new IllegalStateException(e);
@@ -89,7 +112,18 @@
         heard.put(
             peer, new Heard(Duration.ofMillis(millis), in.unpackString(), in.unpackLong()));
       }
-      return new Beat(member, nonce, sequence, storeOk, term, heard);
+      // Controllers of before tell nothing of the records.
+      Stored stored =
+          in.hasNext()
+              ? new Stored(
+                  in.unpackLong(),
+                  in.unpackLong(),
+                  in.unpackLong(),
+                  in.unpackLong(),
+                  in.unpackBoolean(),
+                  in.unpackLong())
+              : Stored.NOTHING;
+      return new Beat(member, nonce, sequence, storeOk, term, heard, stored);
     } catch (IOException | RuntimeException e) {
       throw new MalformedException("not a beat");
     }
--- a/src/main/java/io/pineladder/wire/RecordWire.java
+++ b/src/main/java/io/pineladder/wire/RecordWire.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.pineladder.model.Attempt;
+import io.pineladder.model.Generation;
 import io.pineladder.model.Job;
 import io.pineladder.model.JobSpec;
 import io.pineladder.model.Machine;
@@ -236,6 +237,47 @@
     return state(Fields.of(value).text("state"));
   }
 
+  /** The record that names the generation which counts. */
+  public static ObjectNode generation(Generation generation) {
+    return Json.object()
+        .put("base", generation.base())
+        .put("whole", generation.phase() == Generation.Phase.WHOLE)
+        .put("exact", generation.exact())
+        .put("member", generation.by().member())
+        .put("nonce", generation.by().nonce());
+  }
+
+  /** Reads such a record, whose revision is part of the generation. */
+  public static Generation parseGeneration(JsonNode value, long version)
+      throws MalformedException {
+    Fields in = Fields.of(value);
+    return new Generation(
+        in.whole("base", 1, ANY),
+        version,
+        value.path("whole").asBoolean(false)
+            ? Generation.Phase.WHOLE
+            : Generation.Phase.REBUILDING,
+        value.path("exact").asBoolean(false),
+        new Generation.Writer(in.text("member"), in.text("nonce")));
+  }
+
+  /** Final states of one kind, many in one value. */
+  public static ObjectNode ends(Job.State state, List<String> ids) {
+    ObjectNode out = end(state);
+    ArrayNode list = out.putArray("jobs");
+    ids.forEach(list::add);
+    return out;
+  }
+
+  /** The jobs in such a value. */
+  public static List<String> parseEnds(JsonNode value) throws MalformedException {
+    List<String> ids = Fields.of(value).textsOrNull("jobs");
+    if (ids == null) {
+      throw new MalformedException("no list of jobs");
+    }
+    return ids;
+  }
+
   public static ObjectNode leader(LeaderRecord leader) {
     return Json.object()
         .put("member", leader.member())
--- a/src/main/java/io/pineladder/wire/StoreWire.java
+++ b/src/main/java/io/pineladder/wire/StoreWire.java
@@ -10,6 +10,10 @@
 /** The state service's messages. */
 public final class StoreWire {
   public static final int PAGE = 1000;
+
+  /** Which generation of the records counts; the one key whose name is the same in all of them. */
+  public static final String GENERATION = "generation/current";
+
   private static final long ANY = Long.MAX_VALUE;
 
   private StoreWire() {}
@@ -23,30 +27,52 @@
   /** Changes up to {@code revision}; a deletion has a null value. */
   public record Changes(long revision, List<Entry> entries) {}
 
-  /** A transaction being put together. */
+  /** A transaction being put together; its keys all stand in one space. */
   public static final class Transaction {
+    private final String space;
     private final ObjectNode out = Json.object();
     private final ArrayNode conditions = out.putArray("if");
     private final ArrayNode changes = out.putArray("apply");
 
+    /**
+     * An empty transaction.
+     *
+     * @param space what stands before each of its keys in the store
+     */
+    public Transaction(String space) {
+      this.space = space;
+    }
+
     public Transaction require(String key, long version) {
-      conditions.addObject().put("path", key).put("stamp", version);
+      conditions.addObject().put("path", space + key).put("stamp", version);
+      return this;
+    }
+
+    /** Asks that the record which names the generation that counts has this revision. */
+    public Transaction requireGeneration(long version) {
+      conditions.addObject().put("path", GENERATION).put("stamp", version);
+      return this;
+    }
+
+    /** Names the generation that counts from now on. */
+    public Transaction putGeneration(JsonNode value) {
+      changes.addObject().put("write", GENERATION).set("v", value);
       return this;
     }
 
     public Transaction put(String key, JsonNode value) {
-      changes.addObject().put("write", key).set("v", value);
+      changes.addObject().put("write", space + key).set("v", value);
       return this;
     }
 
     public Transaction put(String key, JsonNode value, long lease) {
-      ObjectNode change = changes.addObject().put("write", key).put("hold", lease);
+      ObjectNode change = changes.addObject().put("write", space + key).put("hold", lease);
       change.set("v", value);
       return this;
     }
 
     public Transaction delete(String key) {
-      changes.addObject().put("remove", key);
+      changes.addObject().put("remove", space + key);
       return this;
     }
 
@@ -68,12 +94,17 @@
     return "/follow?prefix=" + prefix + "&since=" + after + "&wait_ms=" + wait.toMillis();
   }
 
-  public static Entry parseEntry(byte[] body) throws MalformedException {
-    return entry(new Fields(Json.parseObject(body)));
+  /** One key; {@code space} is left out of its name. */
+  public static Entry parseEntry(byte[] body, String space) throws MalformedException {
+    return entry(new Fields(Json.parseObject(body)), space);
+  }
+
+  private static Entry entry(Fields in, String space) throws MalformedException {
+    return new Entry(inside(in.text("path"), space), in.node("v"), in.whole("stamp", 0, ANY));
   }
 
-  private static Entry entry(Fields in) throws MalformedException {
-    return new Entry(in.text("path"), in.node("v"), in.whole("stamp", 0, ANY));
+  private static String inside(String key, String space) {
+    return key.startsWith(space) ? key.substring(space.length()) : key;
   }
 
   /** The lease that a key is attached to; 0 when there is none. */
@@ -86,32 +117,32 @@
     return new Fields(Json.parseObject(body)).whole("epoch", 0, ANY);
   }
 
-  public static Page parsePage(byte[] body) throws MalformedException {
+  public static Page parsePage(byte[] body, String space) throws MalformedException {
     Fields in = new Fields(Json.parseObject(body));
     List<Entry> entries = new ArrayList<>();
     for (Fields item : in.objects("entries")) {
-      entries.add(entry(item));
+      entries.add(entry(item, space));
     }
     return new Page(entries, in.flagOr("truncated", false), in.whole("epoch", 0, ANY));
   }
 
-  public static Changes parseChanges(byte[] body) throws MalformedException {
+  public static Changes parseChanges(byte[] body, String space) throws MalformedException {
     Fields in = new Fields(Json.parseObject(body));
     List<Entry> entries = new ArrayList<>();
     for (Fields item : in.objects("log")) {
       String written = item.textOr("write", null);
       entries.add(
           written != null
-              ? new Entry(written, item.node("v"), item.whole("stamp", 0, ANY))
-              : new Entry(item.text("remove"), null, item.whole("stamp", 0, ANY)));
+              ? new Entry(inside(written, space), item.node("v"), item.whole("stamp", 0, ANY))
+              : new Entry(inside(item.text("remove"), space), null, item.whole("stamp", 0, ANY)));
     }
     return new Changes(in.whole("epoch", 0, ANY), entries);
   }
 
   /** The keys whose conditions did not hold. */
-  public static List<String> parseFailed(byte[] body) throws MalformedException {
+  public static List<String> parseFailed(byte[] body, String space) throws MalformedException {
     List<String> failed = new Fields(Json.parseObject(body)).textsOrNull("failed");
-    return failed == null ? List.of() : failed;
+    return failed == null ? List.of() : failed.stream().map(key -> inside(key, space)).toList();
   }
 
   public static byte[] lease(Duration life) {
--- a/src/test/java/io/pineladder/sim/MembershipTest.java
+++ b/src/test/java/io/pineladder/sim/MembershipTest.java
@@ -70,7 +70,7 @@
                       compare(peer);
                     });
               },
-              () -> new Membership.Own(true, 0));
+              () -> new Membership.Own(true, 0, BeatWire.Stored.NOTHING));
       world.serve(
           host + ":8081",
           (method, path, body, answer) -> {
--- a/src/test/java/io/pineladder/sim/SimulatedCluster.java
+++ b/src/test/java/io/pineladder/sim/SimulatedCluster.java
@@ -44,6 +44,9 @@
   int jobs;
   int unanswered;
 
+  /** The store may lose data on this day; on any other nobody may think that it has. */
+  boolean losesData;
+
   void begin(long seed) {
     world = new World(seed);
     rules = new Rules(world);
@@ -227,6 +230,7 @@
           service || job.broken || job.isOver(), job.id + " did not end: " + job.completed);
     }
     assertTrue(rules.starts > 0);
+    assertTrue(losesData || store.space().isEmpty(), "a loss was seen where there was none");
     assertEquals(0, store.count("inbox/"));
     List<String> open =
         rules.jobs.values().stream().filter(j -> !j.isOver()).map(j -> j.id).sorted().toList();
--- a/src/test/java/io/pineladder/sim/StoreStandIn.java
+++ b/src/test/java/io/pineladder/sim/StoreStandIn.java
@@ -8,6 +8,7 @@
 import io.pineladder.wire.Json;
 import io.pineladder.wire.MalformedException;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -67,20 +68,88 @@
     expire();
   }
 
+  /** What stands before the keys of the generation that counts. */
+  String space() {
+    Value named = keys.get("generation/current");
+    return named == null ? "" : "g" + named.value.get("base").asLong() + "/";
+  }
+
   JsonNode value(String key) {
-    Value found = keys.get(key);
+    Value found = keys.get(space() + key);
     return found == null ? null : found.value;
   }
 
   int count(String prefix) {
-    return (int) keys.keySet().stream().filter(k -> k.startsWith(prefix)).count();
+    String within = space() + prefix;
+    return (int) keys.keySet().stream().filter(k -> k.startsWith(within)).count();
+  }
+
+  /** Backups that were made of the keys, by their time, the latest last. */
+  private final List<Backup> backups = new ArrayList<>();
+
+  private record Backup(Instant at, TreeMap<String, Value> keys, long revision) {}
+
+  /** Makes a backup now and every second from now on. */
+  void backUp() {
+    backups.add(new Backup(world.now(), new TreeMap<>(keys), revision));
+    world.after(1_000, this::backUp);
+  }
+
+  /** As if set up anew: nothing is left, and revisions and leases are numbered from the start. */
+  void loseEverything() {
+    keys.clear();
+    leases.clear();
+    log.clear();
+    watches.forEach(w -> w.from = 0);
+    revision = 0;
+    leaseIds = 0;
+  }
+
+  /** A backup takes the place of what is stored; leases are gone with their keys, or come back. */
+  void restore(Duration age, boolean withLeases) {
+    Instant wanted = world.now().minus(age);
+    Backup found = backups.get(0);
+    for (Backup each : backups) {
+      found = each.at.isAfter(wanted) ? found : each;
+    }
+    keys.clear();
+    keys.putAll(found.keys);
+    revision = found.revision;
+    long restored = revision;
+    log.removeIf(event -> event.get("stamp").asLong() > restored);
+    watches.forEach(w -> w.from = log.size());
+    if (withLeases) {
+      leases.values().forEach(l -> l.until = world.now().plusMillis(l.life));
+    } else {
+      leases.clear();
+      keys.values().removeIf(value -> value.lease != 0);
+    }
+  }
+
+  /** Keys with this prefix are gone, and nothing tells of it. */
+  void losePrefix(String prefix) {
+    String within = space() + prefix;
+    keys.keySet().removeIf(key -> key.startsWith(within));
+  }
+
+  /** One value with this prefix cannot be read any more; its revision is as before. */
+  void damage(String prefix) {
+    String within = space() + prefix;
+    List<String> there = keys.keySet().stream().filter(k -> k.startsWith(within)).toList();
+    if (!there.isEmpty()) {
+      String key = there.get(world.random.nextInt(there.size()));
+      Value old = keys.get(key);
+      keys.put(key, new Value(Json.object().put("entries", "?"), old.version, old.lease));
+    }
   }
 
   /** The final states that are stored, by job. */
   Map<String, String> ends() {
     Map<String, String> found = new TreeMap<>();
+    String space = space();
     keys.forEach(
-        (key, value) -> {
+        (whole, value) -> {
+          String key = inside(whole, space);
           if (key.startsWith("end/")) {
             found.put(key.substring("end/".length()), value.value.toString());
           }
@@ -91,8 +160,10 @@
   /** The ids of all jobs that a leader would take up, in pages or with a record of their own. */
   Set<String> jobs() {
     Set<String> found = new TreeSet<>();
+    String space = space();
     keys.forEach(
-        (key, value) -> {
+        (whole, value) -> {
+          String key = inside(whole, space);
           if (key.startsWith("job/")) {
             found.add(key.substring("job/".length()));
           } else if (key.startsWith("accepted/")) {
@@ -102,6 +173,10 @@
     return found;
   }
 
+  private static String inside(String key, String space) {
+    return key.startsWith(space) ? key.substring(space.length()) : "";
+  }
+
   /** After an outage every lease has its full time again. */
   void endOutage() {
     outage = false;
