--- a/src/main/java/io/pineladder/Leader.java
+++ b/src/main/java/io/pineladder/Leader.java
@@ -80,11 +80,20 @@
     /** The records are read, and this node leads. */
     void onBegun(LiveCopy copy);
 
+    /** This leader's key is gone from the store, or another's. */
+    void onKeyGone();
+
     /** A record is missing or older than this leader stored it. */
     void onLost(String reason);
 
-    /** A job that nothing is known of may have been lost with data. */
-    boolean mayBeLost(String job);
+    /** A worker runs a task of a job that nothing in the store tells of. */
+    void onUnknownJob(String job);
+
+    /** A record cannot be read, and this controller has no copy of it. */
+    void onDamaged(String key);
+
+    /** A record that is not there may have been lost, and come back. */
+    boolean recordsMayLack();
 
     /** For how long something may be missing from the records; null when nothing can be. */
     Duration incompleteFor();
@@ -93,6 +102,15 @@
   /** Between two looks whether the store still holds what was stored. */
   private static final Duration AUDIT = Duration.ofSeconds(1);
 
+  /**
+   * A term that begins so long after an incomplete rebuild need not hold again: the terms before have
+   * heard all machines, or have returned them.
+   */
+  private static final Duration MOST_HOLDING = Duration.ofMinutes(5);
+
+  /** For so long after an incomplete rebuild what runs is kept, though no record tells of it. */
+  private static final Duration KEEPS = Duration.ofSeconds(60);
+
   private final LiveCopy copy;
   private final Settings settings;
   private final StoreClient store;
@@ -113,6 +131,18 @@
   private final Instant begunAt;
   private State state = State.LOADING;
 
+  /** It was asked of late whether a job that a worker knows is in the store. */
+  private boolean strangerAsked;
+
+  /** No record of a job was in the store when this term began. */
+  private boolean beganEmpty;
+
+  /** No task is started, since an attempt of it may be somewhere unknown. */
+  private boolean holding;
+
+  /** What could not be read, where the copy had it. */
+  private final List<StoreWire.Entry> mended = new ArrayList<>();
+
   /** Machine types learned while loading, or null. */
   private List<MachineType> typesToStore;
 
@@ -168,6 +198,11 @@
                 Leader.this.ordersDue(machine);
               }
 
+              @Override
+              public boolean mayStart() {
+                return !holding && Leader.this.mayAct();
+              }
+
               @Override
               public void resign(String reason) {
                 host.resign(reason);
@@ -231,6 +266,26 @@
                 log.debug("machine {} reports", machine);
               }
 
+              @Override
+              public boolean recordsIncomplete() {
+                Duration incomplete = host.incompleteFor();
+                return holding || incomplete != null && incomplete.compareTo(KEEPS) < 0;
+              }
+
+              @Override
+              public void onStranger(String job) {
+                if (!strangerAsked && host.incompleteFor() == null && !host.recordsMayLack()) {
+                  strangerAsked = true;
+                  time.after(AUDIT, () -> strangerAsked = false);
+                  adoption.ifUnknown(job, () -> host.onUnknownJob(job));
+                }
+              }
+
+              @Override
+              public boolean isOver(String job) {
+                return copy.end(job) != null;
+              }
+
               @Override
               public void onUnprovable(Machine machine) {
                 time.after(Duration.ZERO, () -> fleet.release(machine));
@@ -275,6 +330,11 @@
       host.resign(reason);
     }
 
+    @Override
+    public void onKeyGone() {
+      host.onKeyGone();
+    }
+
     @Override
     public void onLost(String reason) {
       host.onLost(reason);
@@ -406,8 +466,27 @@
 
     @Override
     public StoreClient.Listing onRead(String prefix, StoreClient.Listing listing) {
-      return new StoreClient.Listing(
-          copy.read(prefix, listing.entries()), listing.revision());
+      String missing = copy.missing(prefix, listing.entries());
+      if (missing != null) {
+        host.onLost(missing + " is missing or older than it was seen");
+        return null;
+      }
+      LiveCopy.Reading reading = copy.read(prefix, listing.entries());
+      for (LiveCopy.Damaged each : reading.damaged()) {
+        if (each.mended()) {
+          log.warn("{} cannot be read and is mended from the copy", each.entry().key());
+          mended.add(each.entry());
+        } else {
+          host.onDamaged(each.entry().key());
+          return null;
+        }
+      }
+      return new StoreClient.Listing(reading.good(), listing.revision());
+    }
+
+    @Override
+    public Job.State ended(String id) {
+      return copy.end(id);
     }
 
     @Override
@@ -454,11 +533,45 @@
     }
 
     @Override
-    public boolean mayBeLost(String id) {
-      return host.mayBeLost(id);
+    public boolean mayBeLost() {
+      return host.recordsMayLack() || !copy.isComplete() || mayHaveBegunAnew();
     }
   }
 
+  /**
+   * Whether the store was empty when this term began, and workers that know better have not had the time
+   * to report: a cluster that begins for the first time looks like one that has lost everything.
+   */
+  private boolean mayHaveBegunAnew() {
+    Duration report = settings.workers().report();
+    Duration reported = report.plus(report.dividedBy(4)).plusSeconds(2);
+    return beganEmpty && time.now().isBefore(begunAt.plus(reported));
+  }
+
+  /** Ends the hold once nothing can be anywhere that is not known. */
+  private void reviewHold() {
+    if (state != State.LEADING) {
+      return;
+    }
+    if (mayAct() && fleet.isAllHeard()) {
+      holding = false;
+      log.info("all machines were heard; tasks are started again");
+      scheduler.kick();
+      return;
+    }
+    time.after(AUDIT, this::reviewHold);
+  }
+
+  /** Keeps what could not be read aside, and stores the record anew. */
+  private void store(StoreWire.Entry damaged) {
+    committer.submit(
+        Mutation.of(
+            Mutation.Priority.TIDY,
+            List.of(new Mutation.Write(Keys.DAMAGED + damaged.key(), damaged::value)),
+            () -> {}));
+    records.rewrite(damaged.key());
+  }
+
   /** Has the records compared with what was stored, some at a time, for as long as the term lasts. */
   private void audit(String after) {
     if (state == State.LEADING) {
@@ -468,6 +581,7 @@
 
   private void begin(List<Job> jobs, StoreClient.Listing inbox) {
     moveTo(State.LEADING);
+    beganEmpty = jobs.isEmpty() && cluster.machines().isEmpty() && copy.ends() == 0;
     host.onBegun(copy);
     takeover.passed(Takeovers.Phase.STORE_READ);
     time.after(AUDIT, () -> audit(null));
@@ -482,6 +596,12 @@
     if (typesToStore != null) {
       storeTypes(typesToStore);
     }
+    mended.forEach(this::store);
+    holding = host.incompleteFor() != null && host.incompleteFor().compareTo(MOST_HOLDING) < 0;
+    if (holding) {
+      log.info("nothing is started until all machines were heard: records may be missing");
+      time.after(AUDIT, this::reviewHold);
+    }
     log.info(
         "term {} begins with {} jobs and {} machines",
         term,
--- a/src/main/java/io/pineladder/Node.java
+++ b/src/main/java/io/pineladder/Node.java
@@ -6,9 +6,11 @@
 import io.pineladder.leadership.Election;
 import io.pineladder.membership.Membership;
 import io.pineladder.model.Generation;
+import io.pineladder.model.Job;
 import io.pineladder.model.MachineType;
 import io.pineladder.model.OperatorSettings;
 import io.pineladder.model.Settings;
+import io.pineladder.net.Background;
 import io.pineladder.net.HttpCaller;
 import io.pineladder.net.HttpCaller.Request;
 import io.pineladder.net.Timeline;
@@ -17,6 +19,9 @@
 import io.pineladder.recovery.LiveCopy;
 import io.pineladder.recovery.Takeovers;
 import io.pineladder.retry.Backoff;
+import io.pineladder.snapshot.Shelf;
+import io.pineladder.snapshot.Snapshot;
+import io.pineladder.snapshot.Snapshots;
 import io.pineladder.store.JobIndex;
 import io.pineladder.store.Keys;
 import io.pineladder.store.StoreClient;
@@ -29,8 +34,10 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
+import java.util.Map;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
@@ -58,6 +65,18 @@
   /** For so long after an incomplete rebuild nobody is told that a job does not exist. */
   private static final Duration DOUBT = Duration.ofMinutes(2);
 
+  /** Between two final states that are stored again; no more is missing than the last moments'. */
+  private static final Duration ENDS_PACE = Duration.ofMillis(100);
+
+  /** By then all that began with snapshots have compared them with the store. */
+  private static final Duration COMPARED = Duration.ofSeconds(20);
+
+  /** So long a node without a copy of the records lets one that has it lead. */
+  private static final Duration LEFT_TO_OTHERS = Duration.ofSeconds(2);
+
+  /** By then all nodes have stored again what they accepted right before a loss. */
+  private static final Duration RESTORED = Duration.ofSeconds(15);
+
   private final Settings settings;
   private final Timeline time;
   private final HttpCaller http;
@@ -73,6 +92,7 @@
   private final Cache<String, JobWire.Status> finals =
       Caffeine.newBuilder().maximumSize(FINALS_KEPT).executor(Runnable::run).build();
 
+  private final Snapshots snapshots;
   private final Generations generations;
   private final Follower follower;
   private final Deque<Accepted> acceptedHere = new ArrayDeque<>();
@@ -81,6 +101,18 @@
   /** The copy that this node fed when it last led, or null. */
   private LiveCopy ledWith;
 
+  /**
+   * When this node last was elected it could compare the store with a copy of its own, or no other could
+   * either: it knows all that anybody does.
+   */
+  private boolean soundStart;
+
+  /** Since when this node has found no leader; null while there is one. */
+  private Instant vacantSince;
+
+  /** When this process began with a copy from a snapshot; null without one. */
+  private Instant restoredAt;
+
   private Leader leader;
   private List<MachineType> types = List.of();
   private OperatorSettings operator = OperatorSettings.DEFAULTS;
@@ -93,9 +125,21 @@
    * A controller.
    *
    * @param delivery delivers notices of final states; null where that is switched off
+   * @param shelf where snapshots of the records are kept; null for nowhere
+   * @param background where they are made; null without a shelf
    */
   public Node(
-      Settings settings, Timeline time, HttpCaller http, String nonce, Delivery delivery) {
+      Settings settings,
+      Timeline time,
+      HttpCaller http,
+      String nonce,
+      Delivery delivery,
+      Shelf shelf,
+      Background background) {
+    this.snapshots =
+        shelf == null
+            ? null
+            : new Snapshots(shelf, background, time, cluster(settings), this::snapshot);
     this.settings = settings;
     this.delivery = delivery;
     this.time = time;
@@ -115,9 +159,73 @@
 
   public void start() {
     log.info("controller {} starts in zone {}", settings.member(), settings.zone());
+    membership.onStored(generations::heard);
     membership.start();
-    generations.start();
     tick();
+    if (snapshots == null) {
+      generations.start();
+      return;
+    }
+    snapshots.load(
+        found -> {
+          if (found != null) {
+            use(LiveCopy.of(found));
+            restoredAt = time.now();
+            log.info("the snapshot has {} records of revision {}", copy.size(), copy.revision());
+          }
+          generations.start();
+          snapshots.start();
+        });
+  }
+
+  /** The records as this node has them, as a snapshot; null while it has not read them all. */
+  public byte[] takeSnapshot() {
+    Snapshot now = snapshot();
+    return now == null ? null : now.encode();
+  }
+
+  /**
+   * Takes in a snapshot of records that the cluster has lost: its jobs come back in a new generation,
+   * beside those that were accepted since. Only the leader can.
+   *
+   * @return how many jobs come back
+   * @throws MalformedException when it is no snapshot of this cluster, or this node cannot take it now
+   */
+  public int handIn(byte[] bytes) throws MalformedException {
+    Snapshot snapshot = Snapshot.decode(bytes);
+    if (!snapshot.cluster().equals(cluster(settings))) {
+      throw new MalformedException("a snapshot of the cluster " + snapshot.cluster());
+    }
+    if (actingLeader() == null || ledWith != copy || !copy.isComplete()) {
+      throw new MalformedException("not now: no leader that has read all records");
+    }
+    int jobs = copy.unite(LiveCopy.of(new Snapshots.Found(snapshot, List.of())));
+    generations.lost(
+        Generations.Evidence.HANDED_IN,
+        "a snapshot of revision " + snapshot.revision() + " is handed in, with " + jobs + " jobs");
+    return jobs;
+  }
+
+  /** What tells one cluster's snapshots from another's. */
+  private static String cluster(Settings settings) {
+    List<String> members = new ArrayList<>(List.of(settings.member()));
+    settings.peers().forEach(peer -> members.add(peer.member()));
+    members.sort(null);
+    return String.join(",", members) + " of " + settings.storeAddress();
+  }
+
+  private Snapshot snapshot() {
+    return copy.isComplete() ? copy.snapshot(cluster(settings), time.timeOfDay()) : null;
+  }
+
+  /** This copy of the records is the one that would be written if they were lost. */
+  private void use(LiveCopy next) {
+    copy.listen(null);
+    copy = next;
+    if (snapshots != null) {
+      next.listen(snapshots::changed);
+      snapshots.renew();
+    }
   }
 
   /**
@@ -125,20 +233,44 @@
    * seen, or a process that has just begun would lead in a store that has lost its data.
    */
   private boolean mayStand() {
-    return membership.hasAskedAll() && generations.hearsPeers() && generations.isTrusted();
+    return membership.hasAskedAll() && generations.hearsPeers() && !leavesItToOthers();
+  }
+
+  /** A node with a whole copy of the records leads better than one that has just begun. */
+  private boolean leavesItToOthers() {
+    Instant now = time.now();
+    vacantSince = vacantSince == null ? now : vacantSince;
+    return !copy.isComplete()
+        && vacantSince.plus(LEFT_TO_OTHERS).isAfter(now)
+        && membership.view().stream()
+            .anyMatch(
+                peer ->
+                    peer.state() == Membership.State.UP
+                        && peer.stored().complete()
+                        && peer.stored().copyBase() == store.generation().base());
   }
 
   /** What becomes of a copy that follows the store. */
   private final class Copying implements Follower.Listener {
     @Override
     public void onCopy(LiveCopy whole) {
-      copy = whole;
+      String lacks = copy.lackedBy(whole);
+      if (lacks == null) {
+        LiveCopy before = copy;
+        use(whole);
+        if (before.base() != whole.base()) {
+          acceptAgain();
+          storeEnds(new ArrayDeque<>(before.endsMissingIn(whole).entrySet()));
+        }
+      } else {
+        onMissing(lacks);
+      }
     }
 
     @Override
-    public void onMissing(String job) {
+    public void onMissing(String key) {
       generations.lost(
-          Generations.Evidence.RECORD_MISSING, "the final state of " + job + " is gone");
+          Generations.Evidence.RECORD_MISSING, key + " is missing or older than it was seen");
     }
   }
 
@@ -151,11 +283,12 @@
 
     @Override
     public boolean leads() {
-      return ledWith == copy && copy.isComplete() && election.leaseHolds();
+      return ledWith == copy && soundStart && copy.isComplete() && election.leaseHolds();
     }
 
     @Override
     public void onLost() {
+      membership.tellNow();
       election.pause();
       follower.stop();
       accepted.forget();
@@ -168,18 +301,19 @@
       follower.stop();
       accepted.forget();
       store.use(generation);
+      store.learn(copy.base(), copy.revision());
       if (generation.phase() == Generation.Phase.REBUILDING) {
         return;
       }
       if (!first && generation.by().member().equals(settings.member())) {
         copy.moved(generation);
+        if (snapshots != null) {
+          snapshots.renew();
+        }
       }
       election.start();
       follower.follow();
       readConf();
-      if (!first) {
-        acceptAgain();
-      }
     }
 
     @Override
@@ -198,6 +332,33 @@
     acceptedHere.forEach(each -> each.again.run());
   }
 
+  /**
+   * Stores final states that this node has seen and that whoever rebuilt the records had not: they are
+   * united, and never undone.
+   */
+  private void storeEnds(Deque<Map.Entry<String, Job.State>> left) {
+    Map.Entry<String, Job.State> next = left.peekFirst();
+    if (next == null || stopped || !generations.isTrusted()) {
+      return;
+    }
+    String key = Keys.END + next.getKey();
+    byte[] body =
+        store
+            .transaction()
+            .require(key, 0)
+            .put(key, RecordWire.end(next.getValue()))
+            .bytes();
+    store.changeForUser(
+        store.post("/multi", body),
+        1,
+        reply -> {
+          if (reply.is(200) || reply.is(409)) {
+            left.pollFirst();
+          }
+          time.after(ENDS_PACE, () -> storeEnds(left));
+        });
+  }
+
   /** This node has accepted a job without a leader. */
   public void acceptedHere(Runnable again) {
     acceptedHere.addLast(new Accepted(time.now(), again));
@@ -209,6 +370,11 @@
   /** A job that this node accepted without a leader, and how to store it again. */
   private record Accepted(Instant at, Runnable again) {}
 
+  /** The snapshots kept here, or null. */
+  public Snapshots snapshots() {
+    return snapshots;
+  }
+
   public Generations generations() {
     return generations;
   }
@@ -227,11 +393,27 @@
    * What this node itself has seen stored was not removed, or the copy would know of it.
    */
   public boolean mayBeLost(String job) {
-    if (!generations.isTrusted() || copy.holdsJob(job) || copy.end(job) != null) {
+    if (!generations.isTrusted() || !copy.isComplete()) {
+      return true;
+    }
+    if (copy.holdsJob(job) || copy.end(job) != null) {
+      return true;
+    }
+    return recordsMayLack();
+  }
+
+  /**
+   * Whether a record that is not there may yet come: something may be missing from a rebuild, what other
+   * controllers accepted without a leader right before it they are storing again, and controllers that
+   * begin with their snapshots have yet to compare them with the store.
+   */
+  private boolean recordsMayLack() {
+    if (restoredAt != null && restoredAt.plus(COMPARED).isAfter(time.now())) {
       return true;
     }
-    Duration incomplete = generations.incompleteFor();
-    return incomplete != null && incomplete.compareTo(DOUBT) < 0;
+    Duration rebuilt = generations.rebuiltFor();
+    Duration until = store.generation().exact() ? RESTORED : DOUBT;
+    return rebuilt != null && rebuilt.compareTo(until) < 0;
   }
 
   private void sendBeat(String address, byte[] beat, Consumer<byte[]> onAnswer) {
@@ -250,13 +432,17 @@
             copy.base(),
             copy.revision(),
             copy.isComplete(),
-            generations.highestToken()));
+            generations.highestToken(),
+            generations.state() == Generations.State.LOST));
   }
 
   /** Ends all activity, as a killed process would. */
   public void stop() {
     stopped = true;
     generations.stop();
+    if (snapshots != null) {
+      snapshots.stop();
+    }
     if (leader != null) {
       leader.close();
     }
@@ -267,6 +453,11 @@
     public void onElected(long term, long version) {
       Takeovers.Takeover takeover = takeovers.begin(term, membership.ledAt());
       long base = store.generation().base();
+      boolean compares = copy.base() == base && copy.isComplete();
+      soundStart =
+          compares
+              || membership.view().stream()
+                  .noneMatch(p -> p.stored().complete() && p.stored().copyBase() == base);
       LiveCopy fed = copy.base() == base ? copy : new LiveCopy(base);
       follower.lead(fed);
       leader =
@@ -286,6 +477,11 @@
       fetchTypes();
     }
 
+    @Override
+    public void onLeaseGone() {
+      keyGone();
+    }
+
     @Override
     public void onCertain() {
       if (leader != null) {
@@ -306,10 +502,19 @@
 
     @Override
     public void onLeaderKnown(RecordWire.LeaderRecord known) {
+      vacantSince = known == null ? vacantSince : null;
       log.debug("the leader is {}", known);
     }
   }
 
+  /** The service ends no lease early; one that is gone too soon was lost. */
+  private void keyGone() {
+    if (election.leaseHolds()) {
+      generations.lost(
+          Generations.Evidence.RECORD_MISSING, "the leader's key is gone while its lease holds");
+    }
+  }
+
   private final class LeaderHost implements Leader.Host {
     @Override
     public boolean mayAct() {
@@ -353,7 +558,7 @@
     @Override
     public void onBegun(LiveCopy fed) {
       fed.begun();
-      copy = fed;
+      use(fed);
       ledWith = fed;
     }
 
@@ -363,14 +568,31 @@
     }
 
     @Override
-    public boolean mayBeLost(String job) {
-      Duration incomplete = generations.incompleteFor();
-      return incomplete != null && incomplete.compareTo(DOUBT) < 0;
+    public void onKeyGone() {
+      keyGone();
+      election.yield("another leader holds the store");
+    }
+
+    @Override
+    public void onUnknownJob(String job) {
+      // Whoever was told that a job is accepted may ask for ever: none vanishes unless it is lost.
+      generations.lost(
+          Generations.Evidence.JOB_UNKNOWN, "a worker runs " + job + ", of which nothing is stored");
+    }
+
+    @Override
+    public void onDamaged(String key) {
+      generations.lost(Generations.Evidence.UNREADABLE, key + " cannot be read");
+    }
+
+    @Override
+    public boolean recordsMayLack() {
+      return Node.this.recordsMayLack();
     }
 
     @Override
     public Duration incompleteFor() {
-      return generations.incompleteFor();
+      return store.generation().exact() ? null : generations.rebuiltFor();
     }
 
     @Override
--- a/src/main/java/io/pineladder/admin/AdminApi.java
+++ b/src/main/java/io/pineladder/admin/AdminApi.java
@@ -12,6 +12,8 @@
 import io.pineladder.model.OperatorSettings;
 import io.pineladder.net.Answers;
 import io.pineladder.net.HttpAnswer;
+import io.pineladder.recovery.Generations;
+import io.pineladder.recovery.LiveCopy;
 import io.pineladder.recovery.Takeovers;
 import io.pineladder.wire.Json;
 import io.pineladder.wire.MalformedException;
@@ -26,6 +28,7 @@
  * operators may change. What only the leader knows is asked of the leader.
  */
 public final class AdminApi {
+  private static final String SNAPSHOT = "snapshot";
   public static final String PREFIX = "/admin/v1/";
 
   private static final Duration STORE_TIMEOUT = Duration.ofSeconds(3);
@@ -45,7 +48,7 @@
     }
     return switch (path) {
       case PREFIX + "queue", PREFIX + "machines" -> method.equals("GET");
-      case PREFIX + "settings" -> method.equals("PUT");
+      case PREFIX + "settings", PREFIX + SNAPSHOT -> method.equals("PUT");
       default -> false;
     };
   }
@@ -68,6 +71,7 @@
               PREFIX + "metrics",
               PREFIX + "takeovers",
               PREFIX + "settings",
+              PREFIX + SNAPSHOT,
               PREFIX + "queue",
               PREFIX + "machines" -> true;
           default -> false;
@@ -76,6 +80,12 @@
       answer.accept(error(404, "no such path"));
     } else if (!method.equals("GET")) {
       answer.accept(error(405, "use GET"));
+    } else if (path.equals(PREFIX + SNAPSHOT)) {
+      byte[] snapshot = node.takeSnapshot();
+      answer.accept(
+          snapshot == null
+              ? error(503, "this node has not read all records yet")
+              : new HttpAnswer(200, snapshot));
     } else {
       answer.accept(
           json(
@@ -112,6 +122,7 @@
           .put("term", peer.term())
           .put("changes", peer.changes());
     }
+    out.set("records", records());
     out.set("sockets", metrics.sockets());
     return out;
   }
@@ -154,6 +165,7 @@
       case PREFIX + "queue" -> answer.accept(json(200, queue(leader)));
       case PREFIX + "machines" -> answer.accept(json(200, machines(leader)));
       case PREFIX + "settings" -> change(leader, body, answer);
+      case PREFIX + SNAPSHOT -> handIn(body, answer);
       default -> answer.accept(error(404, "no such path"));
     }
   }
@@ -201,6 +213,42 @@
     return out;
   }
 
+  private void handIn(byte[] body, Consumer<HttpAnswer> answer) {
+    try {
+      answer.accept(json(200, Json.object().put("jobs", node.handIn(body))));
+    } catch (MalformedException e) {
+      answer.accept(error(400, e.getMessage()));
+    }
+  }
+
+  /** Where the records stand, as this node knows it. */
+  private ObjectNode records() {
+    Generations generations = node.generations();
+    LiveCopy copy = node.copy();
+    Generations.Evidence evidence = generations.evidence();
+    ObjectNode out =
+        Json.object()
+            .put("state", generations.state().name().toLowerCase(Locale.ROOT))
+            .put("generation", node.store().generation().base())
+            .put("exact", node.store().generation().exact())
+            .put("losses", generations.losses())
+            .put("evidence", evidence == null ? null : evidence.name().toLowerCase(Locale.ROOT))
+            .put("rebuilt", generations.progress());
+    out.putObject("copy")
+        .put("state", node.follower().state().name().toLowerCase(Locale.ROOT))
+        .put("generation", copy.base())
+        .put("revision", copy.revision())
+        .put("whole", copy.isComplete())
+        .put("records", copy.size())
+        .put("final_states", copy.ends());
+    if (node.snapshots() != null) {
+      out.putObject("snapshots")
+          .put("kept", node.snapshots().kept())
+          .put("failures", node.snapshots().failures());
+    }
+    return out;
+  }
+
   /** Checks new settings, stores them, and answers when they are stored. */
   private void change(Leader leader, byte[] body, Consumer<HttpAnswer> answer) {
     OperatorSettings wanted;
--- a/src/main/java/io/pineladder/cli/AdminCommand.java
+++ b/src/main/java/io/pineladder/cli/AdminCommand.java
@@ -8,6 +8,7 @@
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
@@ -31,7 +32,8 @@
           "takeovers",
           "settings",
           "subscriptions",
-          "networks");
+          "networks",
+          "snapshot");
 
   private AdminCommand() {}
 
@@ -58,7 +60,9 @@
                 OptionSpec.builder("--file")
                     .paramLabel("FILE")
                     .type(Path.class)
-                    .description("with subscriptions put: the subscription in JSON")
+                    .description(
+                        "with subscriptions put: the subscription in JSON; with snapshot: the file"
+                            + " to fetch to or to hand in")
                     .build())
             .addOption(
                 OptionSpec.builder("--from")
@@ -73,8 +77,8 @@
                     .type(String.class)
                     .arity("1")
                     .description(
-                        "status, queue, machines, metrics, takeovers, settings, subscriptions or"
-                            + " networks")
+                        "status, queue, machines, metrics, takeovers, settings, subscriptions,"
+                            + " networks or snapshot")
                     .build())
             .addPositional(
                 PositionalParamSpec.builder()
@@ -86,7 +90,7 @@
                     .description(
                         "with subscriptions: nothing for all, schema, or show, put, pause, resume or"
                             + " delete with a name; with networks: nothing to show them, none, or"
-                            + " all that notices may be sent to")
+                            + " all that notices may be sent to; with snapshot: fetch or handin")
                     .build());
     spec.usageMessage()
         .description("Asks a controller, or changes the operators' settings and subscriptions.");
@@ -129,6 +133,17 @@
     };
   }
 
+  private static Call snapshot(List<String> words, Path file) throws IOException {
+    if (file == null || words.size() != 1) {
+      return null;
+    }
+    return switch (words.get(0)) {
+      case "fetch" -> new Call("GET", "snapshot", null);
+      case "handin" -> new Call("PUT", "snapshot", Files.readAllBytes(file));
+      default -> null;
+    };
+  }
+
   static int run(ParseResult parsed) {
     String topic = parsed.matchedPositionalValue(0, "");
     Map<String, Double> changes = parsed.matchedOptionValue("--set", Map.of());
@@ -148,6 +163,7 @@
                     parsed.matchedOptionValue("--from", null));
             case "networks" ->
                 words.isEmpty() ? new Call("GET", topic, null) : networks(words);
+            case "snapshot" -> snapshot(words, parsed.matchedOptionValue("--file", null));
             default -> {
               ObjectNode body = Json.object();
               changes.forEach(body::put);
@@ -159,7 +175,8 @@
       if (call == null) {
         System.err.println(
             "subscriptions [schema | show NAME | put NAME --file FILE | pause NAME"
-                + " | resume NAME [--from SEQUENCE] | delete NAME]");
+                + " | resume NAME [--from SEQUENCE] | delete NAME];"
+                + " snapshot fetch --file FILE | snapshot handin --file FILE");
         return Main.EXIT_USAGE;
       }
       HttpRequest request =
@@ -171,10 +188,15 @@
                       ? HttpRequest.BodyPublishers.noBody()
                       : HttpRequest.BodyPublishers.ofByteArray(call.body))
               .build();
-      HttpResponse<String> response =
-          HttpClient.newHttpClient().send(request, HttpResponse.BodyHandlers.ofString());
+      HttpResponse<byte[]> response =
+          HttpClient.newHttpClient().send(request, HttpResponse.BodyHandlers.ofByteArray());
       boolean good = response.statusCode() == 200 || response.statusCode() == 201;
-      (good ? System.out : System.err).println(response.body());
+      if (good && topic.equals("snapshot") && call.method.equals("GET")) {
+        Files.write(parsed.matchedOptionValue("--file", Path.of("")), response.body());
+        return Main.EXIT_OK;
+      }
+      (good ? System.out : System.err)
+          .println(new String(response.body(), StandardCharsets.UTF_8));
       return good ? Main.EXIT_OK : Main.EXIT_FAILURE;
     } catch (IOException | IllegalArgumentException e) {
       System.err.println(address + ": " + e.getMessage());
--- a/src/main/java/io/pineladder/cli/Controller.java
+++ b/src/main/java/io/pineladder/cli/Controller.java
@@ -11,11 +11,14 @@
 import io.pineladder.net.Sockets;
 import io.pineladder.net.UndertowCaller;
 import io.pineladder.net.XnioRuntime;
+import io.pineladder.snapshot.SnapshotDirectory;
 import io.pineladder.wire.SettingsReader;
 import java.io.IOException;
 import java.nio.file.Path;
+import java.util.HashMap;
 import java.util.HexFormat;
 import java.util.LinkedHashSet;
+import java.util.Map;
 import java.util.Set;
 import java.util.random.RandomGenerator;
 import java.util.stream.Stream;
@@ -31,16 +34,35 @@
   private static final int EXIT_FAILURE = 1;
   private static final int EXIT_USAGE = 2;
 
+  static final String DELIVERY = "--delivery";
+  static final String SNAPSHOTS = "--snapshots";
+  private static final Set<String> OPTIONS = Set.of(DELIVERY, SNAPSHOTS);
+
+  /**
+   * What a controller does beyond what the settings file says.
+   *
+   * @param deliveryKey the file with the key for subscribers' secrets; null: notices are not delivered
+   * @param snapshots the directory for snapshots of the records; null: none are written
+   */
+  record Extras(Path deliveryKey, Path snapshots) {
+    static final Extras NONE = new Extras(null, null);
+  }
+
   private Controller() {}
 
   public static void main(String[] args) {
     configureLogging(System.getenv("LOG_LEVEL"));
-    boolean delivers = args.length == 3 && args[0].equals("--delivery");
-    if (args.length != 1 && !delivers) {
-      System.err.println("usage: Controller [--delivery KEYFILE] SETTINGS");
+    Map<String, Path> options = new HashMap<>();
+    int at = 0;
+    for (; at + 1 < args.length && OPTIONS.contains(args[at]); at += 2) {
+      options.put(args[at], Path.of(args[at + 1]));
+    }
+    if (at + 1 != args.length) {
+      System.err.println("usage: Controller [--delivery KEYFILE] [--snapshots DIR] SETTINGS");
       System.exit(EXIT_USAGE);
     }
-    int code = serve(Path.of(args[args.length - 1]), delivers ? Path.of(args[1]) : null);
+    int code =
+        serve(Path.of(args[at]), new Extras(options.get(DELIVERY), options.get(SNAPSHOTS)));
     if (code >= 0) {
       System.exit(code);
     }
@@ -55,12 +77,8 @@
     System.setProperty("org.jboss.logging.provider", "slf4j");
   }
 
-  /**
-   * Serves with a settings file; a negative result means that the service goes on running.
-   *
-   * @param deliveryKey the file with the key for subscribers' secrets; null: notices are not delivered
-   */
-  static int serve(Path file, Path deliveryKey) {
+  /** Serves with a settings file; a negative result means that the service goes on running. */
+  static int serve(Path file, Extras extras) {
     Logger log = LoggerFactory.getLogger(Controller.class);
     Settings settings;
     try {
@@ -70,7 +88,7 @@
       return EXIT_FAILURE;
     }
     try {
-      start(settings, deliveryKey);
+      start(settings, extras);
       return -1;
     } catch (IOException | RuntimeException e) {
       log.error("cannot serve: {}", e.getMessage(), e);
@@ -119,7 +137,7 @@
   }
 
   /** Starts a controller; everything happens on the runtime's thread from then on. */
-  static XnioRuntime start(Settings settings, Path deliveryKey) throws IOException {
+  static XnioRuntime start(Settings settings, Extras extras) throws IOException {
     XnioRuntime runtime = new XnioRuntime(settings.maxSockets(), settings.workers().report());
     HttpCaller http = new UndertowCaller(runtime, address -> part(settings, address));
     byte[] nonce = new byte[12];
@@ -130,7 +148,14 @@
             runtime,
             http,
             HexFormat.of().formatHex(nonce),
-            deliveryKey == null ? null : delivery(settings, runtime, deliveryKey));
+            extras.deliveryKey == null
+                ? null
+                : delivery(settings, runtime, extras.deliveryKey),
+            extras.snapshots == null
+                ? null
+                : new SnapshotDirectory(
+                    extras.snapshots.resolve(settings.member()), runtime),
+            runtime);
     Metrics metrics = new Metrics();
     metrics.watch(runtime.sockets());
     Front front = new Front(node, metrics);
--- a/src/main/java/io/pineladder/cli/Main.java
+++ b/src/main/java/io/pineladder/cli/Main.java
@@ -50,7 +50,11 @@
         commandLine.usage(System.err);
         return EXIT_USAGE;
       }
-      return Controller.serve(config, parsed.matchedOptionValue("--delivery", null));
+      return Controller.serve(
+          config,
+          new Controller.Extras(
+              parsed.matchedOptionValue(Controller.DELIVERY, null),
+              parsed.matchedOptionValue(Controller.SNAPSHOTS, null)));
     } catch (CommandLine.ParameterException e) {
       System.err.println(e.getMessage());
       e.getCommandLine().usage(System.err);
@@ -91,6 +95,12 @@
                     .type(Path.class)
                     .description("deliver final answers; the file has a key of 32 bytes in Base64")
                     .build())
+            .addOption(
+                OptionSpec.builder("--snapshots")
+                    .paramLabel("DIR")
+                    .type(Path.class)
+                    .description("keep snapshots of the records in a folder of this one")
+                    .build())
             .addSubcommand("check", check)
             .addSubcommand("admin", admin)
             .addSubcommand("receive", ReceiveCommand.spec())
--- a/src/main/java/io/pineladder/cli/Training.java
+++ b/src/main/java/io/pineladder/cli/Training.java
@@ -44,7 +44,7 @@
               Training::surroundings,
               Sockets.Part.SERVICES,
               path -> Sockets.Part.SERVICES));
-      Controller.start(settings, null);
+      Controller.start(settings, Controller.Extras.NONE);
       CountDownLatch over = new CountDownLatch(1);
       UndertowCaller caller = new UndertowCaller(surroundings, a -> Sockets.Part.USERS);
       surroundings.execute(() -> submit(surroundings, caller, front, over));
--- a/src/main/java/io/pineladder/fleet/Fleet.java
+++ b/src/main/java/io/pineladder/fleet/Fleet.java
@@ -244,6 +244,29 @@
     }
   }
 
+  /**
+   * Whether all machines that were there when this term began are known, and what is on them: a list
+   * that is no older than the term has named them, and each was heard or its return was answered.
+   */
+  public boolean isAllHeard() {
+    Duration lag = cluster.settings.cloud().listLag();
+    if (!listedAt.isAfter(startedAt.plus(lag.multipliedBy(2)).plusSeconds(1))) {
+      return false;
+    }
+    for (Machine machine : cluster.machines()) {
+      boolean heard =
+          switch (machine.state()) {
+            case CONFIRMED, SILENT, GONE -> true;
+            case EXPECTED -> machine.rentedHere;
+            case HEARD, RELEASING -> false;
+          };
+      if (!heard) {
+        return false;
+      }
+    }
+    return true;
+  }
+
   /** Whether a machine has been returned: what still comes from it is late. */
   public boolean wasReleased(String machine) {
     return released.containsKey(machine);
--- a/src/main/java/io/pineladder/front/Leaderless.java
+++ b/src/main/java/io/pineladder/front/Leaderless.java
@@ -4,6 +4,7 @@
 import static io.pineladder.net.Answers.later;
 import static io.pineladder.net.Answers.ok;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import io.pineladder.Leader;
 import io.pineladder.Node;
 import io.pineladder.model.Job;
@@ -11,6 +12,7 @@
 import io.pineladder.model.MachineType;
 import io.pineladder.model.Team;
 import io.pineladder.net.HttpAnswer;
+import io.pineladder.recovery.LiveCopy;
 import io.pineladder.store.Keys;
 import io.pineladder.store.Records;
 import io.pineladder.wire.JobWire;
@@ -70,7 +72,9 @@
       return;
     }
     if (!node.generations().isTrusted()
-        || node.store().generation().base() != 0 && !node.copy().knowsEnds()) {
+        || node.store().generation().base() != 0
+            && (!node.copy().knowsEnds()
+                || node.copy().base() != node.store().generation().base())) {
       // A job that was over before the loss could not be told from a new one.
       answer.accept(later("the records are rebuilt"));
       return;
@@ -86,22 +90,25 @@
           id, false, found -> answer.accept(found.status() == 404 ? error(422, never) : found));
       return;
     }
+    JsonNode record = RecordWire.job(spec, node.time().timeOfDay(), Job.State.ACTIVE);
+    JsonNode note = Json.object().put("by", node.settings().member());
     byte[] body =
         node.store()
             .transaction()
             .require(Keys.JOB + id, 0)
             .require(Keys.END + id, 0)
-            .put(
-                Keys.JOB + id,
-                RecordWire.job(spec, node.time().timeOfDay(), Job.State.ACTIVE))
-            .put(Keys.INBOX + id, Json.object().put("by", node.settings().member()))
+            .put(Keys.JOB + id, record)
+            .put(Keys.INBOX + id, note)
             .bytes();
+    LiveCopy copy = node.copy();
     node.store().changeForUser(
         node.store().post("/multi", body),
         2,
         reply -> {
           if (reply.is(200)) {
             log.debug("job {} accepted without a leader", id);
+            copy.put(Keys.JOB + id, record, 0, true);
+            copy.put(Keys.INBOX + id, note, 0, true);
             node.acceptedHere(() -> submit(spec, again -> {}));
             answer.accept(
                 new HttpAnswer(201, JobWire.view(id, JobWire.Status.PENDING)));
--- a/src/main/java/io/pineladder/front/Reports.java
+++ b/src/main/java/io/pineladder/front/Reports.java
@@ -66,7 +66,10 @@
       return;
     }
     node.generations().learnToken(report.token());
-    long keeping = node.generations().keepingToken();
+    long keeping =
+        node.generations()
+            .keepingToken(
+                report.token(), Election.longestKeepAlive(node.settings().workers()));
     if (keeping >= report.token() && keeping > 0) {
       // Nobody leads while the records are rebuilt; what runs must live through it.
       answer.accept(ok(WorkerWire.reportResponse(keeping, new WorkerWire.Orders())));
--- a/src/main/java/io/pineladder/leadership/Election.java
+++ b/src/main/java/io/pineladder/leadership/Election.java
@@ -58,6 +58,9 @@
   public interface Listener {
     void onElected(long term, long version);
 
+    /** The state service knows the lease no more. */
+    void onLeaseGone();
+
     /** The lease turned out to hold after all. */
     void onCertain();
 
@@ -399,6 +402,7 @@
             return;
           }
           if (reply.is(404)) {
+            listener.onLeaseGone();
             end("the lease has ended", false);
             return;
           }
--- a/src/main/java/io/pineladder/membership/Membership.java
+++ b/src/main/java/io/pineladder/membership/Membership.java
@@ -160,6 +160,7 @@
   private final Instant[] made = new Instant[REMEMBERED];
 
   private long sequence;
+  private Consumer<BeatWire.Stored> onStored = stored -> {};
 
   public Membership(
       Settings settings, String nonce, Timeline time, Sender sender, Supplier<Own> own) {
@@ -178,6 +179,19 @@
     tick();
   }
 
+  /** Tells what each beat says of the records. */
+  public void onStored(Consumer<BeatWire.Stored> listener) {
+    onStored = listener;
+  }
+
+  /** Something was found that the others must not learn a beat later. */
+  public void tellNow() {
+    byte[] beat = BeatWire.write(beat());
+    for (Peer peer : peers.values()) {
+      sender.send(peer.at.address(), beat, answer -> {});
+    }
+  }
+
   private void tick() {
     Instant now = time.now();
     if (tickedAt != null && tickedAt.plus(BEAT).plus(PAUSE).isBefore(now)) {
@@ -268,6 +282,7 @@
     boolean newer = !beat.nonce().equals(peer.nonce) || beat.sequence() > peer.sequence;
     if (newer) {
       peer.arrivedAt = time.now();
+      onStored.accept(beat.stored());
     }
     Instant proven = asked != null ? asked : madeAt(beat.heard().get(self));
     if (newer && (proven != null || peer.nonce == null)) {
--- a/src/main/java/io/pineladder/recovery/Adoption.java
+++ b/src/main/java/io/pineladder/recovery/Adoption.java
@@ -42,7 +42,7 @@
     void onRead(StoreWire.Entry entry);
 
     /** Whether a job that nothing is known of may have been lost: then nothing certain can be said. */
-    boolean mayBeLost(String id);
+    boolean mayBeLost();
   }
 
   private final StoreClient store;
@@ -127,11 +127,31 @@
             store.retry(retry, () -> takeIn(entry));
             return;
           }
-          committer.submit(
-              Mutation.of(
-                  Mutation.Priority.TIDY,
-                  List.of(new Mutation.Write(entry.key(), () -> null)),
-                  () -> {}));
+          if (lookup.ended() != null) {
+            // Stored again after a loss by a node that did not know that it was over.
+            removeOwn(id);
+          }
+          remove(entry.key());
+        });
+  }
+
+  private void remove(String key) {
+    committer.submit(
+        Mutation.of(
+            Mutation.Priority.TIDY,
+            List.of(new Mutation.Write(key, () -> null)),
+            () -> {}));
+  }
+
+  private void removeOwn(String id) {
+    String key = Keys.JOB + id;
+    store.read(
+        key,
+        read -> {
+          if (listener.isLeading() && read.found()) {
+            committer.known(key, read.entry().version());
+            remove(key);
+          }
         });
   }
 
@@ -209,6 +229,28 @@
         });
   }
 
+  /** Tells when the store has no record of a job that is not in memory, nor of its end. */
+  public void ifUnknown(String id, Runnable onUnknown) {
+    if (cluster.jobs.containsKey(id) || listener.isAccepting(id) || listener.ended(id) != null) {
+      return;
+    }
+    store.read(
+        Keys.JOB + id,
+        own -> {
+          if (own.found() || !own.certain() || !listener.isLeading()) {
+            return;
+          }
+          store.read(
+              Keys.END + id,
+              end -> {
+                boolean gone = end.certain() && !end.found() && listener.isLeading();
+                if (gone && !cluster.jobs.containsKey(id)) {
+                  onUnknown.run();
+                }
+              });
+        });
+  }
+
   /** What a look into the store gave: a live job, a final state, or neither. */
   public record Lookup(Job job, Job.State ended) {}
 
@@ -221,7 +263,7 @@
             return;
           }
           if (!read.found()) {
-            onDone.accept(listener.mayBeLost(id) ? null : new Lookup(null, null));
+            onDone.accept(listener.mayBeLost() ? null : new Lookup(null, null));
             return;
           }
           try {
--- a/src/main/java/io/pineladder/recovery/Follower.java
+++ b/src/main/java/io/pineladder/recovery/Follower.java
@@ -6,8 +6,12 @@
 import io.pineladder.wire.StoreWire;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
 import java.util.Set;
+import java.util.function.Consumer;
 
 /**
  * Keeps a controller's copy of the records in step with the store, by a request a second. A leader's
@@ -23,6 +27,9 @@
   /** Between two pages of final states that a leader compares with what it knows. */
   private static final Duration AUDIT = Duration.ofSeconds(5);
 
+  /** Pages compared at a time. */
+  private static final int MOST_COMPARED = 100;
+
   /** Behind by more the changes may take more memory than the records. */
   private static final Duration MOST_BEHIND = Duration.ofSeconds(10);
 
@@ -48,16 +55,27 @@
   private long revision;
   private Instant readAt;
 
+  /** Pages that differed when they were last compared, with the revision that this copy had. */
+  private final Map<String, Long> differed = new HashMap<>();
+
+  /** The last page compared, or null at the beginning. */
+  private String comparedTo;
+
+  /** The last final state compared, or null at the beginning. */
+  private String endsTo;
+
+  private int turn;
+
   /** Changes with the state, so that late answers are told apart. */
   private int round;
 
   /** What the node learns. */
   public interface Listener {
-    /** A whole new copy takes the place of the one before. */
+    /** The copy is whole; it may be a new one in the place of the one before. */
     void onCopy(LiveCopy whole);
 
-    /** A final state that was stored is not there any more: they are never removed. */
-    void onMissing(String job);
+    /** A record that was stored and that nobody removes is not there any more, or older. */
+    void onMissing(String key);
   }
 
   public Follower(StoreClient store, Timeline time, Listener listener) {
@@ -68,6 +86,9 @@
 
   private void moveTo(State next) {
     state = next;
+    differed.clear();
+    comparedTo = null;
+    endsTo = null;
     round++;
   }
 
@@ -88,16 +109,12 @@
   public void lead(LiveCopy fed) {
     boolean followed = state == State.FOLLOWING && fed == copy;
     copy = fed;
-    if (!followed && fed.knowsEnds()) {
-      fed();
-      return;
-    }
     moveTo(State.LEADING);
     int of = round;
     if (followed) {
       catchUp(of);
     } else {
-      after(SOON, of, () -> list(of, Keys.END, null));
+      after(PACE, of, () -> list(of, Keys.END, null));
     }
   }
 
@@ -163,7 +180,7 @@
             readAt = time.now();
             moveTo(State.FOLLOWING);
             int now = round;
-            after(PACE, now, () -> changes(now));
+            after(PACE, now, () -> step(now));
           } else {
             fed();
           }
@@ -173,11 +190,21 @@
   /** All is read; from here on final states are compared with the store, a page at a time. */
   private void fed() {
     moveTo(State.FED);
+    listener.onCopy(copy);
     int of = round;
     after(AUDIT, of, () -> audit(of, null));
   }
 
-  private void audit(int of, String after) {
+  private void audit(int of, String from) {
+    auditPage(of, from, next -> after(AUDIT, of, () -> audit(of, next)));
+  }
+
+  /**
+   * Compares a page of final states.
+   *
+   * @param then told after which the next page begins; null for the first
+   */
+  private void auditPage(int of, String after, Consumer<String> then) {
     store.page(
         Keys.END,
         after == null ? null : Keys.END + after,
@@ -204,8 +231,7 @@
               }
             }
           }
-          String next = last;
-          after(AUDIT, of, () -> audit(of, next));
+          then.accept(last);
         });
   }
 
@@ -215,7 +241,67 @@
         Keys.END + job,
         read -> {
           if (of == round && read.certain() && !read.found()) {
-            listener.onMissing(job);
+            listener.onMissing(Keys.END + job);
+          }
+        });
+  }
+
+  /** Every third request compares pages or final states in place of following. */
+  private void step(int of) {
+    turn = (turn + 1) % 6;
+    if (turn == 0) {
+      compare(of);
+    } else if (turn == 3) {
+      auditPage(
+          of,
+          endsTo,
+          next -> {
+            endsTo = next;
+            after(PACE, of, () -> step(of));
+          });
+    } else {
+      changes(of);
+    }
+  }
+
+  /**
+   * Compares pages with the store in a transaction that changes nothing. One that differs was written
+   * meanwhile, or is lost: what differs twice while this copy has no newer one is read.
+   */
+  private void compare(int of) {
+    int most = Math.min(MOST_COMPARED, 4 * store.limits().transactionOps() - 1);
+    Map<String, Long> asked = copy.pages(comparedTo, most);
+    comparedTo =
+        asked.size() < most ? null : asked.keySet().stream().reduce((a, b) -> b).get();
+    StoreWire.Transaction compare = store.transaction();
+    asked.forEach(compare::require);
+    store.compare(
+        compare,
+        failed -> {
+          if (of != round) {
+            return;
+          }
+          for (String key : failed == null ? List.<String>of() : failed) {
+            Long before = differed.put(key, asked.getOrDefault(key, 0L));
+            if (before != null && before == copy.version(key) && asked.containsKey(key)) {
+              confirm(of, key);
+            }
+          }
+          if (failed != null) {
+            differed.keySet().removeIf(k -> asked.containsKey(k) && !failed.contains(k));
+          }
+          after(PACE, of, () -> step(of));
+        });
+  }
+
+  private void confirm(int of, String key) {
+    long known = copy.version(key);
+    store.read(
+        key,
+        read -> {
+          long found = read.found() ? read.entry().version() : 0;
+          if (of == round && read.certain() && found < known) {
+            listener.onMissing(key);
           }
         });
   }
@@ -239,7 +325,7 @@
             follow();
             return;
           }
-          after(PACE, of, () -> changes(of));
+          after(PACE, of, () -> step(of));
         });
   }
 }
--- a/src/main/java/io/pineladder/recovery/Generations.java
+++ b/src/main/java/io/pineladder/recovery/Generations.java
@@ -12,6 +12,7 @@
 import io.pineladder.wire.StoreWire;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayList;
 import java.util.List;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -36,6 +37,9 @@
   /** So much longer whoever has no whole copy leaves it to the others. */
   private static final Duration WITHOUT_COPY = Duration.ofSeconds(8);
 
+  /** A process so young may have peers that are not up yet. */
+  private static final Duration STARTING = Duration.ofSeconds(20);
+
   /** A controller with a better copy that does nothing is waited for so long. */
   private static final Duration MOST_DEFERRED = Duration.ofSeconds(12);
 
@@ -66,8 +70,21 @@
     GENERATION_BACK,
     /** A record that its only writer stored is missing or older. */
     RECORD_MISSING,
+    /** A record cannot be read, and the controller that needs it has no copy. */
+    UNREADABLE,
+    /** Another controller has found out. */
+    PEER,
+    /** An operator has handed in a snapshot of records that nothing else has any more. */
+    HANDED_IN,
     /** Workers have seen a token that no leader of this store can have had. */
-    TOKEN_ABOVE
+    TOKEN_ABOVE,
+    /** A worker runs a task of a job that the store has no record of, not even of its end. */
+    JOB_UNKNOWN;
+
+    /** Whether whoever notices by it knows no more than the store that has lost the data. */
+    boolean tellsOfIgnorance() {
+      return this == TOKEN_ABOVE || this == JOB_UNKNOWN;
+    }
   }
 
   /** What the node does. */
@@ -96,6 +113,11 @@
   private State state = State.UNREAD;
   private long highestToken;
   private boolean exact;
+
+  /** This controller led, so no other can have acted since and none has a better copy. */
+  private boolean atOnce;
+
+  private final Instant startedAt;
   private Instant lostAt;
   private Instant unreachableSince;
   private ImageWriter writer;
@@ -112,6 +134,7 @@
     this.self = new Generation.Writer(member, nonce);
     this.host = host;
     this.retry = store.backoff();
+    this.startedAt = time.now();
     store.onWentBack(
         revision ->
             lost(
@@ -160,14 +183,9 @@
     return writer == null || writer.all() == 0 ? 1 : (double) writer.written() / writer.all();
   }
 
-  /**
-   * For how long the generation that counts has done so here, if something may be missing from it; null
-   * when nothing can be.
-   */
-  public Duration incompleteFor() {
-    return store.generation().exact() || adoptedAt == null
-        ? null
-        : Duration.between(adoptedAt, time.now());
+  /** For how long a generation that was rebuilt has counted here; null for the first generation. */
+  public Duration rebuiltFor() {
+    return adoptedAt == null ? null : Duration.between(adoptedAt, time.now());
   }
 
   /** Somebody has used this token. */
@@ -182,13 +200,23 @@
   }
 
   /**
-   * The token with which this controller keeps workers' leases while it rebuilds, without orders; 0 when
-   * it does not. It is above all that were used and below that of the leader to come.
+   * The token with which this controller keeps a worker's lease while nobody leads, without orders; 0
+   * when it does not. While data is lost that is the worker's own, which any node may answer with;
+   * while this controller rebuilds it is one above all that were used and below that of the leader to
+   * come. What was cancelled right before has to end by the end of the lease, so the time is bounded.
+   *
+   * @param seen the highest token that the worker has seen
+   * @param longest for how long leases may be kept
    */
-  public long keepingToken() {
-    return state == State.REBUILDING && isMine(store.generation())
-        ? store.generation().base()
-        : 0;
+  public long keepingToken(long seen, Duration longest) {
+    if (lostAt == null || !lostAt.plus(longest).isAfter(time.now())) {
+      return 0;
+    }
+    return switch (state) {
+      case LOST -> seen;
+      case REBUILDING -> isMine(store.generation()) ? store.generation().base() : 0;
+      default -> 0;
+    };
   }
 
   private boolean isMine(Generation generation) {
@@ -197,22 +225,28 @@
 
   // ---- what peers know
 
-  /** Takes in what peers told; whether the store can be read as they have seen it. */
-  public boolean hearsPeers() {
-    for (Membership.View peer : host.peers()) {
-      Stored told = peer.stored();
-      learnToken(told.token());
-      store.learn(told.base(), told.seen());
-      if (told.base() > store.generation().base()) {
-        look();
-        return false;
-      }
+  /** A peer has told what it knows of the records. */
+  public void heard(Stored told) {
+    learnToken(told.token());
+    store.learn(told.base(), told.seen());
+    if (!isTrusted()) {
+      return;
+    }
+    if (told.base() > store.generation().base()) {
+      look();
+    } else if (told.lost() && told.base() == store.generation().base()) {
+      lost(Evidence.PEER, "another controller has noticed");
     }
-    return true;
+  }
+
+  /** Takes in what peers told last; whether the store can be read as they have seen it. */
+  public boolean hearsPeers() {
+    host.peers().forEach(peer -> heard(peer.stored()));
+    return isTrusted() && highestBase() == store.generation().base();
   }
 
   private long highestBase() {
-    long highest = store.generation().base();
+    long highest = Math.max(store.generation().base(), host.copy().base());
     for (Membership.View peer : host.peers()) {
       highest = Math.max(highest, peer.stored().base());
     }
@@ -292,7 +326,7 @@
       return;
     }
     boolean whole = found.phase() == Phase.WHOLE;
-    if (found.base() != store.generation().base()) {
+    if (found.base() != 0 && (whole || found.base() != store.generation().base())) {
       adoptedAt = time.now();
     }
     if (writer != null) {
@@ -330,7 +364,9 @@
     evidence = shown;
     Generation present = store.generation();
     boolean rebuilding = state == State.REBUILDING && isMine(present) && present.exact();
-    exact = rebuilding || isTrusted() && host.leads();
+    boolean leads = isTrusted() && host.leads();
+    atOnce = rebuilding || leads && !shown.tellsOfIgnorance();
+    exact = atOnce && shown != Evidence.HANDED_IN;
     lostAt = time.now();
     log.error("the state service has lost data ({}): {}", shown, detail);
     moveTo(State.LOST, shown.name());
@@ -340,7 +376,7 @@
     }
     host.onLost();
     int of = ++round;
-    time.after(exact ? Duration.ZERO : LEASE, () -> name(of));
+    time.after(atOnce ? Duration.ZERO : LEASE, () -> name(of));
   }
 
   /** Names a new generation, unless another controller is better placed to. */
@@ -350,9 +386,42 @@
     }
     if (defers()) {
       lookThen(of, () -> time.after(ImageWriter.LOOK, () -> name(of)));
-    } else {
+    } else if (atOnce) {
       lookThen(of, () -> claim(of));
+    } else {
+      lookThen(of, () -> collect(of, new ArrayList<>(), null));
+    }
+  }
+
+  /**
+   * Reads what the store still holds. A leader's copy holds all that anybody acted upon; any other lacks
+   * the last moments, and where only a part was lost the rest of the store has them.
+   */
+  private void collect(int of, List<StoreWire.Entry> found, String after) {
+    if (of != round || stopped || state != State.LOST) {
+      return;
     }
+    store.rest(
+        after,
+        page -> {
+          if (page == null) {
+            time.after(retry.pause(), () -> collect(of, found, after));
+            return;
+          }
+          found.addAll(page.entries());
+          if (page.more() && !page.entries().isEmpty()) {
+            String last = page.entries().get(page.entries().size() - 1).key();
+            collect(of, found, last);
+            return;
+          }
+          if (of == round && state == State.LOST) {
+            LiveCopy copy = host.copy();
+            if (copy.base() == store.generation().base()) {
+              copy.merge(found);
+            }
+            claim(of);
+          }
+        });
   }
 
   /** Reads whether another controller has named one; what follows if not. */
@@ -381,11 +450,21 @@
 
   private boolean defers() {
     Duration waited = Duration.between(lostAt, time.now());
-    if (exact) {
+    if (atOnce) {
       return false;
     }
     LiveCopy mine = host.copy();
-    if (!mine.isComplete() && waited.compareTo(LEASE.plus(WITHOUT_COPY)) < 0) {
+    boolean othersMayHave =
+        host.peers().stream()
+            .anyMatch(
+                p ->
+                    p.state() != Membership.State.UP
+                        || !mine.isComplete() && p.stored().complete());
+    // Where all began anew, whoever has the best copy may be the last to be up.
+    boolean early = startedAt.plus(STARTING).isAfter(time.now());
+    if ((early || !mine.isComplete())
+        && othersMayHave
+        && waited.compareTo(LEASE.plus(WITHOUT_COPY)) < 0) {
       return true;
     }
     if (waited.compareTo(MOST_DEFERRED) > 0) {
@@ -404,7 +483,7 @@
   }
 
   private void claim(int of) {
-    hearsPeers();
+    host.peers().forEach(peer -> learnToken(peer.stored().token()));
     long base = Generation.next(Math.max(highestToken(), highestBase()), time.timeOfDay());
     Generation next = new Generation(base, 0, Phase.REBUILDING, exact, self);
     byte[] body =
--- a/src/main/java/io/pineladder/recovery/LiveCopy.java
+++ b/src/main/java/io/pineladder/recovery/LiveCopy.java
@@ -3,18 +3,25 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import io.pineladder.model.Generation;
 import io.pineladder.model.Job;
+import io.pineladder.snapshot.Change;
+import io.pineladder.snapshot.Snapshot;
+import io.pineladder.snapshot.Snapshots;
 import io.pineladder.store.Keys;
 import io.pineladder.wire.Json;
 import io.pineladder.wire.MalformedException;
 import io.pineladder.wire.RecordWire;
 import io.pineladder.wire.StoreWire;
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.NavigableMap;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.Supplier;
 import java.util.regex.Pattern;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -39,9 +46,14 @@
       Pattern.compile("(g[0-9]+|lead|generation|damaged)/.*");
 
   /** A value with the revision of its last change. */
-  private record Value(long version, JsonNode json, byte[] bytes) {
+  private record Value(long version, JsonNode value, byte[] bytes) implements Snapshot.Entry {
+    @Override
+    public byte[] json() {
+      return bytes != null ? bytes : Json.bytes(value);
+    }
+
     JsonNode read() throws MalformedException {
-      return json != null ? json : Json.parseObject(bytes);
+      return value != null ? value : Json.parseObject(bytes);
     }
   }
 
@@ -57,6 +69,7 @@
   private final Map<String, Jobs> accepted = new HashMap<>();
   private long base;
   private long revision;
+  private Listener listener;
   private boolean recordsKnown;
   private boolean endsKnown;
 
@@ -65,6 +78,50 @@
     this.base = base;
   }
 
+  /** What is told of each change; the value as JSON, or null for a key that is gone. */
+  public interface Listener {
+    void onChange(String key, long version, Supplier<byte[]> json);
+  }
+
+  /** A copy as it was kept in a snapshot with the changes since: whole as of its revision. */
+  public static LiveCopy of(Snapshots.Found found) {
+    Snapshot snapshot = found.snapshot();
+    LiveCopy copy = new LiveCopy(snapshot.base());
+    snapshot
+        .records()
+        .forEach(
+            (key, entry) ->
+                copy.records.put(key, new Value(entry.version(), null, entry.json())));
+    copy.packed.putAll(snapshot.ends());
+    copy.revision = snapshot.revision();
+    for (Change change : found.changes()) {
+      try {
+        copy.put(
+            change.key(),
+            change.json() == null ? null : Json.parseObject(change.json()),
+            change.version(),
+            true);
+      } catch (MalformedException e) {
+        log.warn("a change of {} cannot be read", change.key());
+      }
+    }
+    copy.recordsKnown = true;
+    copy.endsKnown = true;
+    return copy;
+  }
+
+  /** The copy as it is now; later changes do not show in it. */
+  public Snapshot snapshot(String cluster, Instant at) {
+    Map<String, Job.State> all = new TreeMap<>(packed);
+    all.putAll(ends);
+    return new Snapshot(cluster, base, revision, at, new TreeMap<>(records), all);
+  }
+
+  /** Has somebody told of each change from now on; null for nobody. */
+  public void listen(Listener to) {
+    listener = to;
+  }
+
   /** The generation whose records these are. */
   public long base() {
     return base;
@@ -124,6 +181,8 @@
   public void moved(Generation to) {
     base = to.base();
     revision = to.version();
+    // Revisions of the generation before say nothing in this one.
+    records.replaceAll((key, value) -> new Value(0, value.value, value.bytes));
     packed.putAll(ends);
     ends.clear();
   }
@@ -136,6 +195,9 @@
   /** A value as the store holds it at this revision; null for a key that is gone. */
   public void put(String key, JsonNode value, long version, boolean asBytes) {
     revision = Math.max(revision, version);
+    if (listener != null && !LEFT_OUT.matcher(key).matches()) {
+      listener.onChange(key, version, () -> value == null ? null : Json.bytes(value));
+    }
     if (LEFT_OUT.matcher(key).matches()) {
       return;
     }
@@ -176,31 +238,206 @@
     }
   }
 
+  /**
+   * Pages that only leaders write and never remove, in the order of their keys: one that is missing or
+   * older was lost.
+   */
+  private static final List<String> NEVER_REMOVED = List.of(Keys.ACCEPTED, Keys.DONE, Keys.PLACED);
+
+  /** A record under the prefix that the store has lost, going by what this copy saw; or null. */
+  public String missing(String prefix, List<StoreWire.Entry> listed) {
+    if (!recordsKnown || !NEVER_REMOVED.contains(prefix)) {
+      return null;
+    }
+    Map<String, Long> there = new HashMap<>();
+    listed.forEach(entry -> there.put(entry.key(), entry.version()));
+    for (Map.Entry<String, Value> each : under(prefix).entrySet()) {
+      if (there.getOrDefault(each.getKey(), 0L) < each.getValue().version) {
+        return each.getKey();
+      }
+    }
+    return null;
+  }
+
+  /**
+   * What a newer copy of the same generation lacks of what this one saw stored and nobody removes; null
+   * when it lacks nothing.
+   */
+  public String lackedBy(LiveCopy newer) {
+    if (newer.base != base) {
+      return null;
+    }
+    for (String prefix : NEVER_REMOVED) {
+      for (Map.Entry<String, Value> each : under(prefix).entrySet()) {
+        Value there = newer.records.get(each.getKey());
+        if (there == null || there.version < each.getValue().version) {
+          return each.getKey();
+        }
+      }
+    }
+    for (String job : ends.keySet()) {
+      if (newer.end(job) == null) {
+        return Keys.END + job;
+      }
+    }
+    for (String job : packed.keySet()) {
+      if (newer.end(job) == null) {
+        return Keys.END + job;
+      }
+    }
+    return null;
+  }
+
+  /**
+   * Takes in records of before that this copy's generation began without: jobs that it does not know,
+   * with their completions and placements, and final states. Pages of both have the same names, so those
+   * of before get numbers far above.
+   *
+   * @return how many jobs have come back
+   */
+  public int unite(LiveCopy before) {
+    int jobs = 0;
+    for (Map.Entry<String, Value> each : before.records.entrySet()) {
+      String key = each.getKey();
+      try {
+        JsonNode value = each.getValue().read();
+        if (key.startsWith(Keys.ACCEPTED)) {
+          List<JsonNode> kept = new ArrayList<>();
+          for (JsonNode record : RecordWire.entries(value)) {
+            if (isNews(RecordWire.parseJob(record).spec().id())) {
+              kept.add(record);
+            }
+          }
+          jobs += kept.size();
+          put(above(key, Keys.ACCEPTED), RecordWire.page(kept.stream()), 0, true);
+        } else if (key.startsWith(Keys.JOB)) {
+          if (isNews(key.substring(Keys.JOB.length()))) {
+            jobs++;
+            put(key, value, 0, true);
+          }
+        } else if (key.startsWith(Keys.DONE)) {
+          put(above(key, Keys.DONE), value, 0, true);
+        } else if (key.startsWith(Keys.PLACED)) {
+          put(above(key, Keys.PLACED), value, 0, true);
+        } else if (key.startsWith(Keys.CONF) && !records.containsKey(key)) {
+          put(key, value, 0, true);
+        }
+      } catch (MalformedException e) {
+        log.warn("{} of the snapshot cannot be read and is left out", key);
+      }
+    }
+    before.endsMissingIn(this).forEach(packed::put);
+    return jobs;
+  }
+
+  private boolean isNews(String job) {
+    return end(job) == null && !holdsJob(job);
+  }
+
+  /** Numbers of pages that no leader comes to by counting. */
+  private static final long ABOVE = 1_000_000_000L;
+
+  private static String above(String key, String prefix) {
+    return prefix + (Long.parseLong(key.substring(prefix.length())) + ABOVE);
+  }
+
+  /** Final states that a copy of another generation lacks; they hold in every generation. */
+  public Map<String, Job.State> endsMissingIn(LiveCopy other) {
+    Map<String, Job.State> missing = new TreeMap<>(packed);
+    missing.putAll(ends);
+    missing.keySet().removeIf(job -> other.end(job) != null);
+    return missing;
+  }
+
+  /**
+   * Some of the pages that nobody removes, with their revisions, in the order of their keys.
+   *
+   * @param after the last key of those before, or null
+   */
+  Map<String, Long> pages(String after, int most) {
+    Map<String, Long> found = new LinkedHashMap<>();
+    for (String prefix : NEVER_REMOVED) {
+      for (Map.Entry<String, Value> each : under(prefix).entrySet()) {
+        if (found.size() < most && (after == null || each.getKey().compareTo(after) > 0)) {
+          found.put(each.getKey(), each.getValue().version);
+        }
+      }
+    }
+    return found;
+  }
+
+  /** The revision of a record, or 0. */
+  long version(String key) {
+    Value known = records.get(key);
+    return known == null ? 0 : known.version;
+  }
+
+  private NavigableMap<String, Value> under(String prefix) {
+    return records.subMap(prefix, true, prefix + Character.MAX_VALUE, false);
+  }
+
+  /** What was read of the store, as far as it can be read, and what could not be. */
+  public record Reading(List<StoreWire.Entry> good, List<Damaged> damaged) {}
+
+  /**
+   * A value that cannot be read.
+   *
+   * @param mended whether this copy had it of the same revision, so that it is among the good ones
+   */
+  public record Damaged(StoreWire.Entry entry, boolean mended) {}
+
   /**
    * Takes in what was read under a prefix. A value that cannot be read is replaced by the one that this
-   * copy has of the same revision; what the answer is made of is the list as it should be.
+   * copy has of the same revision, or left out.
    */
-  public List<StoreWire.Entry> read(String prefix, List<StoreWire.Entry> listed) {
+  public Reading read(String prefix, List<StoreWire.Entry> listed) {
     List<StoreWire.Entry> good = new ArrayList<>(listed.size());
+    List<Damaged> damaged = new ArrayList<>();
     for (StoreWire.Entry entry : listed) {
-      good.add(readable(entry) ? entry : repaired(entry));
+      if (readable(entry)) {
+        good.add(entry);
+        continue;
+      }
+      StoreWire.Entry mended = mended(entry);
+      damaged.add(new Damaged(entry, mended != null));
+      if (mended != null) {
+        good.add(mended);
+      }
+    }
+    if (damaged.stream().allMatch(Damaged::mended)) {
+      under(prefix).clear();
     }
-    records.subMap(prefix, prefix + Character.MAX_VALUE).clear();
+    // Else an older value of a page that cannot be read is better than none.
     good.forEach(entry -> put(entry.key(), entry.value(), entry.version(), false));
-    return good;
+    return new Reading(good, damaged);
   }
 
-  private StoreWire.Entry repaired(StoreWire.Entry damaged) {
+  private StoreWire.Entry mended(StoreWire.Entry damaged) {
     Value known = records.get(damaged.key());
-    if (known != null && known.version == damaged.version()) {
-      try {
-        log.warn("{} cannot be read and is taken from this controller's copy", damaged.key());
-        return new StoreWire.Entry(damaged.key(), known.read(), damaged.version());
-      } catch (MalformedException e) {
-        log.warn("{} cannot be read in the copy either", damaged.key());
+    if (known == null || known.version != damaged.version()) {
+      return null;
+    }
+    try {
+      StoreWire.Entry entry =
+          new StoreWire.Entry(damaged.key(), known.read(), damaged.version());
+      return readable(entry) ? entry : null;
+    } catch (MalformedException e) {
+      return null;
+    }
+  }
+
+  /**
+   * Takes in what is left in the store when records are to be rebuilt: of each record the newer one
+   * counts, of a record that only one has that one, of final states all.
+   */
+  void merge(List<StoreWire.Entry> left) {
+    for (StoreWire.Entry entry : left) {
+      Value mine = records.get(entry.key());
+      boolean newer = mine == null || entry.version() > mine.version;
+      if (newer && readable(entry)) {
+        put(entry.key(), entry.value(), entry.version(), true);
       }
     }
-    return damaged;
   }
 
   /** Whether a record can be read as what its key says it is. */
@@ -245,8 +482,7 @@
     if (records.containsKey(Keys.JOB + id)) {
       return true;
     }
-    for (Map.Entry<String, Value> page :
-        records.subMap(Keys.ACCEPTED, Keys.ACCEPTED + Character.MAX_VALUE).entrySet()) {
+    for (Map.Entry<String, Value> page : under(Keys.ACCEPTED).entrySet()) {
       Jobs known = accepted.get(page.getKey());
       if (known == null || known.version != page.getValue().version) {
         known = new Jobs(page.getValue().version, ids(page.getValue()));
--- a/src/main/java/io/pineladder/recovery/TermLoader.java
+++ b/src/main/java/io/pineladder/recovery/TermLoader.java
@@ -48,10 +48,14 @@
     /**
      * A prefix was read.
      *
-     * @return the listing to go on with, where this controller's copy can mend what is damaged
+     * @return the listing to go on with, mended where this controller's copy can; null when the term
+     *     cannot go on
      */
     StoreClient.Listing onRead(String prefix, StoreClient.Listing listing);
 
+    /** A final state that is known of a job, whatever its record says; or null. */
+    Job.State ended(String id);
+
     /** Half a memory could break every rule: the term cannot go on. */
     void onUnreadable(String reason);
 
@@ -104,7 +108,14 @@
   private void list(
       String prefix, BooleanSupplier wanted, Consumer<StoreClient.Listing> onDone) {
     store.list(
-        prefix, wanted, listing -> onDone.accept(listener.onRead(prefix, listing)));
+        prefix,
+        wanted,
+        listing -> {
+          StoreClient.Listing good = listener.onRead(prefix, listing);
+          if (good != null) {
+            onDone.accept(good);
+          }
+        });
   }
 
   private void loadSubscriptions(List<StoreWire.Entry> conf) {
@@ -237,14 +248,14 @@
       }
       outbox.loaded();
       for (Paged<JsonNode> record : readPages(stored.accepted, entry -> entry)) {
-        Job job = toJob(record.entry);
+        Job job = known(toJob(record.entry));
         records.knownJob(record.page, job, record.entry);
         found.put(job.spec.id(), job);
         ordered.add(job);
       }
       for (StoreWire.Entry entry : stored.jobs.entries()) {
         committer.known(entry.key(), entry.version());
-        Job job = toJob(entry.value());
+        Job job = known(toJob(entry.value()));
         Job paged = found.putIfAbsent(job.spec.id(), job);
         if (paged == null) {
           ordered.add(job);
@@ -337,6 +348,15 @@
     }
   }
 
+  /** A final state is never undone, also where an older record of the job came back with a rebuild. */
+  private Job known(Job job) {
+    Job.State ended = listener.ended(job.spec.id());
+    if (job.isActive() && ended != null) {
+      job.moveTo(ended);
+    }
+    return job;
+  }
+
   static Job toJob(JsonNode record) throws MalformedException {
     RecordWire.StoredJob stored = RecordWire.parseJob(record);
     Job job = new Job(stored.spec(), stored.acceptedAt(), stored.state());
--- a/src/main/java/io/pineladder/scheduling/Scheduler.java
+++ b/src/main/java/io/pineladder/scheduling/Scheduler.java
@@ -58,6 +58,12 @@
   public interface Effects {
     boolean mayAct();
 
+    /**
+     * Whether tasks may be started: not while an earlier attempt may be somewhere that no record and no
+     * report has told of yet.
+     */
+    boolean mayStart();
+
     /** Orders for this machine are ready to go out. */
     void ordersDue(Machine machine);
 
@@ -214,6 +220,29 @@
     }
   }
 
+  /**
+   * Takes an attempt for wanted that a worker reports and no record tells of, if its task needs one:
+   * after a loss of data that is where the task runs. False when it is to be ended.
+   */
+  public boolean keep(Attempt attempt) {
+    Job job = attempt.job;
+    boolean only = job.attempts.get(attempt.task).size() == 1;
+    if (!job.isActive() || job.done.get(attempt.task) || !only) {
+      return false;
+    }
+    if (job.spec.shape() == Shape.GANG) {
+      // Tasks of a gang find one another by their attempt; two attempts are two gangs.
+      for (Set<Attempt> others : job.attempts.values()) {
+        if (others.stream().anyMatch(a -> a.number != attempt.number)) {
+          return false;
+        }
+      }
+    }
+    job.pending.clear(attempt.task);
+    records.placementDue(attempt);
+    return true;
+  }
+
   /** The user wants the job gone: nothing of it starts from here on. */
   public void cancel(Job job) {
     if (!job.isActive()) {
@@ -514,7 +543,7 @@
     }
     Machine machine = decision.machines().get(0);
     String key = Machine.key(job.spec.id(), lost.task, lost.number);
-    if (machine.attempts.containsKey(key) || !effects.mayAct()) {
+    if (machine.attempts.containsKey(key) || !effects.mayStart()) {
       return false;
     }
     log.debug("{} is replaced on {}", lost, machine);
@@ -577,7 +606,7 @@
 
   private void pass() {
     passSet = false;
-    if (!effects.mayAct()) {
+    if (!effects.mayStart()) {
       return;
     }
     Instant now = time.now();
--- /dev/null
+++ b/src/main/java/io/pineladder/snapshot/Change.java
@@ -0,0 +1,68 @@
+package io.pineladder.snapshot;
+
+import io.pineladder.wire.MalformedException;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessageUnpacker;
+
+/**
+ * One change of a record after a snapshot, as it stands in the file of changes: a length, a checksum
+ * and the change. A last one that was cut short in writing ends the file.
+ *
+ * @param json the new value, or null for a key that is gone
+ */
+public record Change(String key, long version, byte[] json) {
+  byte[] encode() {
+    try (MessageBufferPacker content = MessagePack.newDefaultBufferPacker();
+        MessageBufferPacker out = MessagePack.newDefaultBufferPacker()) {
+      content.packString(key);
+      content.packLong(version);
+      if (json == null) {
+        content.packNil();
+      } else {
+        content.packBinaryHeader(json.length);
+        content.writePayload(json);
+      }
+      byte[] bytes = content.toByteArray();
+      out.packLong(Snapshot.checksum(bytes));
+      out.packBinaryHeader(bytes.length);
+      out.writePayload(bytes);
+      return out.toByteArray();
+    } catch (IOException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  /** All changes up to the first that is cut short or damaged. */
+  static List<Change> decode(byte[] file) {
+    List<Change> changes = new ArrayList<>();
+    try (MessageUnpacker in = MessagePack.newDefaultUnpacker(file)) {
+      while (in.hasNext()) {
+        long sum = in.unpackLong();
+        byte[] bytes = in.readPayload(in.unpackBinaryHeader());
+        if (Snapshot.checksum(bytes) != sum) {
+          return changes;
+        }
+        changes.add(one(bytes));
+      }
+    } catch (IOException | RuntimeException | MalformedException e) {
+      // What follows was not written whole.
+      return changes;
+    }
+    return changes;
+  }
+
+  private static Change one(byte[] bytes) throws MalformedException {
+    try (MessageUnpacker in = MessagePack.newDefaultUnpacker(bytes)) {
+      String key = in.unpackString();
+      long version = in.unpackLong();
+      byte[] json = in.tryUnpackNil() ? null : in.readPayload(in.unpackBinaryHeader());
+      return new Change(key, version, json);
+    } catch (IOException e) {
+      throw new MalformedException("not a change");
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/io/pineladder/snapshot/Snapshot.java
@@ -0,0 +1,216 @@
+package io.pineladder.snapshot;
+
+import io.pineladder.model.Job;
+import io.pineladder.wire.MalformedException;
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.zip.CRC32C;
+import java.util.zip.DeflaterOutputStream;
+import java.util.zip.InflaterInputStream;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessageUnpacker;
+
+/**
+ * All records as of one revision, as bytes: a head in MessagePack, then sections, each compressed and
+ * with a checksum of its content. Immutable, so that it can be encoded beside the event thread.
+ *
+ * @param cluster whose records these are
+ * @param base the generation, as its base
+ * @param revision up to which everything is in it
+ * @param at when it was made, by the time of day
+ * @param records the records by key
+ * @param ends final states by job
+ */
+public record Snapshot(
+    String cluster,
+    long base,
+    long revision,
+    Instant at,
+    Map<String, Entry> records,
+    Map<String, Job.State> ends) {
+  private static final String MAGIC = "pineladder snapshot";
+  private static final int VERSION = 1;
+
+  /** A section holds so many bytes at most, and one entry more. */
+  private static final int SECTION_BYTES = 256 * 1024;
+
+  /** More than any snapshot of this program; what claims more is damaged or hostile. */
+  private static final int MOST_SECTION_BYTES = 4 * 1024 * 1024;
+
+  private static final int MOST_SECTIONS = 4_096;
+
+  /** A value, as JSON, with the revision of its last change. */
+  public interface Entry {
+    long version();
+
+    byte[] json();
+  }
+
+  /** An entry that was read. */
+  record Read(long version, byte[] json) implements Entry {}
+
+  private interface Filler {
+    void fill(MessageBufferPacker out) throws IOException;
+  }
+
+  /** The snapshot as bytes; nothing is left out. */
+  public byte[] encode() {
+    try (MessageBufferPacker out = MessagePack.newDefaultBufferPacker()) {
+      List<byte[]> sections = sections();
+      out.packString(MAGIC);
+      out.packInt(VERSION);
+      out.packString(cluster);
+      out.packLong(base);
+      out.packLong(revision);
+      out.packLong(at.toEpochMilli());
+      out.packInt(records.size());
+      out.packInt(ends.size());
+      out.packInt(sections.size());
+      for (byte[] section : sections) {
+        byte[] small = deflate(section);
+        out.packInt(section.length);
+        out.packLong(checksum(section));
+        out.packBinaryHeader(small.length);
+        out.writePayload(small);
+      }
+      return out.toByteArray();
+    } catch (IOException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  private List<byte[]> sections() throws IOException {
+    List<Filler> fillers = new ArrayList<>();
+    records.forEach(
+        (key, entry) ->
+            fillers.add(
+                out -> {
+                  byte[] json = entry.json();
+                  out.packString(key);
+                  out.packLong(entry.version());
+                  out.packBinaryHeader(json.length);
+                  out.writePayload(json);
+                }));
+    ends.forEach(
+        (job, state) ->
+            fillers.add(
+                out -> {
+                  out.packString(job);
+                  out.packInt(state.ordinal());
+                }));
+    List<byte[]> sections = new ArrayList<>();
+    MessageBufferPacker out = MessagePack.newDefaultBufferPacker();
+    for (Filler filler : fillers) {
+      filler.fill(out);
+      if (out.getTotalWrittenBytes() >= SECTION_BYTES) {
+        sections.add(out.toByteArray());
+        out.clear();
+      }
+    }
+    if (out.getTotalWrittenBytes() > 0) {
+      sections.add(out.toByteArray());
+    }
+    out.close();
+    return sections;
+  }
+
+  static long checksum(byte[] bytes) {
+    CRC32C crc = new CRC32C();
+    crc.update(bytes);
+    return crc.getValue();
+  }
+
+  private static byte[] deflate(byte[] bytes) throws IOException {
+    ByteArrayOutputStream out = new ByteArrayOutputStream();
+    try (DeflaterOutputStream small = new DeflaterOutputStream(out)) {
+      small.write(bytes);
+    }
+    return out.toByteArray();
+  }
+
+  /**
+   * Reads a snapshot.
+   *
+   * @throws MalformedException when it is none, is damaged or cut short, or is of a newer version; the
+   *     message says which
+   */
+  public static Snapshot decode(byte[] bytes) throws MalformedException {
+    try (MessageUnpacker in = MessagePack.newDefaultUnpacker(bytes)) {
+      if (!in.unpackString().equals(MAGIC)) {
+        throw new MalformedException("not a snapshot");
+      }
+      int version = in.unpackInt();
+      if (version != VERSION) {
+        throw new MalformedException("a snapshot of version " + version + ", not " + VERSION);
+      }
+      String cluster = in.unpackString();
+      long base = in.unpackLong();
+      long revision = in.unpackLong();
+      Instant at = Instant.ofEpochMilli(in.unpackLong());
+      int recordCount = in.unpackInt();
+      int endCount = in.unpackInt();
+      int count = in.unpackInt();
+      if (count < 0 || count > MOST_SECTIONS || recordCount < 0 || endCount < 0) {
+        throw new MalformedException("a snapshot with " + count + " sections");
+      }
+      ByteArrayOutputStream all = new ByteArrayOutputStream();
+      for (int i = 0; i < count; i++) {
+        int length = in.unpackInt();
+        long sum = in.unpackLong();
+        byte[] small = in.readPayload(in.unpackBinaryHeader());
+        all.write(inflate(small, length, sum, i));
+      }
+      return read(all.toByteArray(), cluster, base, revision, at, recordCount, endCount);
+    } catch (IOException | RuntimeException e) {
+      throw new MalformedException("a snapshot that is damaged or cut short");
+    }
+  }
+
+  private static byte[] inflate(byte[] small, int length, long sum, int section)
+      throws MalformedException {
+    if (length < 0 || length > MOST_SECTION_BYTES) {
+      throw new MalformedException("section " + section + " is too long");
+    }
+    try (InflaterInputStream in = new InflaterInputStream(new ByteArrayInputStream(small))) {
+      byte[] whole = in.readNBytes(length + 1);
+      if (whole.length == length && checksum(whole) == sum) {
+        return whole;
+      }
+    } catch (IOException e) {
+      // Said below.
+    }
+    throw new MalformedException("section " + section + " is damaged");
+  }
+
+  private static Snapshot read(
+      byte[] content,
+      String cluster,
+      long base,
+      long revision,
+      Instant at,
+      int recordCount,
+      int endCount)
+      throws IOException {
+    Map<String, Entry> records = new TreeMap<>();
+    Map<String, Job.State> ends = new TreeMap<>();
+    try (MessageUnpacker in = MessagePack.newDefaultUnpacker(content)) {
+      for (int i = 0; i < recordCount; i++) {
+        String key = in.unpackString();
+        long version = in.unpackLong();
+        records.put(key, new Read(version, in.readPayload(in.unpackBinaryHeader())));
+      }
+      for (int i = 0; i < endCount; i++) {
+        String job = in.unpackString();
+        ends.put(job, Job.State.values()[in.unpackInt()]);
+      }
+    }
+    return new Snapshot(cluster, base, revision, at, records, ends);
+  }
+}
--- /dev/null
+++ b/src/main/java/io/pineladder/snapshot/SnapshotDirectory.java
@@ -0,0 +1,160 @@
+package io.pineladder.snapshot;
+
+import io.pineladder.net.Background;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.nio.file.StandardOpenOption;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import java.util.stream.Stream;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Snapshots in a directory, written beside the event thread, one call after the other. A disk that is
+ * full or gone costs a log line and a count, and never what the controller serves.
+ */
+public final class SnapshotDirectory implements Shelf {
+  private static final Logger log = LoggerFactory.getLogger(SnapshotDirectory.class);
+
+  /** Calls that wait; beyond, a disk that hangs would take the memory. */
+  private static final int MOST_WAITING = 256;
+
+  private interface Work {
+    void run() throws IOException;
+  }
+
+  private final Path directory;
+  private final Background background;
+  private final Deque<Work> waiting = new ArrayDeque<>();
+  private boolean working;
+  private boolean failing;
+  private long failures;
+
+  public SnapshotDirectory(Path directory, Background background) {
+    this.directory = directory;
+    this.background = background;
+  }
+
+  @Override
+  public long failures() {
+    return failures;
+  }
+
+  @Override
+  public void load(Consumer<Map<String, byte[]>> onLoaded) {
+    background.run(
+        () -> {
+          Map<String, byte[]> found = new HashMap<>();
+          try {
+            Files.createDirectories(directory);
+            List<Path> files;
+            try (Stream<Path> all = Files.list(directory)) {
+              files = all.filter(Files::isRegularFile).toList();
+            }
+            for (Path file : files) {
+              found.put(file.getFileName().toString(), Files.readAllBytes(file));
+            }
+          } catch (IOException e) {
+            log.warn("the snapshots in {} cannot be read: {}", directory, e.toString());
+          }
+          return found;
+        },
+        onLoaded);
+  }
+
+  @Override
+  public void put(String name, byte[] bytes) {
+    submit(
+        () -> {
+          Path part = directory.resolve(name + ".part");
+          try (FileChannel out =
+              FileChannel.open(
+                  part,
+                  StandardOpenOption.CREATE,
+                  StandardOpenOption.WRITE,
+                  StandardOpenOption.TRUNCATE_EXISTING)) {
+            write(out, bytes);
+            out.force(true);
+          }
+          Files.move(part, directory.resolve(name), StandardCopyOption.ATOMIC_MOVE);
+        });
+  }
+
+  @Override
+  public void append(String name, byte[] bytes) {
+    submit(
+        () -> {
+          try (FileChannel out =
+              FileChannel.open(
+                  directory.resolve(name),
+                  StandardOpenOption.CREATE,
+                  StandardOpenOption.APPEND)) {
+            write(out, bytes);
+          }
+        });
+  }
+
+  private static void write(FileChannel out, byte[] bytes) throws IOException {
+    ByteBuffer left = ByteBuffer.wrap(bytes);
+    while (left.hasRemaining()) {
+      out.write(left);
+    }
+  }
+
+  @Override
+  public void remove(String name) {
+    submit(() -> Files.deleteIfExists(directory.resolve(name)));
+  }
+
+  private void submit(Work work) {
+    if (waiting.size() >= MOST_WAITING) {
+      failed("the disk does not keep up");
+      return;
+    }
+    waiting.addLast(work);
+    next();
+  }
+
+  private void next() {
+    Work work = working ? null : waiting.pollFirst();
+    if (work == null) {
+      return;
+    }
+    working = true;
+    background.run(
+        () -> {
+          try {
+            work.run();
+            return "";
+          } catch (IOException | RuntimeException e) {
+            return e.toString();
+          }
+        },
+        failure -> {
+          working = false;
+          if (failure.isEmpty()) {
+            failing = false;
+          } else {
+            failed(failure);
+          }
+          next();
+        });
+  }
+
+  private void failed(String why) {
+    failures++;
+    if (!failing) {
+      failing = true;
+      log.warn("snapshots cannot be written to {}: {}", directory, why);
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/io/pineladder/snapshot/Snapshots.java
@@ -0,0 +1,223 @@
+package io.pineladder.snapshot;
+
+import io.pineladder.net.Background;
+import io.pineladder.net.Timeline;
+import io.pineladder.wire.MalformedException;
+import java.io.ByteArrayOutputStream;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeSet;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * A controller's snapshots: one now and then, and between them each change as it is seen stored, so that
+ * what is read back lacks the last moments only.
+ */
+public final class Snapshots {
+  private static final Logger log = LoggerFactory.getLogger(Snapshots.class);
+
+  /** Between two snapshots, when something has changed. */
+  private static final Duration EVERY = Duration.ofSeconds(30);
+
+  /** Changes gather so long before they are written. */
+  private static final Duration GATHER = Duration.ofMillis(20);
+
+  /** Snapshots kept, with the changes that follow each. */
+  private static final int KEPT = 3;
+
+  /** Changes in bytes after which a snapshot is made sooner. */
+  private static final long MOST_CHANGES = 16L << 20;
+
+  private static final Pattern NAME =
+      Pattern.compile("(snapshot|changes)-([0-9]{19})-([0-9]{19})");
+
+  /** What was read back: a snapshot, and the changes after it in their order. */
+  public record Found(Snapshot snapshot, List<Change> changes) {}
+
+  private final Shelf shelf;
+  private final Background background;
+  private final Timeline time;
+  private final String cluster;
+  private final Supplier<Snapshot> source;
+  private final TreeSet<String> names = new TreeSet<>(BY_AGE);
+  private String changes;
+  private long changed;
+  private ByteArrayOutputStream gathered = new ByteArrayOutputStream();
+  private boolean flushSet;
+  private boolean encoding;
+  private boolean stopped;
+
+  private static final Comparator<String> BY_AGE =
+      Comparator.comparing((String name) -> name.substring(name.indexOf('-')))
+          .thenComparing(Comparator.reverseOrder());
+
+  /**
+   * Snapshots of one controller.
+   *
+   * @param source makes a snapshot; null while there is nothing whole to make one of
+   */
+  public Snapshots(
+      Shelf shelf,
+      Background background,
+      Timeline time,
+      String cluster,
+      Supplier<Snapshot> source) {
+    this.shelf = shelf;
+    this.background = background;
+    this.time = time;
+    this.cluster = cluster;
+    this.source = source;
+  }
+
+  public void start() {
+    time.after(EVERY, this::tick);
+  }
+
+  public void stop() {
+    stopped = true;
+  }
+
+  /** How many snapshots are on the shelf. */
+  public int kept() {
+    return (int) names.stream().filter(n -> n.startsWith("snapshot")).count();
+  }
+
+  public long failures() {
+    return shelf.failures();
+  }
+
+  private static String name(String kind, Snapshot of) {
+    return String.format("%s-%019d-%019d", kind, of.base(), of.revision());
+  }
+
+  /** A record has changed in the store, as this controller sees it. */
+  public void changed(String key, long version, Supplier<byte[]> json) {
+    if (changes == null || stopped) {
+      return;
+    }
+    byte[] bytes = new Change(key, version, json.get()).encode();
+    gathered.writeBytes(bytes);
+    changed += bytes.length;
+    if (!flushSet) {
+      flushSet = true;
+      time.after(GATHER, this::flush);
+    }
+    if (changed > MOST_CHANGES && !encoding) {
+      make();
+    }
+  }
+
+  private void flush() {
+    flushSet = false;
+    if (gathered.size() > 0 && changes != null) {
+      shelf.append(changes, gathered.toByteArray());
+    }
+    gathered = new ByteArrayOutputStream();
+  }
+
+  private void tick() {
+    if (stopped) {
+      return;
+    }
+    if (!encoding && (changes == null || changed > 0)) {
+      make();
+    }
+    time.after(EVERY, this::tick);
+  }
+
+  /** The copy is another one from here on, so a new snapshot is made of it. */
+  public void renew() {
+    if (!encoding && !stopped) {
+      make();
+    }
+  }
+
+  private void make() {
+    Snapshot snapshot = source.get();
+    if (snapshot == null) {
+      return;
+    }
+    flush();
+    // From here on changes follow this snapshot; if it is never whole they follow the one before.
+    changes = name("changes", snapshot);
+    changed = 0;
+    encoding = true;
+    background.run(
+        snapshot::encode,
+        bytes -> {
+          encoding = false;
+          String name = name("snapshot", snapshot);
+          shelf.put(name, bytes);
+          names.add(name);
+          names.add(name("changes", snapshot));
+          dropOld();
+        });
+  }
+
+  private void dropOld() {
+    // A snapshot comes before the changes that follow it.
+    while (kept() > KEPT || !names.isEmpty() && names.first().startsWith("changes")) {
+      shelf.remove(names.pollFirst());
+    }
+  }
+
+  /**
+   * Reads the newest snapshot that is whole and of this cluster, with all changes since.
+   *
+   * @param onFound told null when there is none
+   */
+  public void load(Consumer<Found> onFound) {
+    shelf.load(files -> onFound.accept(newest(files)));
+  }
+
+  private Found newest(Map<String, byte[]> files) {
+    for (String name : files.keySet()) {
+      Matcher of = NAME.matcher(name);
+      if (of.matches()) {
+        names.add(name);
+      }
+    }
+    for (String name : names.descendingSet()) {
+      if (!name.startsWith("snapshot")) {
+        continue;
+      }
+      try {
+        Snapshot snapshot = Snapshot.decode(files.get(name));
+        check(snapshot);
+        List<Change> since = new ArrayList<>();
+        String first = name("changes", snapshot);
+        for (String each : names.tailSet(first, true)) {
+          // Changes of another generation do not follow from this snapshot.
+          boolean same = each.startsWith(first.substring(0, first.lastIndexOf('-')));
+          if (each.startsWith("changes") && same) {
+            since.addAll(Change.decode(files.get(each)));
+          }
+        }
+        log.info("{} is read, with {} changes since", name, since.size());
+        return new Found(snapshot, since);
+      } catch (MalformedException e) {
+        log.warn("{} is left out: {}", name, e.getMessage());
+      }
+    }
+    return null;
+  }
+
+  /**
+   * Whether a snapshot is of this cluster.
+   *
+   * @throws MalformedException when it is not
+   */
+  public void check(Snapshot snapshot) throws MalformedException {
+    if (!snapshot.cluster().equals(cluster)) {
+      throw new MalformedException("a snapshot of the cluster " + snapshot.cluster());
+    }
+  }
+}
--- a/src/main/java/io/pineladder/store/Committer.java
+++ b/src/main/java/io/pineladder/store/Committer.java
@@ -73,6 +73,9 @@
     /** Another holds the store, or this one can write no more. */
     void onFenced(String reason);
 
+    /** Our key as the leader is gone or another's. */
+    void onKeyGone();
+
     /**
      * A record that only this leader writes is not as it stored it, though its key as the leader still
      * stands: the state service has lost data.
@@ -294,7 +297,8 @@
         if (failed.contains(Keys.GENERATION)) {
           fenced("another generation of the records counts");
         } else if (failed.contains(Keys.LEADER)) {
-          fenced("another leader holds the store");
+          moveTo(State.CLOSED);
+          listener.onKeyGone();
         } else if (batch.ambiguous) {
           settle();
         } else {
@@ -481,15 +485,15 @@
       }
     }
     String last = asked.size() < most ? null : asked.keySet().stream().reduce((a, b) -> b).get();
-    store.send(
-        store.post("/multi", compare.bytes()),
-        reply -> {
+    store.compare(
+        compare,
+        failed -> {
           if (state == State.CLOSED) {
             return;
           }
-          onDone.accept(reply.is(200) ? last : reply.is(409) ? last : after);
-          if (reply.is(409)) {
-            audited(asked, reply);
+          onDone.accept(failed == null ? after : last);
+          if (failed != null) {
+            audited(asked, failed);
           }
         });
   }
@@ -498,23 +502,23 @@
     return batch != null && batch.values.containsKey(key);
   }
 
-  private void audited(Map<String, Long> asked, Reply reply) {
-    try {
-      List<String> failed = StoreWire.parseFailed(reply.body(), store.generation().prefix());
-      if (failed.contains(Keys.LEADER) || failed.contains(Keys.GENERATION)) {
-        // The next transaction or renewal finds out who leads now.
-        return;
-      }
-      // What was written meanwhile differs, as it should.
-      List<String> differ =
-          failed.stream()
-              .filter(k -> !isUnderWay(k) && asked.get(k).equals(versions.get(k)))
-              .toList();
-      if (onlyByLoss(differ)) {
-        lost("records are missing or older than they were stored: " + differ);
-      }
-    } catch (MalformedException e) {
-      log.warn("the store's answer to the audit is malformed");
+  private void audited(Map<String, Long> asked, List<String> failed) {
+    if (failed.contains(Keys.GENERATION)) {
+      fenced("another generation of the records counts");
+      return;
+    }
+    if (failed.contains(Keys.LEADER)) {
+      moveTo(State.CLOSED);
+      listener.onKeyGone();
+      return;
+    }
+    // What was written meanwhile differs, as it should.
+    List<String> differ =
+        failed.stream()
+            .filter(k -> !isUnderWay(k) && asked.get(k).equals(versions.get(k)))
+            .toList();
+    if (onlyByLoss(differ)) {
+      lost("records are missing or older than they were stored: " + differ);
     }
   }
 }
--- a/src/main/java/io/pineladder/store/JobPages.java
+++ b/src/main/java/io/pineladder/store/JobPages.java
@@ -76,7 +76,9 @@
     REPLACE,
     REMOVE,
     /** Its notice is added. */
-    NOTE
+    NOTE,
+    /** Nothing changes: the page is stored anew. */
+    TOUCH
   }
 
   /** A change of one job's record, made in the same transaction as a mutation's other writes. */
@@ -108,7 +110,7 @@
     void fix() {
       if (kind == Kind.NOTE) {
         notice = book.next(over);
-      } else if (kind != Kind.REMOVE) {
+      } else if (kind != Kind.REMOVE && kind != Kind.TOUCH) {
         rendered = value.get();
       }
     }
@@ -118,6 +120,7 @@
         case ADD -> records.put(id, rendered);
         case REPLACE -> records.computeIfPresent(id, (same, old) -> rendered);
         case REMOVE -> records.remove(id);
+        case TOUCH -> {}
         case NOTE -> {
           if (notice != null) {
             notices.put(notice.number(), notice);
@@ -286,6 +289,11 @@
     return new Edit(homes.get(job), Kind.REMOVE, job.spec.id(), null);
   }
 
+  /** The page is stored anew as it should be. */
+  Edit touch(String key) {
+    return new Edit(known(key), Kind.TOUCH, "", null);
+  }
+
   /** The job's record is not there, or no more. */
   void forget(Job job) {
     Page page = homes.remove(job);
--- a/src/main/java/io/pineladder/store/Pages.java
+++ b/src/main/java/io/pineladder/store/Pages.java
@@ -152,6 +152,14 @@
     touched.forEach(page -> queue(page, Priority.TIDY));
   }
 
+  /** Writes the page again as it should be. */
+  void rewrite(String key) {
+    Page<T> page = knownPage(key);
+    if (!page.queued) {
+      queue(page, Priority.TIDY);
+    }
+  }
+
   private void flush() {
     flushSet = false;
     queueNext();
--- a/src/main/java/io/pineladder/store/Records.java
+++ b/src/main/java/io/pineladder/store/Records.java
@@ -240,6 +240,21 @@
     }
   }
 
+  /** Stores a record anew as it should be, since what stands there cannot be read. */
+  public void rewrite(String key) {
+    if (key.startsWith(Keys.ACCEPTED)) {
+      commit.accept(
+          Mutation.editing(
+              Priority.TIDY, List.of(), List.of(jobs.touch(key)), List.of(), () -> {}, null));
+    } else if (key.startsWith(Keys.PLACED)) {
+      placements.rewrite(key);
+    } else if (key.startsWith(Keys.DONE)) {
+      completions.rewrite(key);
+    } else if (key.startsWith(Keys.IMAGES)) {
+      images.rewrite(key);
+    }
+  }
+
   // ---- jobs
 
   private static JsonNode jobValue(Job job) {
--- a/src/main/java/io/pineladder/store/StoreClient.java
+++ b/src/main/java/io/pineladder/store/StoreClient.java
@@ -483,6 +483,16 @@
 
   /** One page of everything under a prefix, when the budget allows; null when that failed. */
   public void page(String prefix, String after, Consumer<StoreWire.Page> onPage) {
+    page(prefix, after, false, onPage);
+  }
+
+  /** One page of whatever the service still holds of this generation after it lost data. */
+  public void rest(String after, Consumer<StoreWire.Page> onPage) {
+    page("", after, true, onPage);
+  }
+
+  private void page(
+      String prefix, String after, boolean anyRevision, Consumer<StoreWire.Page> onPage) {
     Sent sent = new Sent();
     send(
         get(StoreWire.listPath(
@@ -491,7 +501,7 @@
           try {
             if (reply.is(200)) {
               StoreWire.Page page = StoreWire.parsePage(reply.body(), sent.space());
-              onPage.accept(sent.isGood(page.revision()) ? page : null);
+              onPage.accept(anyRevision || sent.isGood(page.revision()) ? page : null);
               return;
             }
           } catch (MalformedException e) {
@@ -501,6 +511,32 @@
         });
   }
 
+  /**
+   * Sends a transaction that changes nothing, when the budget allows.
+   *
+   * @param onDone told the keys whose conditions do not hold; null when that is not known
+   */
+  public void compare(StoreWire.Transaction compare, Consumer<List<String>> onDone) {
+    Sent sent = new Sent();
+    send(
+        post("/multi", compare.bytes()),
+        reply -> {
+          try {
+            if (reply.is(200)) {
+              onDone.accept(List.of());
+              return;
+            }
+            if (reply.is(409)) {
+              onDone.accept(StoreWire.parseFailed(reply.body(), sent.space()));
+              return;
+            }
+          } catch (MalformedException e) {
+            log.warn("the store's answer to a comparison is malformed");
+          }
+          onDone.accept(null);
+        });
+  }
+
   /** A transaction has committed at this revision; false when that is not above all that was seen. */
   public boolean isAhead(long before, long revision) {
     if (revision <= before) {
--- a/src/main/java/io/pineladder/wire/BeatWire.java
+++ b/src/main/java/io/pineladder/wire/BeatWire.java
@@ -35,10 +35,17 @@
    * @param copied up to which revision it has a copy of the records, in the generation {@code copyBase}
    * @param complete whether nothing is missing from that copy
    * @param token the highest token that it knows anybody to have used
+   * @param lost whether it knows that records of that generation were lost
    */
   public record Stored(
-      long base, long seen, long copyBase, long copied, boolean complete, long token) {
-    public static final Stored NOTHING = new Stored(0, 0, 0, 0, false, 0);
+      long base,
+      long seen,
+      long copyBase,
+      long copied,
+      boolean complete,
+      long token,
+      boolean lost) {
+    public static final Stored NOTHING = new Stored(0, 0, 0, 0, false, 0, false);
   }
 
   /**
@@ -82,6 +89,7 @@
       out.packLong(stored.copied());
       out.packBoolean(stored.complete());
       out.packLong(stored.token());
+      out.packBoolean(stored.lost());
       return out.toByteArray();
     } catch (IOException e) {
       throw new IllegalStateException(e);
@@ -121,7 +129,8 @@
                   in.unpackLong(),
                   in.unpackLong(),
                   in.unpackBoolean(),
-                  in.unpackLong())
+                  in.unpackLong(),
+                  in.unpackBoolean())
               : Stored.NOTHING;
       return new Beat(member, nonce, sequence, storeOk, term, heard, stored);
     } catch (IOException | RuntimeException e) {
--- a/src/main/java/io/pineladder/workers/Workers.java
+++ b/src/main/java/io/pineladder/workers/Workers.java
@@ -70,6 +70,15 @@
     /** A machine nobody expected reports. */
     void onMachine(Machine machine);
 
+    /** Whether placements and jobs may be missing from the records, so that what runs is kept. */
+    boolean recordsIncomplete();
+
+    /** A worker runs a task of a job that is not in memory. */
+    void onStranger(String job);
+
+    /** Whether a job that is not in memory is known to be over. */
+    boolean isOver(String job);
+
     /** What a cancelled job has there can no longer be proven gone in time, but by its return. */
     void onUnprovable(Machine machine);
   }
@@ -262,7 +271,8 @@
             time.now(),
             Attempt.State.RECORDED);
     attempt.sentSession = machine.session;
-    if (task.state() != TaskState.EXITED) {
+    if (task.state() != TaskState.EXITED
+        && !(listener.recordsIncomplete() && scheduler.keep(attempt))) {
       log.info("{} is not expected there", attempt);
       job.pending.clear(attempt.task);
       scheduler.kill(attempt, Duration.ZERO);
@@ -504,11 +514,20 @@
   }
 
   /** Forgets tasks of jobs that are over, which no attempt here accounts for. */
-  private static void writeStrangers(Report report, Machine machine, Orders orders) {
+  private void writeStrangers(Report report, Machine machine, Orders orders) {
+    boolean incomplete = listener.recordsIncomplete();
     for (TaskReport task : report.tasks()) {
+      String job = task.task().job();
       if (machine.attempts.containsKey(task.key())) {
         continue;
       }
+      if (task.state() != TaskState.EXITED && !cluster.jobs.containsKey(job)) {
+        listener.onStranger(job);
+      }
+      if (incomplete && !cluster.jobs.containsKey(job) && !listener.isOver(job)) {
+        // The job may have been lost, and come back with its user's repeated submission.
+        continue;
+      }
       if (task.state() == TaskState.EXITED) {
         orders.forget(task.task().job(), task.task().index(), task.attempt());
       } else {
--- a/src/test/java/io/pineladder/front/FrontHttpTest.java
+++ b/src/test/java/io/pineladder/front/FrontHttpTest.java
@@ -54,7 +54,7 @@
                 .replaceAll("10\\.[02]\\.0\\.\\d:\\d+", nowhere));
     runtime = new XnioRuntime(MOST_SOCKETS, Duration.ofSeconds(1));
     UndertowCaller http = new UndertowCaller(runtime, address -> Sockets.Part.SERVICES);
-    Node node = new Node(settings, runtime, http, "nonce", null);
+    Node node = new Node(settings, runtime, http, "nonce", null, null, null);
     Metrics metrics = new Metrics();
     metrics.watch(runtime.sockets());
     Front made = new Front(node, metrics);
--- a/src/test/java/io/pineladder/sim/DeliveryProcessTest.java
+++ b/src/test/java/io/pineladder/sim/DeliveryProcessTest.java
@@ -54,6 +54,14 @@
 
   /** Submits a job that can't be placed, and cancels it: a final answer. */
   static String end(LoopbackCluster cluster, int index) throws InterruptedException {
+    String id = submit(cluster, index);
+    ObjectNode told = cluster.insist(false, "POST", "/v1/jobs/" + id + "/cancel", null);
+    assertEquals("aborted", told.get("status").asText());
+    return id;
+  }
+
+  /** Submits a job that can't be placed. */
+  static String submit(LoopbackCluster cluster, int index) throws InterruptedException {
     String id = String.format("req-%06d", index);
     ObjectNode spec =
         Json.object()
@@ -75,8 +83,6 @@
             .put("mark_every_s", 0.0)
             .put("stow_s", 0.0);
     cluster.insist(false, "POST", "/v1/jobs", spec);
-    ObjectNode told = cluster.insist(false, "POST", "/v1/jobs/" + id + "/cancel", null);
-    assertEquals("aborted", told.get("status").asText());
     return id;
   }
 
--- a/src/test/java/io/pineladder/sim/LoopbackCluster.java
+++ b/src/test/java/io/pineladder/sim/LoopbackCluster.java
@@ -179,10 +179,25 @@
     }
   }
 
+  /** The controllers' addresses for administrators. */
+  List<String> clusters() {
+    return clusters;
+  }
+
+  /** Asks one address until it answers with 200 or 201. */
+  ObjectNode insistOf(String address, String method, String path) throws InterruptedException {
+    return insist(List.of(address), method, path, null);
+  }
+
   /** Asks one controller after the other until one answers with 200 or 201. */
   ObjectNode insist(boolean admin, String method, String path, ObjectNode body)
       throws InterruptedException {
-    List<String> addresses = admin ? clusters : fronts;
+    return insist(admin ? clusters : fronts, method, path, body);
+  }
+
+  private ObjectNode insist(
+      List<String> addresses, String method, String path, ObjectNode body)
+      throws InterruptedException {
     int first = Math.floorMod(path.hashCode(), addresses.size());
     String last = "no answer";
     for (int tries = 0; tries < 2_000; tries++) {
--- a/src/test/java/io/pineladder/sim/SimulatedCluster.java
+++ b/src/test/java/io/pineladder/sim/SimulatedCluster.java
@@ -9,15 +9,23 @@
 import io.pineladder.delivery.Delivery;
 import io.pineladder.front.Front;
 import io.pineladder.model.Settings;
+import io.pineladder.net.Background;
 import io.pineladder.net.HttpCaller;
 import io.pineladder.net.Timeline;
+import io.pineladder.snapshot.Shelf;
 import io.pineladder.wire.Json;
 import io.pineladder.wire.MalformedException;
 import io.pineladder.wire.SettingsReader;
 import io.pineladder.wire.SettingsReaderTest;
+import java.io.ByteArrayOutputStream;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
 
 /** Several controllers in virtual time among stand-ins that crash, cut, delay and deliver late. */
 abstract class SimulatedCluster {
@@ -47,6 +55,50 @@
   /** The store may lose data on this day; on any other nobody may think that it has. */
   boolean losesData;
 
+  /** What controllers keep snapshots on, by their number; none unless a test sets them up. */
+  final Map<Integer, Shelf> shelves = new HashMap<>();
+
+  static final Background IMMEDIATE =
+      new Background() {
+        @Override
+        public <T> void run(Supplier<T> work, Consumer<T> then) {
+          then.accept(work.get());
+        }
+      };
+
+  /** A shelf that outlives its controller's processes. */
+  static final class MemoryShelf implements Shelf {
+    final Map<String, byte[]> files = new TreeMap<>();
+
+    @Override
+    public void load(Consumer<Map<String, byte[]>> onLoaded) {
+      onLoaded.accept(new HashMap<>(files));
+    }
+
+    @Override
+    public void put(String name, byte[] bytes) {
+      files.put(name, bytes);
+    }
+
+    @Override
+    public void append(String name, byte[] bytes) {
+      ByteArrayOutputStream all = new ByteArrayOutputStream();
+      all.writeBytes(files.getOrDefault(name, new byte[0]));
+      all.writeBytes(bytes);
+      files.put(name, all.toByteArray());
+    }
+
+    @Override
+    public void remove(String name) {
+      files.remove(name);
+    }
+
+    @Override
+    public long failures() {
+      return 0;
+    }
+  }
+
   void begin(long seed) {
     world = new World(seed);
     rules = new Rules(world);
@@ -102,7 +154,15 @@
     String host = "10.0.0." + (controller.index + 1);
     Timeline time = world.timeline(host, () -> alive[0], rate);
     HttpCaller http = world.caller(host, () -> alive[0]);
-    Node node = new Node(settings, time, http, "nonce-" + world.random.nextLong(), delivery(host));
+    Node node =
+        new Node(
+            settings,
+            time,
+            http,
+            "nonce-" + world.random.nextLong(),
+            delivery(host),
+            shelves.get(controller.index),
+            IMMEDIATE);
     controller.node = node;
     Front front = new Front(node, new Metrics());
     world.serve(settings.frontAddress(), front::handle);
--- a/src/test/java/io/pineladder/sim/StateLossTest.java
+++ b/src/test/java/io/pineladder/sim/StateLossTest.java
@@ -1,18 +1,27 @@
 package io.pineladder.sim;
 
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.pineladder.Node;
 import io.pineladder.recovery.Generations;
+import io.pineladder.wire.MalformedException;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** Days on which the state service loses data, in each of the ways in which it can. */
 class StateLossTest extends SimulatedCluster {
+  private static final Logger log = LoggerFactory.getLogger(StateLossTest.class);
+
   /** What is lost. */
   enum Loss {
     NOTHING,
@@ -32,7 +41,11 @@
     long days = Long.getLong("pineladder.losses", 2);
     long first = Long.getLong("pineladder.first", 1);
     List<Arguments> all = new ArrayList<>();
+    String only = System.getProperty("pineladder.loss", "");
     for (Loss loss : Loss.values()) {
+      if (!only.isEmpty() && !loss.name().equals(only)) {
+        continue;
+      }
       for (long seed = first; seed < first + days; seed++) {
         all.add(Arguments.of(loss, seed));
       }
@@ -67,20 +80,35 @@
     }
   }
 
-  /** Every job is served to its end and no rule breaks, while the controllers live on. */
-  @ParameterizedTest
-  @MethodSource("days")
-  void whatIsLostIsRebuiltByControllersThatLive(Loss loss, long seed) {
+  /** Who is left when it is lost. */
+  enum Left {
+    ALL,
+    /** The leader's process ends with the data. */
+    FOLLOWERS,
+    /** All processes end with it, and begin again with the snapshots that they kept. */
+    SNAPSHOTS
+  }
+
+  /** Every job is served to its end and no rule breaks. */
+  private void served(Loss loss, Left left, long seed) {
+    if (left == Left.SNAPSHOTS) {
+      for (int i = 0; i < 3; i++) {
+        shelves.put(i, new MemoryShelf());
+      }
+    }
     begin(seed);
     losesData = loss != Loss.NOTHING;
     store.backUp();
     world.runFor(Duration.ofSeconds(4));
     world.lossy = 0.02;
     work(20);
+    log.debug("what is lost now, at {}: {}", world.now(), loss);
     lose(loss);
-    if (loss.name().startsWith("DAMAGED")) {
-      // Whoever reads it next is a new leader.
-      kill(controllers.get(leader()), 6_000);
+    if (left == Left.SNAPSHOTS) {
+      controllers.forEach(each -> kill(each, 6_000 + each.index * 300L));
+    } else if (left == Left.FOLLOWERS || loss.name().startsWith("DAMAGED")) {
+      // Whoever reads what is damaged is a new leader.
+      kill(controllers.get(leading()), 6_000);
     }
     work(20);
     settle(Duration.ofSeconds(400));
@@ -89,4 +117,75 @@
             .anyMatch(c -> c.node.generations().state() == Generations.State.REBUILT);
     assertTrue(rebuilt || loss == Loss.NOTHING || loss.name().startsWith("DAMAGED"));
   }
+
+  private int leading() {
+    for (Controller each : controllers) {
+      if (each.node.election().holdsTerm()) {
+        return each.index;
+      }
+    }
+    return 0;
+  }
+
+  @ParameterizedTest
+  @MethodSource("days")
+  void whatIsLostIsRebuiltByControllersThatLive(Loss loss, long seed) {
+    served(loss, Left.ALL, seed);
+  }
+
+  @ParameterizedTest
+  @MethodSource("days")
+  void whatIsLostWithTheLeaderIsRebuiltByTheOthers(Loss loss, long seed) {
+    served(loss, Left.FOLLOWERS, seed);
+  }
+
+  @ParameterizedTest
+  @MethodSource("days")
+  void whatIsLostWithAllControllersIsRebuiltFromSnapshots(Loss loss, long seed) {
+    served(loss, Left.SNAPSHOTS, seed);
+  }
+
+  /** Found with real processes: a loss by which controllers lived, and one with them soon after. */
+  @Test
+  void aSecondLossFindsWhatTheFirstHasLeft() {
+    for (int i = 0; i < 3; i++) {
+      shelves.put(i, new MemoryShelf());
+    }
+    begin(78);
+    losesData = true;
+    world.runFor(Duration.ofSeconds(4));
+    work(10);
+    store.loseEverything();
+    work(10);
+    store.loseEverything();
+    controllers.forEach(each -> kill(each, 6_000 + each.index * 300L));
+    work(10);
+    settle(Duration.ofSeconds(400));
+  }
+
+  /** Nothing is left but a file that an operator has kept. */
+  @Test
+  void aSnapshotThatIsHandedInBringsJobsBack() throws Exception {
+    begin(77);
+    losesData = true;
+    world.runFor(Duration.ofSeconds(4));
+    work(10);
+    List<Rules.Known> before = List.copyOf(rules.jobs.values());
+    world.runFor(Duration.ofSeconds(15));
+    byte[] kept = controllers.get(leading()).node.takeSnapshot();
+    store.loseEverything();
+    controllers.forEach(each -> kill(each, 6_000 + each.index * 300L));
+    // Users who ask meanwhile are told that nothing is certain.
+    world.runFor(Duration.ofSeconds(45));
+    Node leader = controllers.get(leading()).node;
+    byte[] damaged = kept.clone();
+    damaged[damaged.length / 2] ^= 1;
+    assertThrows(MalformedException.class, () -> leader.handIn(damaged));
+    assertThrows(
+        MalformedException.class, () -> leader.handIn(Arrays.copyOf(kept, kept.length / 2)));
+    assertTrue(leader.handIn(kept) > 0);
+    work(5);
+    settle(Duration.ofSeconds(400));
+    assertTrue(before.stream().allMatch(job -> job.accepted));
+  }
 }
--- a/src/test/java/io/pineladder/workers/LeaderHarness.java
+++ b/src/test/java/io/pineladder/workers/LeaderHarness.java
@@ -79,6 +79,11 @@
             TERM,
             OperatorSettings.DEFAULTS,
             new Scheduler.Effects() {
+              @Override
+              public boolean mayStart() {
+                return mayAct();
+              }
+
               @Override
               public boolean mayAct() {
                 return true;
@@ -161,6 +166,19 @@
             TERM,
             () -> true,
             new Workers.Listener() {
+              @Override
+              public void onStranger(String job) {}
+
+              @Override
+              public boolean isOver(String job) {
+                return false;
+              }
+
+              @Override
+              public boolean recordsIncomplete() {
+                return false;
+              }
+
               @Override
               public void onSuperseded(long token) {
                 resigned.add("token " + token);
