A test waits until a cluster that begins can tell an unknown job

Since a cluster that begins for the first time answers 503 for what it does not know until workers have had the time to report, the refusal of a description that is too long is asked for after that.

--- a/src/test/java/io/pineladder/sim/RecoverySimulationTest.java
+++ b/src/test/java/io/pineladder/sim/RecoverySimulationTest.java
@@ -159,7 +159,8 @@
   @Test
   void aDescriptionThatCannotBeStoredIsRefusedAndEndsNoTerm() throws Exception {
     begin(15);
-    world.runFor(Duration.ofSeconds(5));
+    // Before, a cluster that begins cannot tell that it never accepted the job.
+    world.runFor(Duration.ofSeconds(8));
     ObjectNode spec = job("array", 1, "red");
     var types = spec.putArray("hulls").add("g4");
     for (int i = 0; i < 500; i++) {
