Zones have states; nothing is rented where nobody is heard, and what is apart is kept

Change: package zones with one state machine a zone (up, doubted, cut, apart, returning, probation). A controller that keeps leases in the leader's place while its copy follows the store does so without an end, ends there what is over, and leaves a note by which the leader knows the zone as apart. Of a zone that is cut a machine goes only if what is on it can go elsewhere and would serve there sooner than the zone is likely to be back, production first, and no more than the living zones can take.

--- a/src/main/java/io/pineladder/Leader.java
+++ b/src/main/java/io/pineladder/Leader.java
@@ -30,6 +30,7 @@
 import io.pineladder.wire.StoreWire;
 import io.pineladder.wire.WorkerWire;
 import io.pineladder.workers.Workers;
+import io.pineladder.zones.Notes;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
@@ -126,6 +127,7 @@
   private final Scheduler scheduler;
   private final Workers workers;
   private final Fleet fleet;
+  private final Notes notes;
   private final TermLoader loader;
   private final Adoption adoption;
   private final Instant begunAt;
@@ -181,6 +183,7 @@
     committer.number(outbox);
     this.subscriptions =
         new Subscriptions(delivery, outbox, time, committer::submit, valueBytes, this::mayAct);
+    this.notes = new Notes(store, time, () -> fleet().zones().isAnyGone());
     this.scheduler =
         new Scheduler(
             cluster,
@@ -316,6 +319,11 @@
                 host.handOver(reason);
               }
 
+              @Override
+              public int heardInside(String zone) {
+                return notes.heardInside(zone);
+              }
+
               @Override
               public void probe(Machine machine) {
                 workers.probe(machine);
@@ -368,6 +376,11 @@
     return scheduler;
   }
 
+  /** The machines, and the zones that they are in. */
+  public Fleet fleet() {
+    return fleet;
+  }
+
   public int waitingWrites() {
     return committer.waiting();
   }
@@ -609,6 +622,7 @@
         cluster.machines().size());
     adoption.start(inbox);
     fleet.start();
+    notes.start(() -> state == State.OVER);
     if (subscriptions.isOn() || outbox.isWanted()) {
       loader.loadBacklog(() -> state == State.LEADING, subscriptions::start);
     }
--- a/src/main/java/io/pineladder/Node.java
+++ b/src/main/java/io/pineladder/Node.java
@@ -31,6 +31,7 @@
 import io.pineladder.wire.MalformedException;
 import io.pineladder.wire.RecordWire;
 import io.pineladder.wire.StoreWire;
+import io.pineladder.zones.Keeping;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayDeque;
@@ -95,6 +96,7 @@
   private final Snapshots snapshots;
   private final Generations generations;
   private final Follower follower;
+  private final Keeping keeping;
   private final Deque<Accepted> acceptedHere = new ArrayDeque<>();
   private LiveCopy copy = new LiveCopy(0);
 
@@ -154,6 +156,8 @@
     this.election = new Election(store, time, settings, nonce, this::mayStand, new Part());
     this.generations =
         new Generations(store, time, settings.member(), nonce, new RecordsHost());
+    this.keeping =
+        new Keeping(store, time, settings.member(), settings.workers().report());
     this.follower = new Follower(store, time, new Copying());
   }
 
@@ -206,6 +210,11 @@
     return jobs;
   }
 
+  /** The workers whose leases this node keeps in the leader's place. */
+  public Keeping keeping() {
+    return keeping;
+  }
+
   /** What tells one cluster's snapshots from another's. */
   private static String cluster(Settings settings) {
     List<String> members = new ArrayList<>(List.of(settings.member()));
--- a/src/main/java/io/pineladder/admin/AdminApi.java
+++ b/src/main/java/io/pineladder/admin/AdminApi.java
@@ -18,6 +18,7 @@
 import io.pineladder.wire.Json;
 import io.pineladder.wire.MalformedException;
 import io.pineladder.wire.RecordWire;
+import io.pineladder.zones.Zones;
 import java.time.Duration;
 import java.util.Locale;
 import java.util.function.Consumer;
@@ -193,8 +194,17 @@
     return out;
   }
 
-  private static ObjectNode machines(Leader leader) {
+  private ObjectNode machines(Leader leader) {
     ObjectNode out = Json.object();
+    ArrayNode zones = out.putArray("zones");
+    for (Zones.View zone : leader.fleet().zones().view(node.time().now())) {
+      zones
+          .addObject()
+          .put("name", zone.name())
+          .put("state", zone.state().toLowerCase(Locale.ROOT))
+          .put("losses", zone.losses())
+          .put("gone_s", zone.goneFor().toMillis() / 1e3);
+    }
     ArrayNode list = out.putArray("machines");
     for (Machine machine : leader.cluster().machines()) {
       list.addObject()
--- a/src/main/java/io/pineladder/fleet/Fleet.java
+++ b/src/main/java/io/pineladder/fleet/Fleet.java
@@ -12,6 +12,7 @@
 import io.pineladder.store.Records;
 import io.pineladder.wire.CloudWire;
 import io.pineladder.wire.MalformedException;
+import io.pineladder.zones.Zones;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
@@ -57,6 +58,7 @@
 
   private final BootTimes boots = new BootTimes();
   private final Cloud cloud;
+  private final Zones zones = new Zones();
   private final Renting renting;
   private final Silence silence;
 
@@ -69,6 +71,9 @@
     /** Another node can do better. */
     void handOver(String reason);
 
+    /** How many machines of a zone another controller hears, as it has told lately. */
+    int heardInside(String zone);
+
     /** Asks a machine that is overdue whether it is there. */
     void probe(Machine machine);
   }
@@ -90,16 +95,21 @@
     this.effects = effects;
     this.cloud = new Cloud(cluster.settings, http, time);
     this.renting =
-        new Renting(cluster, scheduler, time, term, cloud, boots, this::wasReleased);
+        new Renting(cluster, scheduler, time, term, cloud, boots, zones, this::wasReleased);
     this.startedAt = time.now();
     this.tickedAt = startedAt;
-    this.silence = new Silence(cluster, renting, effects, startedAt);
+    this.silence = new Silence(cluster, renting, zones, effects, startedAt);
   }
 
   public void configure(OperatorSettings next) {
     operator = next;
   }
 
+  /** The zones, as this leader sees them. */
+  public Zones zones() {
+    return zones;
+  }
+
   public void start() {
     renting.start();
     tick();
--- a/src/main/java/io/pineladder/fleet/Renting.java
+++ b/src/main/java/io/pineladder/fleet/Renting.java
@@ -15,6 +15,7 @@
 import io.pineladder.scheduling.Scheduler;
 import io.pineladder.wire.CloudWire;
 import io.pineladder.wire.MalformedException;
+import io.pineladder.zones.Zones;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
@@ -57,6 +58,7 @@
   private final Forecast patientOrdinary = new Forecast();
   private final Forecast patientSpot = new Forecast();
   private double meanImageGb;
+  private final Zones states;
   private long requests;
 
   /** What can be refused on its own. */
@@ -82,7 +84,9 @@
       long term,
       Cloud cloud,
       BootTimes boots,
+      Zones states,
       Predicate<String> wasReleased) {
+    this.states = states;
     this.cluster = cluster;
     this.scheduler = scheduler;
     this.time = time;
@@ -322,14 +326,17 @@
   }
 
   private boolean ask(MachineType type, String zone, boolean spot, int count, Instant now) {
-    List<String> zones = zone == null ? new ArrayList<>(type.zones()) : List.of(zone);
+    // What is rented where nobody is heard serves nobody, and is money and calls lost.
+    List<String> zones = new ArrayList<>(states.rentable(type.zones()));
+    if (zone != null) {
+      zones.retainAll(List.of(zone));
+    }
     Map<String, Integer> there = new HashMap<>();
     for (Machine machine : cluster.machines()) {
       if (machine.isOf(type) && machine.spot == spot) {
         there.merge(machine.zone, 1, Integer::sum);
       }
     }
-    zones = new ArrayList<>(zones);
     zones.sort(Comparator.comparing(z -> there.getOrDefault(z, 0)));
     List<Pool> open = new ArrayList<>();
     for (String each : zones) {
--- a/src/main/java/io/pineladder/fleet/Silence.java
+++ b/src/main/java/io/pineladder/fleet/Silence.java
@@ -5,6 +5,7 @@
 import io.pineladder.model.Machine;
 import io.pineladder.model.Settings;
 import io.pineladder.scheduling.Cluster;
+import io.pineladder.zones.Zones;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
@@ -26,6 +27,8 @@
 
   private final Cluster cluster;
   private final Renting renting;
+  private final Zones zones;
+  private final ZonePlan plan;
   private final Fleet.Effects effects;
   private final Instant startedAt;
 
@@ -38,9 +41,12 @@
    */
   private Instant listeningSince;
 
-  Silence(Cluster cluster, Renting renting, Fleet.Effects effects, Instant now) {
+  Silence(
+      Cluster cluster, Renting renting, Zones zones, Fleet.Effects effects, Instant now) {
     this.cluster = cluster;
     this.renting = renting;
+    this.zones = zones;
+    this.plan = new ZonePlan(cluster, renting, zones);
     this.effects = effects;
     this.startedAt = now;
     this.listeningSince = now;
@@ -89,7 +95,7 @@
     Duration overdue = allowed.minusSeconds(4);
     // In a zone that is cut all fall silent at once: when the first is missed none was heard since.
     Duration lately = overdue.minus(cluster.settings.workers().report());
-    Map<String, ZoneSilence> zones = new HashMap<>();
+    Map<String, ZoneSilence> byZone = new HashMap<>();
     List<Machine> silent = new ArrayList<>();
     int up = 0;
     for (Machine machine : cluster.machines()) {
@@ -98,7 +104,7 @@
         continue;
       }
       up++;
-      ZoneSilence zone = zones.computeIfAbsent(machine.zone, z -> new ZoneSilence());
+      ZoneSilence zone = byZone.computeIfAbsent(machine.zone, z -> new ZoneSilence());
       zone.up++;
       boolean heard = machine.heardAt != null && machine.heardAt.plus(lately).isAfter(now);
       zone.heardLately += heard ? 1 : 0;
@@ -127,24 +133,34 @@
     Duration lease = cluster.settings.workers().lease();
     List<Machine> givenUp = new ArrayList<>();
     // Once a cut is over the first that are heard say nothing of the rest, which are on their way.
-    zones.forEach(
+    byZone.forEach(
         (zone, heard) -> {
+          zones.review(
+              zone, heard.up, heard.overdue, heard.heardLately, effects.heardInside(zone), now);
           if (heard.isCut()) {
             cutUntil.put(zone, now.plus(allowed));
           }
         });
+    List<Machine> lost = new ArrayList<>();
     for (Machine machine : silent) {
-      ZoneSilence zone = zones.get(machine.zone);
+      ZoneSilence zone = byZone.get(machine.zone);
+      if (zones.isApart(machine.zone)) {
+        // Another controller hears it, keeps its lease, and ends there what users have cancelled.
+        continue;
+      }
       Duration patience =
           cutUntil.getOrDefault(machine.zone, Instant.MIN).isAfter(now)
               ? longestLife()
               : zone.isManyAtOnce() && isWorthWaiting(machine, lease.minus(allowed))
                   ? lease
                   : Duration.ZERO;
-      if (isUrgent(machine, now) || silentSince(machine).plus(patience).isBefore(now)) {
+      if (isUrgent(machine, now)) {
         givenUp.add(machine);
+      } else if (silentSince(machine).plus(patience).isBefore(now)) {
+        (zones.isGone(machine.zone) ? lost : givenUp).add(machine);
       }
     }
+    givenUp.addAll(plan.toGiveUp(lost, now));
     return givenUp;
   }
 
--- a/src/main/java/io/pineladder/front/Reports.java
+++ b/src/main/java/io/pineladder/front/Reports.java
@@ -89,13 +89,12 @@
     boolean other = known != null && !known.member().equals(node.settings().member());
     if (other
         && node.membership().isUnreachable(known.member())
-        && keepsAlive(known, report)
-        && report.token() <= node.election().knownTerm()) {
+        && report.token() <= node.election().knownTerm()
+        && (node.follower().isFresh() || keepsAlive(known, report))) {
       // At once: in a cut the way round the other nodes takes most of a lease.
+      node.keeping().kept(report.machine(), report.zone());
       answer.accept(
-          ok(
-              WorkerWire.reportResponse(
-                  node.election().knownTerm(), new WorkerWire.Orders())));
+          ok(WorkerWire.reportResponse(node.election().knownTerm(), endsOf(report))));
       return;
     }
     Instant now = node.time().now();
@@ -141,6 +140,23 @@
         () -> answer.accept(new HttpAnswer(421, WorkerWire.redirect(null))));
   }
 
+  /**
+   * Ends what is left there of jobs that are over. These are the only orders that a node gives in a
+   * leader's place: a final state is stored and never undone, so no leader wants such a task to run on.
+   * With them a worker can be kept for as long as this node's copy of the records is in step with the
+   * store, since what a user cancels ends in time without the end of the worker's lease.
+   */
+  private WorkerWire.Orders endsOf(WorkerWire.Report report) {
+    WorkerWire.Orders orders = new WorkerWire.Orders();
+    for (WorkerWire.TaskReport task : report.tasks()) {
+      String job = task.task().job();
+      if (task.state() != WorkerWire.TaskState.EXITED && node.copy().end(job) != null) {
+        orders.kill(job, task.task().index(), task.attempt(), Duration.ZERO);
+      }
+    }
+    return orders;
+  }
+
   /**
    * Whether this node answers a report in place of a leader that it cannot reach: without that a zone
    * cut off from its leader would lose all its tasks. It gives no orders. No leader ever takes the
--- a/src/main/java/io/pineladder/recovery/Follower.java
+++ b/src/main/java/io/pineladder/recovery/Follower.java
@@ -24,6 +24,9 @@
   /** Between requests, which also spreads the reading of a large store over the time. */
   private static final Duration PACE = Duration.ofSeconds(1);
 
+  /** A copy that was in step so long ago still tells which jobs are over in time. */
+  private static final Duration FRESH = Duration.ofSeconds(6);
+
   /** Between two pages of final states that a leader compares with what it knows. */
   private static final Duration AUDIT = Duration.ofSeconds(5);
 
@@ -96,6 +99,13 @@
     return state;
   }
 
+  /** Whether the copy shows what was stored up to a few seconds ago. */
+  public boolean isFresh() {
+    return state == State.FOLLOWING
+        && copy.base() == store.generation().base()
+        && readAt.plus(FRESH).isAfter(time.now());
+  }
+
   /** The records can be trusted, and this node does not lead: they are read and followed. */
   public void follow() {
     moveTo(State.LISTING);
--- a/src/main/java/io/pineladder/recovery/LiveCopy.java
+++ b/src/main/java/io/pineladder/recovery/LiveCopy.java
@@ -43,7 +43,7 @@
 
   /** What belongs to a leader's lease, to no generation or to another one is not copied. */
   private static final Pattern LEFT_OUT =
-      Pattern.compile("(g[0-9]+|lead|generation|damaged)/.*");
+      Pattern.compile("(g[0-9]+|lead|generation|damaged|apart)/.*");
 
   /** A value with the revision of its last change. */
   private record Value(long version, JsonNode value, byte[] bytes) implements Snapshot.Entry {
--- a/src/main/java/io/pineladder/store/Keys.java
+++ b/src/main/java/io/pineladder/store/Keys.java
@@ -41,6 +41,9 @@
   /** Jobs accepted by a node without a leader, for the leader to take up. */
   public static final String INBOX = "inbox/";
 
+  /** Which workers a controller hears that the leader may not; a value for each controller. */
+  public static final String APART = "apart/";
+
   public static final String CONF = "conf/";
   public static final String TYPES = "conf/types";
   public static final String OPERATOR = "conf/operator";
--- /dev/null
+++ b/src/main/java/io/pineladder/zones/Keeping.java
@@ -0,0 +1,71 @@
+package io.pineladder.zones;
+
+import io.pineladder.net.Timeline;
+import io.pineladder.store.Keys;
+import io.pineladder.store.StoreClient;
+import io.pineladder.wire.Json;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/**
+ * What a controller tells the leader of the workers whose leases it keeps in the leader's place: a note
+ * in the state service, which both reach although they do not reach one another.
+ */
+public final class Keeping {
+  /** Between two notes while there is anything to tell. */
+  static final Duration PACE = Duration.ofSeconds(4);
+
+  /** A worker that was not heard for so long is not counted; it reports more often than that. */
+  private final Duration counted;
+
+  private record Kept(String zone, Instant at) {}
+
+  private final StoreClient store;
+  private final Timeline time;
+  private final String member;
+  private final Map<String, Kept> kept = new LinkedHashMap<>();
+  private boolean told;
+  private long notes;
+
+  /**
+   * The notes of one controller.
+   *
+   * @param report how often workers report
+   */
+  public Keeping(StoreClient store, Timeline time, String member, Duration report) {
+    this.store = store;
+    this.time = time;
+    this.member = member;
+    this.counted = report.multipliedBy(2);
+  }
+
+  /** This controller has answered a report in the leader's place. */
+  public void kept(String machine, String zone) {
+    kept.put(machine, new Kept(zone, time.now()));
+    if (!told) {
+      told = true;
+      // The first ones say nothing yet: a zone's workers come one after the other.
+      time.after(PACE, this::tell);
+    }
+  }
+
+  private void tell() {
+    Instant from = time.now().minus(counted);
+    kept.values().removeIf(each -> each.at.isBefore(from));
+    if (kept.isEmpty()) {
+      told = false;
+      return;
+    }
+    Map<String, Integer> zones = new HashMap<>();
+    kept.values().forEach(each -> zones.merge(each.zone, 1, Integer::sum));
+    var value = Json.object().put("note", ++notes);
+    var counts = value.putObject("zones");
+    zones.forEach(counts::put);
+    byte[] body = store.transaction().put(Keys.APART + member, value).bytes();
+    store.changeForUser(store.post("/multi", body), 1, reply -> {});
+    time.after(PACE, this::tell);
+  }
+}
--- a/src/test/java/io/pineladder/workers/LeaderHarness.java
+++ b/src/test/java/io/pineladder/workers/LeaderHarness.java
@@ -138,6 +138,11 @@
             TERM,
             OperatorSettings.DEFAULTS,
             new Fleet.Effects() {
+              @Override
+              public int heardInside(String zone) {
+                return 0;
+              }
+
               @Override
               public boolean mayAct() {
                 return true;
