A zone that is cut off keeps what runs in it: a cancellation is told once nothing is left

Change: a cancellation is stored, and so told, once nothing of the job holds room anywhere. No lease then ends anything that a user was promised, and a node that reaches neither leader nor store keeps the leases of its own zone for as long as that lasts, with the worker's own token where it has just begun itself. So that a node which alone is cut off keeps no worker from a leader, each is sent to the others every 40 s where it would be back before its lease ends.

--- a/src/main/java/io/pineladder/fleet/Silence.java
+++ b/src/main/java/io/pineladder/fleet/Silence.java
@@ -22,6 +22,9 @@
   /** How long after a takeover workers are still on their way from node to node. */
   private static final Duration SETTLING = Duration.ofSeconds(15);
 
+  /** So long a zone with a controller of its own is taken to live on, cut off. */
+  private static final Duration KEPT_INSIDE = Duration.ofMinutes(3);
+
   /** Machines that may come back are waited for a third of the time that another takes. */
   private static final int WAIT_PART = 3;
 
@@ -141,6 +144,7 @@
             cutUntil.put(zone, now.plus(allowed));
           }
         });
+    boolean anyHeard = byZone.values().stream().anyMatch(zone -> zone.heardLately > 0);
     List<Machine> lost = new ArrayList<>();
     for (Machine machine : silent) {
       ZoneSilence zone = byZone.get(machine.zone);
@@ -150,7 +154,7 @@
       }
       Duration patience =
           cutUntil.getOrDefault(machine.zone, Instant.MIN).isAfter(now)
-              ? longestLife()
+              ? longestLife(machine.zone, anyHeard)
               : zone.isManyAtOnce() && isWorthWaiting(machine, lease.minus(allowed))
                   ? lease
                   : Duration.ZERO;
@@ -200,7 +204,15 @@
    * How long tasks may live in a zone that is cut off, where nodes keep their workers' leases, and
    * how long a report then takes to come here.
    */
-  private Duration longestLife() {
+  private Duration longestLife(String zone, boolean anyHeard) {
+    // Where no zone is heard nothing tells a cut from machines that have all died.
+    boolean controller =
+        anyHeard
+            && cluster.settings.peers().stream().anyMatch(peer -> peer.zone().equals(zone));
+    if (controller) {
+      // It keeps the leases there for as long as it lives.
+      return KEPT_INSIDE;
+    }
     Settings.WorkerTimes workers = cluster.settings.workers();
     Duration kept = Election.longestKeepAlive(workers).plus(workers.lease()).plus(silence());
     Duration least = workers.lease().multipliedBy(2);
--- a/src/main/java/io/pineladder/front/Reports.java
+++ b/src/main/java/io/pineladder/front/Reports.java
@@ -6,6 +6,7 @@
 import io.pineladder.Leader;
 import io.pineladder.Node;
 import io.pineladder.leadership.Election;
+import io.pineladder.model.Settings;
 import io.pineladder.net.HttpAnswer;
 import io.pineladder.wire.MalformedException;
 import io.pineladder.wire.PeerWire;
@@ -28,12 +29,25 @@
 
   private static final int REDIRECTS_KEPT = 2000;
 
+  /** A zone that is cut off for longer loses what runs in it. */
+  private static final Duration MOST_KEPT = Duration.ofMinutes(30);
+
+  /** Between two tries of a worker that is kept to find a leader elsewhere. */
+  private static final Duration ROUND = Duration.ofSeconds(40);
+
+  /** What a node that does not answer costs a worker. */
+  private static final Duration ELSEWHERE = Duration.ofSeconds(5);
+
   private final Node node;
   private final Forwarding forwarding;
+  private final Instant startedAt;
 
   /** When each worker was last sent to the leader, or its report handed on. */
   private final Map<String, Instant> redirects = new LinkedHashMap<>();
 
+  /** When each worker that is kept was last sent to the others. */
+  private final Map<String, Instant> rounds = new LinkedHashMap<>();
+
   /** The leader that those workers were sent to. */
   private RecordWire.LeaderRecord redirectedTo;
 
@@ -50,6 +64,7 @@
   Reports(Node node, Forwarding forwarding) {
     this.node = node;
     this.forwarding = forwarding;
+    this.startedAt = node.time().now();
   }
 
   /**
@@ -97,6 +112,23 @@
           ok(WorkerWire.reportResponse(node.election().knownTerm(), endsOf(report))));
       return;
     }
+    boolean inDoubt = !other && node.election().holdsTerm();
+    if (inDoubt && report.token() <= node.election().term()) {
+      // The leader itself is cut off with the zone: it decides nothing, and what runs goes on.
+      if (keepsZone(report, node.election().certainUntil())) {
+        answer.accept(
+            ok(WorkerWire.reportResponse(node.election().term(), new WorkerWire.Orders())));
+        return;
+      }
+    }
+    boolean knowsNobody = known == null && !node.store().isHealthy() && report.token() > 0;
+    if (knowsNobody && keepsZone(report, startedAt)) {
+      // A process that begins in a zone that is cut off, or in an outage of the state service: any node
+      // may answer with the token that a worker has, and nobody can have a higher one there.
+      answer.accept(
+          ok(WorkerWire.reportResponse(report.token(), new WorkerWire.Orders())));
+      return;
+    }
     Instant now = node.time().now();
     if (other && !known.equals(redirectedTo)) {
       // That a worker did not reach an earlier leader says nothing of this one. Otherwise reports
@@ -160,8 +192,7 @@
   /**
    * Whether this node answers a report in place of a leader that it cannot reach: without that a zone
    * cut off from its leader would lose all its tasks. It gives no orders. No leader ever takes the
-   * end of a worker's lease as proof, so prolonging it is safe; for how long is bounded from when the
-   * leader last answered, so that what it lets users cancel afterwards ends in time.
+   * end of a worker's lease as proof, so prolonging it is safe.
    *
    * <p>The store need not confirm the term to a node of the worker's own zone: such a node is most
    * likely cut off along with the worker, and the next one is out of reach for both. Found on
@@ -170,8 +201,51 @@
   private boolean keepsAlive(RecordWire.LeaderRecord known, WorkerWire.Report report) {
     Duration longest = Election.longestKeepAlive(node.settings().workers());
     Instant leaderAt = node.membership().answeredAt(known.member());
-    return (node.store().isHealthy() || report.zone().equals(node.settings().zone()))
-        && leaderAt != null
-        && node.time().now().isBefore(leaderAt.plus(longest));
+    if (node.store().isHealthy()) {
+      return leaderAt != null && node.time().now().isBefore(leaderAt.plus(longest));
+    }
+    return keepsZone(report, leaderAt);
+  }
+
+  /**
+   * Whether this node, which reaches neither leader nor store, keeps a worker of its own zone: both are
+   * most likely cut off together. For as long as that lasts, since no user is told that a job is
+   * cancelled before nothing of it is anywhere. But it may be this node alone that is cut off, and the
+   * worker could reach a leader: so after a while each is sent to the others now and then, and comes
+   * back if nobody answers, well before its lease ends.
+   */
+  private boolean keepsZone(WorkerWire.Report report, Instant since) {
+    Instant now = node.time().now();
+    if (since == null
+        || !report.zone().equals(node.settings().zone())
+        || now.isAfter(since.plus(MOST_KEPT))) {
+      return false;
+    }
+    Settings.WorkerTimes workers = node.settings().workers();
+    if (now.isBefore(since.plus(Election.longestKeepAlive(workers)))) {
+      return true;
+    }
+    Duration round =
+        ELSEWHERE.multipliedBy(node.settings().peers().size())
+            .plus(workers.report().multipliedBy(5).dividedBy(4))
+            .plusSeconds(3);
+    if (round.compareTo(workers.lease()) > 0) {
+      return false;
+    }
+    Instant sent = rounds.get(report.machine());
+    if (sent == null) {
+      // Not all at the same time.
+      long spread = (long) (node.time().random().nextDouble() * ROUND.toMillis());
+      sent = now.minusMillis(spread);
+      rounds.put(report.machine(), sent);
+    }
+    if (sent.plus(ROUND).isAfter(now)) {
+      return true;
+    }
+    rounds.put(report.machine(), now);
+    if (rounds.size() > REDIRECTS_KEPT) {
+      rounds.remove(rounds.keySet().iterator().next());
+    }
+    return false;
   }
 }
--- a/src/main/java/io/pineladder/leadership/Election.java
+++ b/src/main/java/io/pineladder/leadership/Election.java
@@ -169,6 +169,11 @@
     return longest.isNegative() ? Duration.ZERO : longest;
   }
 
+  /** Until when this node was last certain to hold the term. */
+  public Instant certainUntil() {
+    return leaseUntil;
+  }
+
   /** Whether this node leads, or its doubt is young enough to go on answering reports. */
   public boolean mayKeepAlive() {
     return isValid() || (holdsTerm() && time.now().isBefore(leaseUntil.plus(keepAlive)));
--- a/src/main/java/io/pineladder/scheduling/Scheduler.java
+++ b/src/main/java/io/pineladder/scheduling/Scheduler.java
@@ -251,7 +251,25 @@
     job.moveTo(Job.State.CANCELLED);
     cluster.demandChanged(job);
     leaveQueue(job);
-    records.end(job);
+    killAll(job, Duration.ZERO);
+    endIfQuiet(job);
+  }
+
+  /**
+   * Stores that a job is cancelled once nothing of it holds room anywhere, so that no user is told
+   * sooner. Were it told at once its tasks would have to be gone in time, also where nobody can be
+   * reached, and no lease could be kept for longer than that: a zone that is cut off would lose all that
+   * runs in it for the few jobs that may have been cancelled.
+   */
+  private void endIfQuiet(Job job) {
+    if (job.state() != Job.State.CANCELLED || job.ending) {
+      return;
+    }
+    boolean quiet =
+        job.attempts.values().stream().allMatch(of -> of.stream().noneMatch(Attempt::holdsRoom));
+    if (quiet) {
+      records.end(job);
+    }
   }
 
   private void leaveQueue(Job job) {
@@ -391,6 +409,7 @@
     Job job = attempt.job;
     if (!job.isActive()) {
       attempt.forgettable = true;
+      endIfQuiet(job);
       forgetIfOver(job);
       return;
     }
@@ -465,6 +484,7 @@
   private void lost(Attempt attempt, boolean backoff) {
     Job job = attempt.job;
     if (!job.isActive()) {
+      endIfQuiet(job);
       forgetIfOver(job);
       return;
     }
