--- a/src/main/java/io/pineladder/admin/AdminApi.java
+++ b/src/main/java/io/pineladder/admin/AdminApi.java
@@ -82,7 +82,7 @@
     } else if (!method.equals("GET")) {
       answer.accept(error(405, "use GET"));
     } else if (path.equals(PREFIX + SNAPSHOT)) {
-      byte[] snapshot = node.takeSnapshot();
+      byte[] snapshot = node.records().takeSnapshot();
       answer.accept(
           snapshot == null
               ? error(503, "this node has not read all records yet")
@@ -225,7 +225,7 @@
 
   private void handIn(byte[] body, Consumer<HttpAnswer> answer) {
     try {
-      answer.accept(json(200, Json.object().put("jobs", node.handIn(body))));
+      answer.accept(json(200, Json.object().put("jobs", node.records().handIn(body))));
     } catch (MalformedException e) {
       answer.accept(error(400, e.getMessage()));
     }
@@ -233,8 +233,8 @@
 
   /** Where the records stand, as this node knows it. */
   private ObjectNode records() {
-    Generations generations = node.generations();
-    LiveCopy copy = node.copy();
+    Generations generations = node.records().generations();
+    LiveCopy copy = node.records().copy();
     Generations.Evidence evidence = generations.evidence();
     ObjectNode out =
         Json.object()
@@ -245,16 +245,16 @@
             .put("evidence", evidence == null ? null : evidence.name().toLowerCase(Locale.ROOT))
             .put("rebuilt", generations.progress());
     out.putObject("copy")
-        .put("state", node.follower().state().name().toLowerCase(Locale.ROOT))
+        .put("state", node.records().follower().state().name().toLowerCase(Locale.ROOT))
         .put("generation", copy.base())
         .put("revision", copy.revision())
         .put("whole", copy.isComplete())
         .put("records", copy.size())
         .put("final_states", copy.ends());
-    if (node.snapshots() != null) {
+    if (node.records().snapshots() != null) {
       out.putObject("snapshots")
-          .put("kept", node.snapshots().kept())
-          .put("failures", node.snapshots().failures());
+          .put("kept", node.records().snapshots().kept())
+          .put("failures", node.records().snapshots().failures());
     }
     return out;
   }
--- a/src/main/java/io/pineladder/front/Leaderless.java
+++ b/src/main/java/io/pineladder/front/Leaderless.java
@@ -71,17 +71,17 @@
       answer.accept(later("no leader"));
       return;
     }
-    if (!node.generations().isTrusted()
+    if (!node.records().generations().isTrusted()
         || node.store().generation().base() != 0
-            && (!node.copy().knowsEnds()
-                || node.copy().base() != node.store().generation().base())) {
+            && (!node.records().copy().knowsEnds()
+                || node.records().copy().base() != node.store().generation().base())) {
       // A job that was over before the loss could not be told from a new one.
       answer.accept(later("the records are rebuilt"));
       return;
     }
     String never = neverRuns(spec);
     String id = spec.id();
-    if (node.copy().end(id) != null) {
+    if (node.records().copy().end(id) != null) {
       read(id, false, answer);
       return;
     }
@@ -100,7 +100,7 @@
             .put(Keys.JOB + id, record)
             .put(Keys.INBOX + id, note)
             .bytes();
-    LiveCopy copy = node.copy();
+    LiveCopy copy = node.records().copy();
     node.store().changeForUser(
         node.store().post("/multi", body),
         2,
@@ -109,7 +109,7 @@
             log.debug("job {} accepted without a leader", id);
             copy.put(Keys.JOB + id, record, 0, true);
             copy.put(Keys.INBOX + id, note, 0, true);
-            node.acceptedHere(() -> submit(spec, again -> {}));
+            node.records().acceptedHere(() -> submit(spec, again -> {}));
             answer.accept(
                 new HttpAnswer(201, JobWire.view(id, JobWire.Status.PENDING)));
           } else if (reply.is(409)) {
@@ -122,11 +122,11 @@
 
   /** Answers from a fresh read of the store; a cancel gets an answer only when the job is over. */
   void read(String id, boolean cancel, Consumer<HttpAnswer> answer) {
-    if (!node.generations().isTrusted()) {
+    if (!node.records().generations().isTrusted()) {
       answer.accept(later("the records are rebuilt"));
       return;
     }
-    Job.State ended = node.copy().end(id);
+    Job.State ended = node.records().copy().end(id);
     if (ended != null) {
       tellState(id, cancel, ended, answer);
       return;
@@ -169,7 +169,7 @@
         end -> {
           if (!end.certain()) {
             answer.accept(later("no leader"));
-          } else if (!end.found() && node.mayBeLost(id)) {
+          } else if (!end.found() && node.records().mayBeLost(id)) {
             answer.accept(later("not certain yet"));
           } else if (!end.found()) {
             answer.accept(error(404, "no such job"));
--- a/src/main/java/io/pineladder/front/Reports.java
+++ b/src/main/java/io/pineladder/front/Reports.java
@@ -80,9 +80,9 @@
       answer.accept(error(400, e.getMessage()));
       return;
     }
-    node.generations().learnToken(report.token());
+    node.records().generations().learnToken(report.token());
     long keeping =
-        node.generations()
+        node.records().generations()
             .keepingToken(
                 report.token(), Election.longestKeepAlive(node.settings().workers()));
     if (keeping >= report.token() && keeping > 0) {
@@ -102,31 +102,11 @@
     }
     RecordWire.LeaderRecord known = node.election().known();
     boolean other = known != null && !known.member().equals(node.settings().member());
-    if (other
-        && node.membership().isUnreachable(known.member())
-        && report.token() <= node.election().knownTerm()
-        && (node.follower().isFresh() || keepsAlive(known, report))) {
+    long token = keptWith(report, known, other);
+    if (token > 0) {
       // At once: in a cut the way round the other nodes takes most of a lease.
       node.keeping().kept(report.machine(), report.zone());
-      answer.accept(
-          ok(WorkerWire.reportResponse(node.election().knownTerm(), endsOf(report))));
-      return;
-    }
-    boolean inDoubt = !other && node.election().holdsTerm();
-    if (inDoubt && report.token() <= node.election().term()) {
-      // The leader itself is cut off with the zone: it decides nothing, and what runs goes on.
-      if (keepsZone(report, node.election().certainUntil())) {
-        answer.accept(
-            ok(WorkerWire.reportResponse(node.election().term(), new WorkerWire.Orders())));
-        return;
-      }
-    }
-    boolean knowsNobody = known == null && !node.store().isHealthy() && report.token() > 0;
-    if (knowsNobody && keepsZone(report, startedAt)) {
-      // A process that begins in a zone that is cut off, or in an outage of the state service: any node
-      // may answer with the token that a worker has, and nobody can have a higher one there.
-      answer.accept(
-          ok(WorkerWire.reportResponse(report.token(), new WorkerWire.Orders())));
+      answer.accept(ok(WorkerWire.reportResponse(token, endsOf(report))));
       return;
     }
     Instant now = node.time().now();
@@ -172,6 +152,32 @@
         () -> answer.accept(new HttpAnswer(421, WorkerWire.redirect(null))));
   }
 
+  /**
+   * The token with which this node keeps a worker's lease in a leader's place; 0 when it does not. Any
+   * node may answer with a token that the worker has seen, and orders go with it only for what is over.
+   */
+  private long keptWith(
+      WorkerWire.Report report, RecordWire.LeaderRecord known, boolean other) {
+    Election election = node.election();
+    long theirs = Math.max(report.token(), election.knownTerm());
+    boolean stored = node.store().isHealthy();
+    if (other) {
+      if (!node.membership().isUnreachable(known.member())) {
+        return 0;
+      }
+      boolean follows = report.token() <= election.knownTerm() && node.records().follower().isFresh();
+      return follows || keepsAlive(known, report) ? theirs : 0;
+    }
+    if (election.holdsTerm()) {
+      // The leader itself is cut off with the zone: it decides nothing, and what runs goes on. A later
+      // leader's command that was held up may have shown the worker a higher token.
+      return !stored && keepsZone(report, election.certainUntil()) ? theirs : 0;
+    }
+    // A process that has begun in a zone that is cut off, or in an outage of the state service.
+    boolean nobody = known == null && !stored && report.token() > 0;
+    return nobody && keepsZone(report, startedAt) ? report.token() : 0;
+  }
+
   /**
    * Ends what is left there of jobs that are over. These are the only orders that a node gives in a
    * leader's place: a final state is stored and never undone, so no leader wants such a task to run on.
@@ -182,7 +188,7 @@
     WorkerWire.Orders orders = new WorkerWire.Orders();
     for (WorkerWire.TaskReport task : report.tasks()) {
       String job = task.task().job();
-      if (task.state() != WorkerWire.TaskState.EXITED && node.copy().end(job) != null) {
+      if (task.state() != WorkerWire.TaskState.EXITED && node.records().copy().end(job) != null) {
         orders.kill(job, task.task().index(), task.attempt(), Duration.ZERO);
       }
     }
@@ -202,7 +208,9 @@
     Duration longest = Election.longestKeepAlive(node.settings().workers());
     Instant leaderAt = node.membership().answeredAt(known.member());
     if (node.store().isHealthy()) {
-      return leaderAt != null && node.time().now().isBefore(leaderAt.plus(longest));
+      return report.token() <= node.election().knownTerm()
+          && leaderAt != null
+          && node.time().now().isBefore(leaderAt.plus(longest));
     }
     return keepsZone(report, leaderAt);
   }
--- a/src/main/java/io/pineladder/recovery/Generations.java
+++ b/src/main/java/io/pineladder/recovery/Generations.java
@@ -127,11 +127,16 @@
   private Instant adoptedAt;
   private boolean stopped;
 
+  /**
+   * The generations as one controller sees them.
+   *
+   * @param self this controller, with its process
+   */
   public Generations(
-      StoreClient store, Timeline time, String member, String nonce, Host host) {
+      StoreClient store, Timeline time, Generation.Writer self, Host host) {
     this.store = store;
     this.time = time;
-    this.self = new Generation.Writer(member, nonce);
+    this.self = self;
     this.host = host;
     this.retry = store.backoff();
     this.startedAt = time.now();
@@ -282,7 +287,7 @@
   }
 
   private void goOn(int of, long revision) {
-    if (isTrusted()) {
+    if (isTrusted() || state == State.DOUBTED) {
       store.watchGeneration(
           revision,
           WATCH,
@@ -315,8 +320,20 @@
       adopt(found);
     } else if (found.version() < present.version()) {
       lost(Evidence.GENERATION_BACK, "generation " + found.base() + " is named anew");
-    } else if (state == State.DOUBTED) {
-      moveTo(present.base() == 0 ? State.TRUSTED : State.REBUILT, "nothing is lost");
+    }
+  }
+
+  /** Something does not fit that may have another reason; it is being looked into. */
+  public void doubt(String why) {
+    if (isTrusted()) {
+      moveTo(State.DOUBTED, why);
+    }
+  }
+
+  /** What was looked into has another reason, or cannot be told now. */
+  public void cleared() {
+    if (state == State.DOUBTED) {
+      moveTo(store.generation().base() == 0 ? State.TRUSTED : State.REBUILT, "no loss is shown");
     }
   }
 
@@ -364,7 +381,7 @@
     evidence = shown;
     Generation present = store.generation();
     boolean rebuilding = state == State.REBUILDING && isMine(present) && present.exact();
-    boolean leads = isTrusted() && host.leads();
+    boolean leads = (isTrusted() || state == State.DOUBTED) && host.leads();
     atOnce = rebuilding || leads && !shown.tellsOfIgnorance();
     exact = atOnce && shown != Evidence.HANDED_IN;
     lostAt = time.now();
--- a/src/main/java/io/pineladder/snapshot/Snapshot.java
+++ b/src/main/java/io/pineladder/snapshot/Snapshot.java
@@ -60,6 +60,17 @@
     void fill(MessageBufferPacker out) throws IOException;
   }
 
+  /**
+   * Asks that it is a snapshot of this cluster.
+   *
+   * @throws MalformedException when it is of another
+   */
+  public void requireOf(String wanted) throws MalformedException {
+    if (!cluster.equals(wanted)) {
+      throw new MalformedException("a snapshot of the cluster " + cluster);
+    }
+  }
+
   /** The snapshot as bytes; nothing is left out. */
   public byte[] encode() {
     try (MessageBufferPacker out = MessagePack.newDefaultBufferPacker()) {
--- a/src/main/java/io/pineladder/snapshot/Snapshots.java
+++ b/src/main/java/io/pineladder/snapshot/Snapshots.java
@@ -191,7 +191,7 @@
       }
       try {
         Snapshot snapshot = Snapshot.decode(files.get(name));
-        check(snapshot);
+        snapshot.requireOf(cluster);
         List<Change> since = new ArrayList<>();
         String first = name("changes", snapshot);
         for (String each : names.tailSet(first, true)) {
@@ -210,14 +210,4 @@
     return null;
   }
 
-  /**
-   * Whether a snapshot is of this cluster.
-   *
-   * @throws MalformedException when it is not
-   */
-  public void check(Snapshot snapshot) throws MalformedException {
-    if (!snapshot.cluster().equals(cluster)) {
-      throw new MalformedException("a snapshot of the cluster " + snapshot.cluster());
-    }
-  }
 }
--- a/src/test/java/io/pineladder/sim/StateLossTest.java
+++ b/src/test/java/io/pineladder/sim/StateLossTest.java
@@ -114,7 +114,7 @@
     settle(Duration.ofSeconds(400));
     boolean rebuilt =
         controllers.stream()
-            .anyMatch(c -> c.node.generations().state() == Generations.State.REBUILT);
+            .anyMatch(c -> c.node.records().generations().state() == Generations.State.REBUILT);
     assertTrue(rebuilt || loss == Loss.NOTHING || loss.name().startsWith("DAMAGED"));
   }
 
@@ -172,7 +172,7 @@
     work(10);
     List<Rules.Known> before = List.copyOf(rules.jobs.values());
     world.runFor(Duration.ofSeconds(15));
-    byte[] kept = controllers.get(leading()).node.takeSnapshot();
+    byte[] kept = controllers.get(leading()).node.records().takeSnapshot();
     store.loseEverything();
     controllers.forEach(each -> kill(each, 6_000 + each.index * 300L));
     // Users who ask meanwhile are told that nothing is certain.
@@ -180,10 +180,10 @@
     Node leader = controllers.get(leading()).node;
     byte[] damaged = kept.clone();
     damaged[damaged.length / 2] ^= 1;
-    assertThrows(MalformedException.class, () -> leader.handIn(damaged));
+    assertThrows(MalformedException.class, () -> leader.records().handIn(damaged));
     assertThrows(
-        MalformedException.class, () -> leader.handIn(Arrays.copyOf(kept, kept.length / 2)));
-    assertTrue(leader.handIn(kept) > 0);
+        MalformedException.class, () -> leader.records().handIn(Arrays.copyOf(kept, kept.length / 2)));
+    assertTrue(leader.records().handIn(kept) > 0);
     work(5);
     settle(Duration.ofSeconds(400));
     assertTrue(before.stream().allMatch(job -> job.accepted));
