A controller that alone is cut off from the store keeps no worker from the others

Cause: with leases kept inside a zone for as long as it is cut, a leader that the state service alone refused went on answering its zone's workers for up to a minute after another led, and one that a worker had told of a higher token waited for a read of the store that could not come.

Change: nothing is kept once a peer that is heard reaches the store; a term ends by a higher token also where the store does not tell whose it is.

--- a/src/main/java/io/pineladder/front/Reports.java
+++ b/src/main/java/io/pineladder/front/Reports.java
@@ -218,13 +218,15 @@
   /**
    * Whether this node, which reaches neither leader nor store, keeps a worker of its own zone: both are
    * most likely cut off together. For as long as that lasts, since no user is told that a job is
-   * cancelled before nothing of it is anywhere. But it may be this node alone that is cut off, and the
-   * worker could reach a leader: so after a while each is sent to the others now and then, and comes
+   * cancelled before nothing of it is anywhere. But it may be this node alone that is cut off, peers and
+   * all, and the worker could reach a leader: so after a while each is sent to the others now and then, and comes
    * back if nobody answers, well before its lease ends.
    */
   private boolean keepsZone(WorkerWire.Report report, Instant since) {
     Instant now = node.time().now();
     if (since == null
+        // A peer that reaches the store has a leader or will: this node alone is cut off.
+        || node.membership().hearsOfStore()
         || !report.zone().equals(node.settings().zone())
         || now.isAfter(since.plus(MOST_KEPT))) {
       return false;
--- a/src/main/java/io/pineladder/membership/Membership.java
+++ b/src/main/java/io/pineladder/membership/Membership.java
@@ -436,6 +436,12 @@
     return peers.values().stream().allMatch(p -> p.answeredAt != null || p.misses > 0);
   }
 
+  /** Whether some peer that is up has told that the state service answers it. */
+  public boolean hearsOfStore() {
+    return peers.values().stream()
+        .anyMatch(p -> p.state == State.UP && p.told != null && p.told.storeOk());
+  }
+
   /** When the latest beat that the peer answered was sent; null for never. */
   public Instant answeredAt(String member) {
     Peer peer = peers.get(member);
--- a/src/main/java/io/pineladder/recovery/RecordKeeping.java
+++ b/src/main/java/io/pineladder/recovery/RecordKeeping.java
@@ -247,7 +247,8 @@
             return;
           }
           generations.cleared();
-          if (leads.getAsBoolean() && read.certain()) {
+          if (leads.getAsBoolean()) {
+            // Also where the store does not tell: whoever has the higher token leads, and not this node.
             lose.run();
           }
         });
