A cut right after a takeover is seen at once, and ends only when some are heard

Change: what need not report yet says nothing of its zone; a cut ends once a fifth of the zone is heard.

--- a/src/main/java/io/pineladder/fleet/Silence.java
+++ b/src/main/java/io/pineladder/fleet/Silence.java
@@ -107,6 +107,11 @@
         continue;
       }
       up++;
+      if (since.isAfter(now)) {
+        // It need not report yet, so it says nothing of its zone. Found on laval-fleet: right after a
+        // takeover idle machines hid that none of those with tasks was heard, which were given up.
+        continue;
+      }
       ZoneSilence zone = byZone.computeIfAbsent(machine.zone, z -> new ZoneSilence());
       zone.up++;
       boolean heard = machine.heardAt != null && machine.heardAt.plus(lately).isAfter(now);
--- a/src/main/java/io/pineladder/zones/Zone.java
+++ b/src/main/java/io/pineladder/zones/Zone.java
@@ -51,6 +51,11 @@
       return inside * 2 >= up;
     }
 
+    /** Some are heard again: that fewer are overdue may only mean that more have to report by now. */
+    boolean isHeardAgain() {
+      return up > 0 && lately * 5 >= up;
+    }
+
     boolean isBack() {
       return lately * 10 >= up * 9;
     }
@@ -107,7 +112,7 @@
             yield counts.isDoubtful() ? State.DOUBTED : State.UP;
           }
           case CUT, APART -> {
-            if (!counts.isCut()) {
+            if (counts.isHeardAgain()) {
               yield State.RETURNING;
             }
             yield counts.isHeardInside() ? State.APART : State.CUT;
