--- a/src/main/java/io/pineladder/recovery/Generations.java
+++ b/src/main/java/io/pineladder/recovery/Generations.java
@@ -489,10 +489,13 @@
     }
     for (Membership.View peer : host.peers()) {
       Stored told = peer.stored();
-      boolean better =
+      boolean newer =
           told.copyBase() > mine.base()
               || (told.copyBase() == mine.base() && told.copied() > mine.revision());
-      if (peer.state() == Membership.State.UP && told.complete() && better) {
+      // A copy that is not whole is still more than one that has less. Found with real processes: in a
+      // cluster's first seconds none is, and one that had read nothing yet wrote that.
+      boolean better = told.complete() == mine.isComplete() ? newer : told.complete();
+      if (peer.state() == Membership.State.UP && better) {
         return true;
       }
     }
--- a/src/main/java/io/pineladder/snapshot/Snapshots.java
+++ b/src/main/java/io/pineladder/snapshot/Snapshots.java
@@ -53,6 +53,10 @@
   private ByteArrayOutputStream gathered = new ByteArrayOutputStream();
   private boolean flushSet;
   private boolean encoding;
+
+  /** The copy has changed while a snapshot of the one before was made. */
+  private boolean again;
+
   private boolean stopped;
 
   private static final Comparator<String> BY_AGE =
@@ -135,7 +139,11 @@
 
   /** The copy is another one from here on, so a new snapshot is made of it. */
   public void renew() {
-    if (!encoding && !stopped) {
+    if (encoding) {
+      // Changes of the new copy must not follow a snapshot of the one before.
+      changes = null;
+      again = true;
+    } else if (!stopped) {
       make();
     }
   }
@@ -159,6 +167,10 @@
           names.add(name);
           names.add(name("changes", snapshot));
           dropOld();
+          if (again && !stopped) {
+            again = false;
+            make();
+          }
         });
   }
 
--- a/src/test/java/io/pineladder/sim/StateLossTest.java
+++ b/src/test/java/io/pineladder/sim/StateLossTest.java
@@ -16,6 +16,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -184,6 +185,22 @@
     settle(Duration.ofSeconds(60));
   }
 
+  /** Found with real processes: whoever had read nothing yet wrote that, and jobs were gone. */
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3, 4, 5, 6})
+  void aLossInAClustersFirstSecondsIsRebuiltByWhoKnowsMost(long seed) {
+    begin(90 + seed);
+    losesData = true;
+    world.runFor(Duration.ofMillis(300));
+    for (int i = 0; i < 10; i++) {
+      submit(randomJob());
+      world.runFor(Duration.ofMillis(10 * seed));
+    }
+    store.loseEverything();
+    work(5);
+    settle(Duration.ofSeconds(400));
+  }
+
   /** Nothing is left but a file that an operator has kept. */
   @Test
   void aSnapshotThatIsHandedInBringsJobsBack() throws Exception {
