Second reading: one test for a cut, one way to the next page, one look for what is missing

Cause: the same tests stood twice: whether a zone is cut (Silence and Zones), which key the next page of a list begins after (four places), what is confirmed as missing (two), all final states of a copy (three).

--- a/src/main/java/io/pineladder/fleet/Silence.java
+++ b/src/main/java/io/pineladder/fleet/Silence.java
@@ -72,10 +72,6 @@
     int overdue;
     int heardLately;
 
-    boolean isCut() {
-      return overdue >= 3 && overdue * 3 > up && heardLately * 5 < up;
-    }
-
     /** Many at once are cut off or hang rather than have stopped one by one. */
     boolean isManyAtOnce() {
       return overdue >= 3 && overdue * 20 > up;
@@ -143,9 +139,10 @@
     // Once a cut is over the first that are heard say nothing of the rest, which are on their way.
     byZone.forEach(
         (zone, heard) -> {
-          zones.review(
-              zone, heard.up, heard.overdue, heard.heardLately, effects.heardInside(zone), now);
-          if (heard.isCut()) {
+          boolean cut =
+              zones.review(
+                  zone, heard.up, heard.overdue, heard.heardLately, effects.heardInside(zone), now);
+          if (cut) {
             cutUntil.put(zone, now.plus(allowed));
           }
         });
--- a/src/main/java/io/pineladder/fleet/ZonePlan.java
+++ b/src/main/java/io/pineladder/fleet/ZonePlan.java
@@ -61,7 +61,6 @@
       // No zone lives to go by, and machines that have all died would never be given up.
       return lost;
     }
-    double room = spare;
     List<Machine> ordered = new ArrayList<>();
     Map<Machine, Integer> urgency = new HashMap<>();
     for (Machine machine : lost) {
@@ -71,7 +70,7 @@
         continue;
       }
       int rank = mostUrgentElsewhere(machine);
-      if (rank >= 0 && servesSooner(machine, room, now)) {
+      if (rank >= 0 && servesSooner(machine, spare, now)) {
         ordered.add(machine);
         urgency.put(machine, rank);
       }
--- a/src/main/java/io/pineladder/recovery/Follower.java
+++ b/src/main/java/io/pineladder/recovery/Follower.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.SortedMap;
 import java.util.function.Consumer;
 
 /**
@@ -178,9 +179,8 @@
           boolean own = state == State.LISTING;
           revision = revision < 0 ? page.revision() : revision;
           page.entries().forEach(e -> copy.put(e.key(), e.value(), e.version(), own));
-          if (page.more() && !page.entries().isEmpty()) {
-            String last = page.entries().get(page.entries().size() - 1).key();
-            after(PACE, of, () -> list(of, prefix, last));
+          if (page.next() != null) {
+            after(PACE, of, () -> list(of, prefix, page.next()));
             return;
           }
           copy.endsRead();
@@ -226,17 +226,12 @@
           if (page != null) {
             Set<String> there = new HashSet<>();
             page.entries().forEach(e -> there.add(e.key().substring(Keys.END.length())));
-            boolean more = page.more() && !page.entries().isEmpty();
-            last =
-                more
-                    ? page.entries()
-                        .get(page.entries().size() - 1)
-                        .key()
-                        .substring(Keys.END.length())
-                    : null;
+            String next = page.next();
+            last = next == null ? null : next.substring(Keys.END.length());
             for (String job : copy.endsBetween(after, last)) {
               if (!there.contains(job)) {
-                confirmMissing(of, job);
+                // It may have been stored after the page was read.
+                confirm(of, Keys.END + job, 1);
                 break;
               }
             }
@@ -245,17 +240,6 @@
         });
   }
 
-  /** It may have been stored after the page was read; what it tells now is certain. */
-  private void confirmMissing(int of, String job) {
-    store.read(
-        Keys.END + job,
-        read -> {
-          if (of == round && read.certain() && !read.found()) {
-            listener.onMissing(Keys.END + job);
-          }
-        });
-  }
-
   /** Every third request compares pages or final states in place of following. */
   private void step(int of) {
     turn = (turn + 1) % 6;
@@ -280,9 +264,9 @@
    */
   private void compare(int of) {
     int most = Math.min(MOST_COMPARED, 4 * store.limits().transactionOps() - 1);
-    Map<String, Long> asked = copy.pages(comparedTo, most);
+    SortedMap<String, Long> asked = copy.pages(comparedTo, most);
     comparedTo =
-        asked.size() < most ? null : asked.keySet().stream().reduce((a, b) -> b).get();
+        asked.size() < most ? null : asked.lastKey();
     StoreWire.Transaction compare = store.transaction();
     asked.forEach(compare::require);
     store.compare(
@@ -294,7 +278,7 @@
           for (String key : failed == null ? List.<String>of() : failed) {
             Long before = differed.put(key, asked.getOrDefault(key, 0L));
             if (before != null && before == copy.version(key) && asked.containsKey(key)) {
-              confirm(of, key);
+              confirm(of, key, copy.version(key));
             }
           }
           if (failed != null) {
@@ -304,8 +288,8 @@
         });
   }
 
-  private void confirm(int of, String key) {
-    long known = copy.version(key);
+  /** Reads a record that seems to be older than this revision, or missing; what it tells is certain. */
+  private void confirm(int of, String key, long known) {
     store.read(
         key,
         read -> {
--- a/src/main/java/io/pineladder/recovery/Generations.java
+++ b/src/main/java/io/pineladder/recovery/Generations.java
@@ -46,6 +46,9 @@
   /** A controller that rebuilds and cannot be reached is waited for so long. */
   private static final Duration ABANDONED = Duration.ofSeconds(5);
 
+  /** A pause after which something that is not answered is worth another look. */
+  private static final Duration LOOK = Duration.ofMillis(500);
+
   /** Where the records stand, as far as this controller knows. */
   public enum State {
     /** Which generation counts has not been read. */
@@ -294,7 +297,7 @@
           reply ->
               time.after(reply.is(200) ? Duration.ZERO : retry.pause(), () -> read(of)));
     } else {
-      time.after(ImageWriter.LOOK, () -> read(of));
+      time.after(LOOK, () -> read(of));
     }
   }
 
@@ -402,7 +405,7 @@
       return;
     }
     if (defers()) {
-      lookThen(of, () -> time.after(ImageWriter.LOOK, () -> name(of)));
+      lookThen(of, () -> time.after(LOOK, () -> name(of)));
     } else if (atOnce) {
       lookThen(of, () -> claim(of));
     } else {
@@ -426,9 +429,8 @@
             return;
           }
           found.addAll(page.entries());
-          if (page.more() && !page.entries().isEmpty()) {
-            String last = page.entries().get(page.entries().size() - 1).key();
-            collect(of, found, last);
+          if (page.next() != null) {
+            collect(of, found, page.next());
             return;
           }
           if (of == round && state == State.LOST) {
@@ -518,7 +520,7 @@
             return;
           }
           // Whatever came of it stands in the store now.
-          lookThen(of, () -> time.after(ImageWriter.LOOK, () -> name(of)));
+          lookThen(of, () -> time.after(LOOK, () -> name(of)));
         });
   }
 
--- a/src/main/java/io/pineladder/recovery/ImageWriter.java
+++ b/src/main/java/io/pineladder/recovery/ImageWriter.java
@@ -7,7 +7,6 @@
 import io.pineladder.wire.Json;
 import io.pineladder.wire.RecordWire;
 import io.pineladder.wire.StoreWire;
-import java.time.Duration;
 import java.util.List;
 import java.util.function.Consumer;
 
@@ -133,7 +132,4 @@
     over = true;
     onEnd.accept(good);
   }
-
-  /** A pause after which something that is not answered is worth another look. */
-  static final Duration LOOK = Duration.ofMillis(500);
 }
--- a/src/main/java/io/pineladder/recovery/LiveCopy.java
+++ b/src/main/java/io/pineladder/recovery/LiveCopy.java
@@ -15,11 +15,11 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.NavigableMap;
 import java.util.Set;
+import java.util.SortedMap;
 import java.util.TreeMap;
 import java.util.function.Supplier;
 import java.util.regex.Pattern;
@@ -112,8 +112,7 @@
 
   /** The copy as it is now; later changes do not show in it. */
   public Snapshot snapshot(String cluster, Instant at) {
-    Map<String, Job.State> all = new TreeMap<>(packed);
-    all.putAll(ends);
+    Map<String, Job.State> all = allEnds();
     return new Snapshot(cluster, base, revision, at, new TreeMap<>(records), all);
   }
 
@@ -269,23 +268,15 @@
     }
     for (String prefix : NEVER_REMOVED) {
       for (Map.Entry<String, Value> each : under(prefix).entrySet()) {
+        // Revisions are 0 in a copy that was just written anew: that it is there counts then.
         Value there = newer.records.get(each.getKey());
         if (there == null || there.version < each.getValue().version) {
           return each.getKey();
         }
       }
     }
-    for (String job : ends.keySet()) {
-      if (newer.end(job) == null) {
-        return Keys.END + job;
-      }
-    }
-    for (String job : packed.keySet()) {
-      if (newer.end(job) == null) {
-        return Keys.END + job;
-      }
-    }
-    return null;
+    Map<String, Job.State> missing = endsMissingIn(newer);
+    return missing.isEmpty() ? null : Keys.END + missing.keySet().iterator().next();
   }
 
   /**
@@ -341,10 +332,15 @@
     return prefix + (Long.parseLong(key.substring(prefix.length())) + ABOVE);
   }
 
+  private Map<String, Job.State> allEnds() {
+    Map<String, Job.State> all = new TreeMap<>(packed);
+    all.putAll(ends);
+    return all;
+  }
+
   /** Final states that a copy of another generation lacks; they hold in every generation. */
   public Map<String, Job.State> endsMissingIn(LiveCopy other) {
-    Map<String, Job.State> missing = new TreeMap<>(packed);
-    missing.putAll(ends);
+    Map<String, Job.State> missing = allEnds();
     missing.keySet().removeIf(job -> other.end(job) != null);
     return missing;
   }
@@ -354,8 +350,8 @@
    *
    * @param after the last key of those before, or null
    */
-  Map<String, Long> pages(String after, int most) {
-    Map<String, Long> found = new LinkedHashMap<>();
+  SortedMap<String, Long> pages(String after, int most) {
+    SortedMap<String, Long> found = new TreeMap<>();
     for (String prefix : NEVER_REMOVED) {
       for (Map.Entry<String, Value> each : under(prefix).entrySet()) {
         if (found.size() < most && (after == null || each.getKey().compareTo(after) > 0)) {
@@ -518,8 +514,7 @@
             log.error("the copy of {} cannot be read and is left out", key);
           }
         });
-    Map<String, Job.State> all = new TreeMap<>(packed);
-    all.putAll(ends);
+    Map<String, Job.State> all = allEnds();
     int pages = 0;
     for (Job.State state : List.of(Job.State.DONE, Job.State.CANCELLED)) {
       List<String> ids = new ArrayList<>();
--- a/src/main/java/io/pineladder/snapshot/Snapshots.java
+++ b/src/main/java/io/pineladder/snapshot/Snapshots.java
@@ -139,9 +139,10 @@
 
   /** The copy is another one from here on, so a new snapshot is made of it. */
   public void renew() {
+    // Changes of the new copy must not follow a snapshot of the one before.
+    flush();
+    changes = null;
     if (encoding) {
-      // Changes of the new copy must not follow a snapshot of the one before.
-      changes = null;
       again = true;
     } else if (!stopped) {
       make();
@@ -221,5 +222,4 @@
     }
     return null;
   }
-
 }
--- a/src/main/java/io/pineladder/store/Committer.java
+++ b/src/main/java/io/pineladder/store/Committer.java
@@ -471,7 +471,7 @@
     if (state == State.CLOSED) {
       return;
     }
-    Map<String, Long> asked = new LinkedHashMap<>();
+    TreeMap<String, Long> asked = new TreeMap<>();
     StoreWire.Transaction compare = store.transaction().require(Keys.LEADER, version);
     int most = Math.min(MOST_AUDITED, 4 * store.limits().transactionOps() - 2);
     var rest = after == null ? versions : versions.tailMap(after, false);
@@ -484,7 +484,7 @@
         compare.require(each.getKey(), each.getValue());
       }
     }
-    String last = asked.size() < most ? null : asked.keySet().stream().reduce((a, b) -> b).get();
+    String last = asked.size() < most ? null : asked.lastKey();
     store.compare(
         compare,
         failed -> {
--- a/src/main/java/io/pineladder/store/StoreClient.java
+++ b/src/main/java/io/pineladder/store/StoreClient.java
@@ -425,10 +425,8 @@
         entries.addAll(page.entries());
         // Changes made while later pages are read are seen again by following from the first.
         revision = revision < 0 ? page.revision() : revision;
-        complete = !page.more() || page.entries().isEmpty();
-        if (!complete) {
-          after = page.entries().get(page.entries().size() - 1).key();
-        }
+        after = page.next();
+        complete = after == null;
         return true;
       } catch (MalformedException e) {
         return false;
--- a/src/main/java/io/pineladder/wire/StoreWire.java
+++ b/src/main/java/io/pineladder/wire/StoreWire.java
@@ -22,7 +22,12 @@
   public record Entry(String key, JsonNode value, long version) {}
 
   /** A page of keys, as of {@code revision}. */
-  public record Page(List<Entry> entries, boolean more, long revision) {}
+  public record Page(List<Entry> entries, boolean more, long revision) {
+    /** The key after which the next page begins; null when this is the last one. */
+    public String next() {
+      return more && !entries.isEmpty() ? entries.get(entries.size() - 1).key() : null;
+    }
+  }
 
   /** Changes up to {@code revision}; a deletion has a null value. */
   public record Changes(long revision, List<Entry> entries) {}
--- a/src/main/java/io/pineladder/zones/Zones.java
+++ b/src/main/java/io/pineladder/zones/Zones.java
@@ -24,11 +24,14 @@
    * @param overdue those of them that are late
    * @param lately those heard since the first of them was missed
    * @param inside those that another controller hears, as it has told lately
+   * @return whether hardly any of them is heard
    */
-  public void review(String name, int up, int overdue, int lately, int inside, Instant now) {
+  public boolean review(String name, int up, int overdue, int lately, int inside, Instant now) {
     Zone zone = zones.computeIfAbsent(name, n -> new Zone(n, now));
-    zone.review(new Zone.Counts(up, overdue, lately, inside), now);
+    Zone.Counts counts = new Zone.Counts(up, overdue, lately, inside);
+    zone.review(counts, now);
     heard.put(name, lately > 0 || up == 0);
+    return counts.isCut();
   }
 
   /** Whether this node hears nothing of some zone. */
