Arrays that can wait stop no work of which something is expected

An array now makes others stop only once its slack is shorter than another machine takes to boot and fetch; before that only work without any objective. Gangs, services and what is within a guarantee are as before.

--- a/src/main/java/io/pineladder/model/MachineType.java
+++ b/src/main/java/io/pineladder/model/MachineType.java
@@ -12,4 +12,15 @@
     double price,
     double spotPrice,
     Duration boot,
-    List<String> zones) {}
+    List<String> zones) {
+
+  /** How long an image of so many GB takes to get there, when it has the whole rate. */
+  public Duration fetchTime(double imageGb) {
+    return Duration.ofMillis((long) (imageGb / Math.max(1e-3, fetchGbPerSecond) * 1000));
+  }
+
+  /** What it costs an hour. */
+  public double price(boolean spot) {
+    return spot ? spotPrice : price;
+  }
+}
--- a/src/main/java/io/pineladder/scheduling/Cluster.java
+++ b/src/main/java/io/pineladder/scheduling/Cluster.java
@@ -31,6 +31,9 @@
   /** A loss that is likelier than this is worth the price of ordinary machines. */
   private static final double LIKELY = 0.1;
 
+  /** Work for idle time that has waited so long gets ordinary machines after all. */
+  private static final Duration IDLE_TIME_WAITS = Duration.ofMinutes(10);
+
   public final Settings settings;
   public final Map<String, Job> jobs = new LinkedHashMap<>();
   private final NavigableMap<String, Machine> machines = new TreeMap<>();
@@ -112,6 +115,29 @@
     return objectives.expectNothingOf(job);
   }
 
+  /** How soon a machine rented now that the job may use would have its image; zero if there is none. */
+  public Duration soonestElsewhere(JobSpec spec) {
+    Duration soonest = null;
+    for (MachineType type : types.values()) {
+      if (spec.allowsType(type.name()) && spec.each().fitsIn(type.size())) {
+        Duration ready = type.boot().plus(type.fetchTime(spec.imageGb()));
+        soonest = soonest == null || ready.compareTo(soonest) < 0 ? ready : soonest;
+      }
+    }
+    return soonest == null ? Duration.ZERO : soonest;
+  }
+
+  /**
+   * Work of the lowest rank of which nothing is expected: it fills what is idle and spot machines.
+   * Found on colombo-ops: a guest's work for idle time had every ordinary machine rented.
+   */
+  public boolean isForIdleTime(Job job, Instant timeOfDay) {
+    return job.spec.rank() == Rank.LOW
+        && job.spec.deadline() == null
+        && hasNoObjective(job)
+        && job.acceptedAt.plus(IDLE_TIME_WAITS).isAfter(timeOfDay);
+  }
+
   public Team team(String name) {
     return teams.get(name);
   }
--- a/src/main/java/io/pineladder/scheduling/Preemptor.java
+++ b/src/main/java/io/pineladder/scheduling/Preemptor.java
@@ -50,9 +50,12 @@
    * Room for up to so many tasks of the job, each on a machine of its own where its image takes at
    * most so long to arrive; the cheapest first. One look at the fleet serves them all: a look for
    * each stopped a leader for seconds when a large job was turned away.
+   *
+   * @param presses whether work of which something is expected may be stopped for it
    */
-  List<Plan> plans(Job job, int wanted, double mostFetchSeconds, Instant now) {
-    Look look = new Look(job, now);
+  List<Plan> plans(
+      Job job, int wanted, double mostFetchSeconds, boolean presses, Instant now) {
+    Look look = new Look(job, presses, now);
     List<Plan> plans = new ArrayList<>();
     for (Machine machine : cluster.machines()) {
       if (!machine.takesWork()
@@ -82,7 +85,7 @@
     if (spec.spread()) {
       return List.of();
     }
-    Look look = new Look(job, now);
+    Look look = new Look(job, true, now);
     Map<String, List<Plan>> zones = new LinkedHashMap<>();
     for (Machine machine : cluster.machines()) {
       if (!machine.takesWork() || !Placer.isAllowed(job, machine)) {
@@ -121,12 +124,14 @@
     private final Job job;
     private final Instant now;
     private final boolean guaranteed;
+    private final boolean presses;
 
     /** What speaks against stopping any task of a job, in seconds; infinite if that may not be. */
     private final Map<Job, Double> penalties = new IdentityHashMap<>();
 
-    Look(Job job, Instant now) {
+    Look(Job job, boolean presses, Instant now) {
       this.job = job;
+      this.presses = presses;
       this.now = now;
       Team team = cluster.team(job.spec.team());
       guaranteed =
@@ -138,7 +143,8 @@
     }
 
     private double penalty(Job victim) {
-      if (!mayDisplace(job, victim, guaranteed)) {
+      if (!mayDisplace(job, victim, guaranteed)
+          || !(presses || cluster.hasNoObjective(victim))) {
         return Double.POSITIVE_INFINITY;
       }
       return cluster.objectives().breaksByRestart(victim, time.timeOfDay()) ? LATE : 0;
--- a/src/main/java/io/pineladder/scheduling/RoomMaker.java
+++ b/src/main/java/io/pineladder/scheduling/RoomMaker.java
@@ -63,7 +63,7 @@
     List<Preemptor.Plan> plans =
         gang
             ? preemptor.gangPlans(job, now)
-            : preemptor.plans(job, lacking, mostFetchSeconds, now);
+            : preemptor.plans(job, lacking, mostFetchSeconds, presses(job), now);
     Instant looked = time.now();
     looksFrom = looked.plus(Duration.between(begun, looked).multipliedBy(LOOKS_PART - 1));
     for (Preemptor.Plan plan : plans) {
@@ -75,6 +75,21 @@
     return !plans.isEmpty();
   }
 
+  /**
+   * Whether the job cannot wait until other room is had. The tasks of an array can: room comes free all
+   * the time, and another machine boots. So those that have longer than that until they should start stop
+   * only work of which nothing is expected. Found on galleharbour, where two of five tasks of low rank were
+   * stopped, many of them several times, for jobs that had minutes left.
+   */
+  private boolean presses(Job job) {
+    if (job.spec.shape() != Shape.ARRAY || cluster.isGuaranteed(job)) {
+      return true;
+    }
+    Instant today = time.timeOfDay();
+    Duration slack = Duration.between(today, job.acceptedAt.plus(cluster.allowance(job, today)));
+    return slack.compareTo(cluster.soonestElsewhere(job.spec)) < 0;
+  }
+
   /**
    * There is room, but fetching the image there would make the task late, while work of lower
    * priority sits where the image is: then that work makes way, and the entry waits for it.
