Machines are chosen by price among all types and kinds; ordinary ones only for arrays that would be late

With several types only the cheapest by list price was ever asked for, and where its spot machines were refused its ordinary ones were rented, at more than four times the price of the other type's spot machines. Demand is kept at list prices, so types compare; what waits takes its part of what boots, then the cheapest kind that can be had. Arrays that may use spot machines are taken for work that flows through the capacity by priority (Backlog): ordinary machines are rented for what would be late, and take no more work once all is in time without them. Refusals count for longer where kinds are many and calls few.

--- /dev/null
+++ b/src/main/java/io/pineladder/fleet/Demand.java
@@ -0,0 +1,310 @@
+package io.pineladder.fleet;
+
+import io.pineladder.model.Attempt;
+import io.pineladder.model.Job;
+import io.pineladder.model.JobSpec;
+import io.pineladder.model.Machine;
+import io.pineladder.model.MachineType;
+import io.pineladder.model.Rank;
+import io.pineladder.model.Resources;
+import io.pineladder.model.Shape;
+import io.pineladder.model.Team;
+import io.pineladder.queue.Check;
+import io.pineladder.queue.QueueEntry;
+import io.pineladder.scheduling.Cluster;
+import io.pineladder.scheduling.Scheduler;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.BiFunction;
+import java.util.function.ToDoubleFunction;
+
+/**
+ * What machines the jobs that found no room want, as seen at one moment. Each takes what it lacks from the
+ * machines that boot, then from the cheapest kind for it that can be had. Arrays that may use spot machines
+ * can wait: room comes free all the time, so an ordinary machine, several times as dear, is worth its price
+ * only if they would be late without it. Found on galleharbour, where most of the money went to ordinary
+ * machines for work that had minutes left.
+ */
+final class Demand {
+  /** Work that is to be late by less than this part of its run time is taken for late: estimates are off. */
+  private static final double MARGIN = 0.5;
+
+  /** A kind of machine that can be rented, by the name of its type, since prices move. */
+  record Kind(String type, boolean spot) {}
+
+  /** Machines wanted of a kind, and for which zone if their jobs have one. */
+  static final class Want {
+    double machines;
+    final Map<String, Double> zones = new HashMap<>();
+
+    String heaviestZone() {
+      return zones.entrySet().stream()
+          .max(Map.Entry.comparingByValue())
+          .map(Map.Entry::getKey)
+          .orElse(null);
+    }
+  }
+
+  /** What waits of one job: tasks that found no room, within what its team may use. */
+  private record Waiting(Job job, int count, Instant due) {}
+
+  private final Cluster cluster;
+  private final Instant now;
+  private final Instant today;
+  private final BiFunction<Boolean, JobSpec, MachineType> cheapest;
+  private final Map<Kind, Double> booting = new HashMap<>();
+  private final Map<Kind, Want> wants = new LinkedHashMap<>();
+
+  /** Ordinary machines with nothing on them but tasks that may wait. */
+  private final List<Machine> flexible = new ArrayList<>();
+
+  private double capacity;
+  private double running;
+  private Backlog backlog;
+
+  /** The first job that an ordinary machine would help, or null. */
+  private JobSpec pressing;
+
+  /** At list prices an hour: what is wanted, boots, and is free; of ordinary machines, then of spot ones. */
+  private final double[] wanted = new double[2];
+
+  private final double[] coming = new double[2];
+  private final double[] free = new double[2];
+
+  /**
+   * A look at the cluster.
+   *
+   * @param freePart the part of a machine that is free
+   * @param cheapest the type that serves a job best of those that can be had, spot machines or not; null
+   *     for none
+   */
+  Demand(
+      Cluster cluster,
+      Scheduler scheduler,
+      BootTimes boots,
+      ToDoubleFunction<Machine> freePart,
+      Instant now,
+      Instant today,
+      BiFunction<Boolean, JobSpec, MachineType> cheapest) {
+    this.cluster = cluster;
+    this.now = now;
+    this.today = today;
+    this.cheapest = cheapest;
+    for (Machine machine : cluster.machines()) {
+      count(machine, boots, freePart);
+    }
+    backlog = new Backlog(capacity, running);
+    waiting(scheduler).forEach(this::want);
+  }
+
+  /** What a task takes of such a machine, at its list price an hour. */
+  static double worth(JobSpec spec, MachineType type) {
+    return type.price() / Math.max(1, spec.each().countIn(type.size()));
+  }
+
+  /** Machines wanted of each kind by jobs that cannot wait, or of spot machines. */
+  Map<Kind, Want> wants() {
+    return wants;
+  }
+
+  /** What is wanted, at list prices an hour, whatever boots. */
+  double wanted(boolean spot) {
+    return wanted[kind(spot)];
+  }
+
+  /** What boots, at list prices an hour. */
+  double coming(boolean spot) {
+    return coming[kind(spot)];
+  }
+
+  /** What is free on machines that take work, at list prices an hour. */
+  double free(boolean spot) {
+    return free[kind(spot)];
+  }
+
+  /** What is to be added in ordinary machines for arrays that would be late, at list prices an hour. */
+  double lacking() {
+    return backlog.lacking();
+  }
+
+  JobSpec pressing() {
+    return pressing;
+  }
+
+  /** Ordinary machines that serve only arrays that can wait, and how much of them is needed in time. */
+  List<Machine> flexible() {
+    return flexible;
+  }
+
+  double needed(double ofFlexible) {
+    return backlog.needed(ofFlexible);
+  }
+
+  // ---- what there is
+
+  private static double seconds(Duration duration) {
+    return duration.toMillis() / 1000.0;
+  }
+
+  private static int kind(boolean spot) {
+    return spot ? 1 : 0;
+  }
+
+  private void count(
+      Machine machine, BootTimes boots, ToDoubleFunction<Machine> freePart) {
+    double price = machine.type.price();
+    switch (machine.state()) {
+      case EXPECTED, HEARD -> {
+        double counts = boots.weight(machine, now);
+        booting.merge(new Kind(machine.type.name(), machine.spot), counts, Double::sum);
+        coming[kind(machine.spot)] += counts * price;
+        capacity += counts * price;
+      }
+      case CONFIRMED -> {
+        if (machine.takesWork()) {
+          free[kind(machine.spot)] += freePart.applyAsDouble(machine) * price;
+          capacity += price;
+          countWork(machine);
+        }
+      }
+      default -> {}
+    }
+  }
+
+  private void countWork(Machine machine) {
+    boolean canWait = !machine.spot;
+    for (Attempt attempt : machine.attempts.values()) {
+      if (!attempt.holdsRoom()) {
+        continue;
+      }
+      JobSpec spec = attempt.job.spec;
+      double worth = worth(spec, machine.type);
+      if (canWait(spec)) {
+        Instant from = attempt.runningSince == null ? now : attempt.runningSince;
+        double left = seconds(spec.estimate()) - seconds(Duration.between(from, now));
+        running += worth * Math.max(left, seconds(spec.estimate()) / 4);
+      } else {
+        canWait = false;
+        capacity -= worth;
+      }
+    }
+    if (canWait) {
+      flexible.add(machine);
+    }
+  }
+
+  private static boolean canWait(JobSpec spec) {
+    return spec.shape() == Shape.ARRAY && spec.spotAllowed();
+  }
+
+  // ---- what waits
+
+  /** What found no room, the first by priority first. */
+  private List<Waiting> waiting(Scheduler scheduler) {
+    Map<String, Resources> planned = new HashMap<>();
+    List<Waiting> waiting = new ArrayList<>();
+    for (QueueEntry entry : scheduler.waiting()) {
+      Job job = entry.job;
+      JobSpec spec = job.spec;
+      boolean lacksRoom =
+          entry.rejectedBy() != null
+              && switch (entry.rejectedBy()) {
+                case FIT, PLACE, SPREAD, TOGETHER -> true;
+                case TEAM_LIMIT, PREDECESSOR, FAILING, PACE -> false;
+              };
+      if (!lacksRoom || entry.place() == QueueEntry.Place.BACKOFF_ERROR) {
+        continue;
+      }
+      if (job.atFault && entry.rejectedBy() != Check.PLACE) {
+        // It is tried where there happens to be room.
+        continue;
+      }
+      Team team = cluster.team(spec.team());
+      Resources used = cluster.usage(spec.team());
+      Resources before = planned.getOrDefault(spec.team(), Resources.NONE);
+      int count = job.pending.cardinality();
+      while (count > 0 && !team.allows(used.plus(before).plus(spec.each().times(count)))) {
+        count = count > 64 ? count / 2 : count - 1;
+      }
+      planned.merge(spec.team(), spec.each().times(count), Resources::plus);
+      if (count > 0) {
+        Instant due = job.acceptedAt.plus(cluster.allowance(job, today));
+        waiting.add(new Waiting(job, count, due));
+      }
+    }
+    waiting.sort(
+        Comparator.<Waiting, Rank>comparing(w -> w.job.spec.rank()).thenComparing(Waiting::due));
+    return waiting;
+  }
+
+  private void want(Waiting waiting) {
+    Job job = waiting.job;
+    JobSpec spec = job.spec;
+    MachineType type = cheapest.apply(false, spec);
+    boolean avoidsSpot = type != null && cluster.avoidsSpot(job, today);
+    boolean maySpot = spec.spotAllowed() && !avoidsSpot;
+    boolean forIdleTime = cluster.isForIdleTime(job, today);
+    if (canWait(spec) && !forIdleTime) {
+      addToBacklog(waiting, type);
+    }
+    double tasks = waiting.count;
+    for (MachineType each : cluster.types()) {
+      if (Renting.isUsable(spec, each)) {
+        wanted[kind(maySpot)] += each == type ? tasks * worth(spec, each) : 0;
+        tasks -= maySpot ? take(new Kind(each.name(), true), spec, each, tasks) : 0;
+        tasks -= take(new Kind(each.name(), false), spec, each, tasks);
+      }
+    }
+    if (tasks <= 0) {
+      return;
+    }
+    MachineType spot = maySpot ? cheapest.apply(true, spec) : null;
+    if (spot != null) {
+      add(new Kind(spot.name(), true), spec, spot, tasks);
+    } else if (type != null && !forIdleTime && (!maySpot || !canWait(spec))) {
+      add(new Kind(type.name(), false), spec, type, tasks);
+    }
+  }
+
+  /** Gives the job what boots of that kind; how many of its tasks that is for. */
+  private double take(Kind kind, JobSpec spec, MachineType type, double tasks) {
+    double there = booting.getOrDefault(kind, 0.0);
+    double each = 1.0 / Math.max(1, spec.each().countIn(type.size()));
+    double taken = Math.min(tasks, there / each);
+    booting.computeIfPresent(kind, (k, machines) -> machines - taken * each);
+    return taken;
+  }
+
+  private void add(Kind kind, JobSpec spec, MachineType type, double tasks) {
+    double machines = tasks / Math.max(1, spec.each().countIn(type.size()));
+    Want want = wants.computeIfAbsent(kind, k -> new Want());
+    want.machines += machines;
+    if (spec.zone() != null) {
+      want.zones.merge(spec.zone(), machines, Double::sum);
+    }
+  }
+
+  private void addToBacklog(Waiting waiting, MachineType type) {
+    JobSpec spec = waiting.job.spec;
+    if (type == null) {
+      return;
+    }
+    Duration ready = cluster.soonestElsewhere(spec);
+    // An objective that is missed before another machine is ready presses no more.
+    Duration allowance = cluster.allowance(waiting.job, today.plus(ready));
+    Duration slack = Duration.between(today, waiting.job.acceptedAt.plus(allowance));
+    double run = seconds(spec.estimate());
+    double lacked = backlog.lacking();
+    backlog.add(
+        waiting.count * worth(spec, type) * run, seconds(slack) + MARGIN * run, seconds(ready));
+    if (pressing == null && backlog.lacking() > lacked) {
+      pressing = spec;
+    }
+  }
+}
--- a/src/main/java/io/pineladder/fleet/Fleet.java
+++ b/src/main/java/io/pineladder/fleet/Fleet.java
@@ -357,10 +357,10 @@
           } else if (machine.idleSince == null) {
             machine.idleSince = now;
           }
-          if (machine.draining && machine.attempts.isEmpty()) {
+          if ((machine.draining || machine.spared) && machine.attempts.isEmpty()) {
             release(machine);
           } else if (machine.takesWork()) {
-            spare.merge(machine.spot, renting.free(machine), Double::sum);
+            spare.merge(machine.spot, renting.free(machine) * machine.type.price(), Double::sum);
             Duration least = operator.idleRelease().dividedBy(SURPLUS_PART);
             if (machine.idleSince != null && machine.idleSince.plus(least).isBefore(now)) {
               idle.add(machine);
@@ -372,9 +372,10 @@
     }
     idle.sort(Comparator.comparing(m -> m.idleSince));
     for (Machine machine : idle) {
-      double left = spare.get(machine.spot) - 1;
-      double ready = renting.headroom(machine.spot, machine.type, now);
-      boolean surplus = roomIsCheap(machine.type) && left >= SURPLUS * ready + 1;
+      double left = spare.get(machine.spot) - machine.type.price();
+      double ready = renting.headroom(machine.spot);
+      boolean surplus =
+          roomIsCheap(machine.type) && left >= SURPLUS * ready + machine.type.price();
       Duration keep = quiet ? operator.idleRelease() : keepIdle(machine.type);
       boolean waited = machine.idleSince.plus(keep).isBefore(now);
       if (quiet ? waited : surplus || (waited && left >= ready)) {
--- a/src/main/java/io/pineladder/fleet/Renting.java
+++ b/src/main/java/io/pineladder/fleet/Renting.java
@@ -5,12 +5,8 @@
 import io.pineladder.model.Machine;
 import io.pineladder.model.MachineType;
 import io.pineladder.model.Rank;
-import io.pineladder.model.Resources;
-import io.pineladder.model.Team;
 import io.pineladder.net.HttpCaller.Reply;
 import io.pineladder.net.Timeline;
-import io.pineladder.queue.Check;
-import io.pineladder.queue.QueueEntry;
 import io.pineladder.scheduling.Cluster;
 import io.pineladder.scheduling.Scheduler;
 import io.pineladder.wire.CloudWire;
@@ -32,8 +28,14 @@
   private static final Logger log = LoggerFactory.getLogger(Renting.class);
   private static final Duration REFUSED_FOR = Duration.ofSeconds(6);
 
-  /** Work for idle time that has waited so long gets ordinary machines after all. */
-  private static final Duration IDLE_TIME_WAITS = Duration.ofMinutes(10);
+  /** The part of the cloud's calls that may go into asking again what was refused. */
+  private static final double ASKED_AGAIN = 0.4;
+
+  /** A machine costs as much as if it had been kept for so long; returned much sooner it is money lost. */
+  private static final Duration PAID_FOR = Duration.ofSeconds(45);
+
+  /** So much of what is needed of ordinary machines is kept, or they would come and go. */
+  private static final double KEPT = 1.25;
 
   /** Machines asked for at once: when hundreds are lost together, fifty a second are too few. */
   private static final int MOST_ASKED = 200;
@@ -119,46 +121,58 @@
   /** A job has come in: it counts for the forecast. */
   void accepted(Job job) {
     JobSpec spec = job.spec;
-    MachineType type = cheapest(spec);
+    MachineType type = cheapest(false, spec, true);
     if (type == null) {
       return;
     }
     Instant now = time.now();
-    long perMachine = Math.max(1, spec.each().countIn(type.size()));
-    double machines = (double) spec.tasks() / perMachine;
+    double worth = spec.tasks() * Demand.worth(spec, type);
     // A job is patient if it can wait for a machine to boot and to fetch its image there.
-    double fetch = spec.imageGb() / Math.max(1e-3, type.fetchGbPerSecond());
-    Duration ready = type.boot().plusMillis((long) (fetch * 1000));
+    Duration ready = type.boot().plus(type.fetchTime(spec.imageGb()));
     boolean patient =
         spec.rank() != Rank.PRODUCTION
             && cluster.allowance(job, time.timeOfDay()).compareTo(ready) > 0;
     if (spec.spotAllowed()) {
-      (patient ? patientSpot : tightSpot).add(machines, now);
+      (patient ? patientSpot : tightSpot).add(worth, now);
     } else {
-      (patient ? patientOrdinary : tightOrdinary).add(machines, now);
+      (patient ? patientOrdinary : tightOrdinary).add(worth, now);
     }
     meanImageGb = meanImageGb == 0 ? spec.imageGb() : 0.9 * meanImageGb + 0.1 * spec.imageGb();
   }
 
-  /** Machines' worth of room to have ready for what comes while another boots. */
-  double headroom(boolean spot, MachineType type, Instant now) {
-    double boot = type.boot().toMillis() / 1000.0;
+  /** Room to have ready for what comes while another machine boots, at list prices an hour. */
+  double headroom(boolean spot) {
+    Instant now = time.now();
+    double boot =
+        cluster.types().stream().mapToDouble(t -> t.boot().toMillis() / 1000.0).min().orElse(0);
     return spot
         ? tightSpot.rate(now) * boot + patientSpot.rate(now) * boot * PATIENT_PART
         : tightOrdinary.rate(now) * boot + patientOrdinary.rate(now) * boot * PATIENT_PART;
   }
 
-  private MachineType cheapest(JobSpec spec) {
+  /** Whether tasks of the job fit such a machine, and may be there. */
+  static boolean isUsable(JobSpec spec, MachineType type) {
+    return spec.allowsType(type.name())
+        && spec.each().fitsIn(type.size())
+        && (spec.zone() == null || type.zones().contains(spec.zone()));
+  }
+
+  /**
+   * The type whose machines cost the job's tasks least, of those that the cloud has not refused lately.
+   *
+   * @param spec null for any job
+   * @param all whether those refused count as well
+   */
+  private MachineType cheapest(boolean spot, JobSpec spec, boolean all) {
     MachineType best = null;
     double bestPrice = Double.MAX_VALUE;
     for (MachineType type : cluster.types()) {
-      long count = spec.each().countIn(type.size());
-      if (!spec.allowsType(type.name())
-          || count == 0
-          || (spec.zone() != null && !type.zones().contains(spec.zone()))) {
+      if ((spec != null && !isUsable(spec, type)) || (!all && isRefused(type, spot))) {
         continue;
       }
-      double price = type.price() / Math.min(count, spec.tasks());
+      double price = type.price(spot);
+      // What a machine holds beyond one small job's tasks serves others, but not at once.
+      price /= spec == null ? type.price() : Math.min(spec.each().countIn(type.size()), spec.tasks());
       if (price < bestPrice) {
         best = type;
         bestPrice = price;
@@ -177,7 +191,7 @@
     }
     return !machine.spot
         && machine.attempts.values().stream()
-            .allMatch(a -> a.job.spec.savesWork() && isForIdleTime(a.job));
+            .allMatch(a -> a.job.spec.savesWork() && cluster.isForIdleTime(a.job, time.timeOfDay()));
   }
 
   /** The part of a machine that is free. */
@@ -185,17 +199,6 @@
     return isIdle(machine) ? 1 : Math.max(0, 1 - machine.used.shareOf(machine.type.size()));
   }
 
-  /** Machines wanted of a type, by what they may be. */
-  private static final class Want {
-    double spotAllowed;
-
-    /** The part of those that an ordinary machine is worth to. */
-    double pressing;
-
-    double ordinary;
-    final Map<String, Double> zones = new HashMap<>();
-  }
-
   void rent(Instant now) {
     resend();
     if (rentals.stream().anyMatch(r -> r.sent)) {
@@ -204,113 +207,77 @@
     if (cluster.jobs.isEmpty()) {
       return;
     }
-    Map<MachineType, Want> wants = wants();
-    for (MachineType type : cluster.types()) {
-      Want want = wants.getOrDefault(type, new Want());
-      double bootingSpot = 0;
-      double bootingOrdinary = 0;
-      double spareSpot = 0;
-      double spareOrdinary = 0;
-      for (Machine machine : cluster.machines()) {
-        if (!machine.isOf(type)) {
-          continue;
-        }
-        if (machine.state() == Machine.State.EXPECTED || machine.state() == Machine.State.HEARD) {
-          double counts = boots.weight(machine, now);
-          bootingSpot += machine.spot ? counts : 0;
-          bootingOrdinary += machine.spot ? 0 : counts;
-        } else if (machine.takesWork()) {
-          double free = free(machine);
-          spareSpot += machine.spot ? free : 0;
-          spareOrdinary += machine.spot ? 0 : free;
-        }
-      }
-      double wantOrdinary =
-          Math.max(want.ordinary, headroom(false, type, now) - spareOrdinary) - bootingOrdinary;
-      double overOrdinary = Math.max(0, -wantOrdinary);
-      double wantSpot =
-          Math.max(want.spotAllowed, headroom(true, type, now) - spareSpot)
-              - bootingSpot
-              - (want.spotAllowed > 0 ? overOrdinary : 0);
-      String zone = heaviest(want.zones);
-      double coming = boots.comingPart(type);
-      if (wantOrdinary > 0.05) {
-        ask(type, zone, false, (int) Math.ceil(wantOrdinary / coming), now);
+    Demand demand =
+        new Demand(
+            cluster,
+            scheduler,
+            boots,
+            this::free,
+            now,
+            time.timeOfDay(),
+            (spot, spec) -> cheapest(spot, spec, false));
+    Map<Demand.Kind, Demand.Want> wants = demand.wants();
+    double lacking = spare(demand, now);
+    if (lacking > 0) {
+      MachineType type = cheapest(false, demand.pressing(), false);
+      if (type != null) {
+        wants.computeIfAbsent(new Demand.Kind(type.name(), false), k -> new Demand.Want())
+            .machines += lacking / type.price();
       }
-      if (wantSpot > 0.05) {
-        int count = (int) Math.ceil(wantSpot / coming);
-        // Nothing waits yet when it is for the forecast only: then no dearer kind is taken.
-        boolean asked = ask(type, zone, true, count, now);
-        double pressing = Math.min(wantSpot, want.pressing);
-        if (!asked && pressing > 0.05 && wantOrdinary <= 0.05) {
-          ask(type, zone, false, (int) Math.ceil(pressing / coming), now);
-        }
+    }
+    for (boolean spot : new boolean[] {false, true}) {
+      // Nothing waits for this yet, so no dearer kind is taken.
+      double there = demand.free(spot) + Math.max(demand.wanted(spot), demand.coming(spot));
+      double ready = headroom(spot) - there;
+      MachineType type = ready > 0 ? cheapest(spot, null, false) : null;
+      if (type != null) {
+        wants.computeIfAbsent(new Demand.Kind(type.name(), spot), k -> new Demand.Want())
+            .machines += ready / type.price();
       }
     }
+    wants.forEach(
+        (kind, want) -> {
+          if (want.machines > 0.05) {
+            MachineType type = cluster.type(kind.type());
+            int count = (int) Math.ceil(want.machines / boots.comingPart(type));
+            ask(type, want.heaviestZone(), kind.spot(), count, now);
+          }
+        });
   }
 
-  private static String heaviest(Map<String, Double> zones) {
-    return zones.entrySet().stream()
-        .max(Map.Entry.comparingByValue())
-        .map(Map.Entry::getKey)
-        .orElse(null);
-  }
-
-  /** Machines' worth of tasks that found no room, within what their teams may use. */
-  private Map<MachineType, Want> wants() {
-    Map<MachineType, Want> wants = new HashMap<>();
-    Map<String, Resources> planned = new HashMap<>();
-    for (QueueEntry entry : scheduler.waiting()) {
-      Job job = entry.job;
-      JobSpec spec = job.spec;
-      boolean lacksRoom =
-          entry.rejectedBy() != null
-              && switch (entry.rejectedBy()) {
-                case FIT, PLACE, SPREAD, TOGETHER -> true;
-                case TEAM_LIMIT, PREDECESSOR, FAILING, PACE -> false;
-              };
-      MachineType type = cheapest(spec);
-      if (!lacksRoom || type == null || entry.place() == QueueEntry.Place.BACKOFF_ERROR) {
-        continue;
-      }
-      if (job.atFault && entry.rejectedBy() != Check.PLACE) {
-        // It is tried where there happens to be room.
-        continue;
-      }
-      Team team = cluster.team(spec.team());
-      Resources used = cluster.usage(spec.team());
-      Resources before = planned.getOrDefault(spec.team(), Resources.NONE);
-      int count = job.pending.cardinality();
-      while (count > 0 && !team.allows(used.plus(before).plus(spec.each().times(count)))) {
-        count = count > 64 ? count / 2 : count - 1;
+  /**
+   * Ordinary machines with nothing on them but arrays that would be in time without them take no more work
+   * and are returned as it ends; they take work again when it is needed after all. Without this what was
+   * rented in a rush was kept as long as anything waited.
+   *
+   * @return what is still to be rented for arrays that would be late, at list prices an hour
+   */
+  private double spare(Demand demand, Instant now) {
+    double lacking = demand.lacking();
+    boolean wantsAny = demand.wanted(false) > 0;
+    for (Machine machine : cluster.machines()) {
+      if (machine.spared && (lacking > 0 || wantsAny)) {
+        machine.spared = false;
+        cluster.refresh(machine);
+        scheduler.machineReady(machine);
+        lacking -= machine.type.price();
       }
-      planned.merge(spec.team(), spec.each().times(count), Resources::plus);
-      double machines = (double) count / spec.each().countIn(type.size());
-      Want want = wants.computeIfAbsent(type, t -> new Want());
-      boolean avoidsSpot = cluster.avoidsSpot(job, time.timeOfDay()) && !isRefused(type, false);
-      if (spec.spotAllowed() && !avoidsSpot) {
-        want.spotAllowed += machines;
-        want.pressing += isForIdleTime(job) ? 0 : machines;
-      } else {
-        want.ordinary += machines;
+    }
+    List<Machine> flexible = demand.flexible();
+    double of = flexible.stream().mapToDouble(m -> m.type.price()).sum();
+    double keep = Math.max(demand.needed(of) * KEPT, 2 * headroom(false));
+    flexible.sort(Comparator.comparing(machine -> machine.used.shareOf(machine.type.size())));
+    for (Machine machine : flexible) {
+      if (wantsAny || lacking > 0 || of - machine.type.price() < keep) {
+        break;
       }
-      if (spec.zone() != null) {
-        want.zones.merge(spec.zone(), machines, Double::sum);
+      if (machine.since.plus(PAID_FOR).isBefore(now)) {
+        machine.spared = true;
+        cluster.refresh(machine);
+        of -= machine.type.price();
       }
     }
-    return wants;
-  }
-
-  /**
-   * Work of the lowest rank of which nothing is expected: it fills what is idle and spot machines.
-   * Found on colombo-ops: a guest's work for idle time had every ordinary machine rented.
-   */
-  boolean isForIdleTime(Job job) {
-    Instant today = time.timeOfDay();
-    return job.spec.rank() == Rank.LOW
-        && job.spec.deadline() == null
-        && cluster.hasNoObjective(job)
-        && job.acceptedAt.plus(IDLE_TIME_WAITS).isAfter(today);
+    return Math.max(0, lacking);
   }
 
   /** Whether the cloud has lately refused this kind in every zone. */
@@ -325,6 +292,14 @@
     return true;
   }
 
+  /** For how long a refusal counts: kinds and zones are many and calls to the cloud few. */
+  private Duration refusedFor() {
+    long pools = cluster.types().stream().mapToLong(t -> 2L * t.zones().size()).sum();
+    double calls = cluster.settings.cloud().requestsPerSecond() * ASKED_AGAIN;
+    Duration paced = Duration.ofMillis((long) (pools * 1000 / Math.max(0.1, calls)));
+    return paced.compareTo(REFUSED_FOR) > 0 ? paced : REFUSED_FOR;
+  }
+
   private boolean ask(MachineType type, String zone, boolean spot, int count, Instant now) {
     // What is rented where nobody is heard serves nobody, and is money and calls lost.
     List<String> zones = new ArrayList<>(states.rentable(type.zones()));
@@ -393,7 +368,7 @@
     rentals.remove(rental);
     if (!reply.is(200)) {
       if (Cloud.isRefusal(reply)) {
-        refused.put(pool, time.now().plus(REFUSED_FOR));
+        refused.put(pool, time.now().plus(refusedFor()));
       }
       return;
     }
@@ -401,7 +376,7 @@
       List<String> names = CloudWire.parseRented(reply.body());
       log.info("rented {} of {} {}", names.size(), rental.count, pool);
       if (names.size() < rental.count) {
-        refused.put(pool, time.now().plus(REFUSED_FOR));
+        refused.put(pool, time.now().plus(refusedFor()));
       }
       for (String name : names) {
         if (cluster.machine(name) == null && !wasReleased.test(name)) {
--- a/src/main/java/io/pineladder/model/Machine.java
+++ b/src/main/java/io/pineladder/model/Machine.java
@@ -42,6 +42,9 @@
   /** No new work: it is to be returned. */
   public boolean draining;
 
+  /** Its price is worth more than it: no new work, and it is returned once empty unless it is needed. */
+  public boolean spared;
+
   /** When this leader first saw it in the cloud's list, or null. */
   public Instant listedAt;
 
@@ -114,7 +117,7 @@
   }
 
   public boolean takesWork() {
-    return state == State.CONFIRMED && !draining && !suspect && takenAt == null && !strangers;
+    return state == State.CONFIRMED && !draining && !spared && !suspect && takenAt == null && !strangers;
   }
 
   /**
