Ordinary machines that are not needed in time are spared and emptied; what can wait does

An ordinary machine that works only for jobs that would be in time without it takes no more work and is returned as it ends, and its last tasks move to free spot machines where that loses less than they cost. Small machines are rented first: one is paid for until its last task ends. Idle machines are left to the policy of idle ones, which keeps their images.

--- a/src/main/java/io/pineladder/fleet/Demand.java
+++ b/src/main/java/io/pineladder/fleet/Demand.java
@@ -7,7 +7,6 @@
 import io.pineladder.model.MachineType;
 import io.pineladder.model.Rank;
 import io.pineladder.model.Resources;
-import io.pineladder.model.Shape;
 import io.pineladder.model.Team;
 import io.pineladder.queue.Check;
 import io.pineladder.queue.QueueEntry;
@@ -26,14 +25,14 @@
 
 /**
  * What machines the jobs that found no room want, as seen at one moment. Each takes what it lacks from the
- * machines that boot, then from the cheapest kind for it that can be had. Arrays that may use spot machines
- * can wait: room comes free all the time, so an ordinary machine, several times as dear, is worth its price
- * only if they would be late without it. Found on galleharbour, where most of the money went to ordinary
+ * machines that boot, then from the cheapest kind for it that can be had. Jobs that can wait do so for room
+ * that comes free: an ordinary machine, several times as dear, is worth its price only if they would be late
+ * without it. Found on galleharbour, where most of the money went to ordinary
  * machines for work that had minutes left.
  */
 final class Demand {
-  /** Work that is to be late by less than this part of its run time is taken for late: estimates are off. */
-  private static final double MARGIN = 0.5;
+  /** The last task of an array takes so much longer than the estimate, as a part of it. */
+  private static final double MARGIN = 0.25;
 
   /** A kind of machine that can be rented, by the name of its type, since prices move. */
   record Kind(String type, boolean spot) {}
@@ -61,12 +60,11 @@
   private final Map<Kind, Double> booting = new HashMap<>();
   private final Map<Kind, Want> wants = new LinkedHashMap<>();
 
-  /** Ordinary machines with nothing on them but tasks that may wait. */
+  /** Ordinary machines that work, and only for jobs that could wait. */
   private final List<Machine> flexible = new ArrayList<>();
 
   private double capacity;
-  private double running;
-  private Backlog backlog;
+  private final Backlog backlog;
 
   /** The first job that an ordinary machine would help, or null. */
   private JobSpec pressing;
@@ -99,7 +97,7 @@
     for (Machine machine : cluster.machines()) {
       count(machine, boots, freePart);
     }
-    backlog = new Backlog(capacity, running);
+    backlog = new Backlog(capacity);
     waiting(scheduler).forEach(this::want);
   }
 
@@ -179,30 +177,23 @@
 
   private void countWork(Machine machine) {
     boolean canWait = !machine.spot;
+    int tasks = 0;
     for (Attempt attempt : machine.attempts.values()) {
       if (!attempt.holdsRoom()) {
         continue;
       }
-      JobSpec spec = attempt.job.spec;
-      double worth = worth(spec, machine.type);
-      if (canWait(spec)) {
-        Instant from = attempt.runningSince == null ? now : attempt.runningSince;
-        double left = seconds(spec.estimate()) - seconds(Duration.between(from, now));
-        running += worth * Math.max(left, seconds(spec.estimate()) / 4);
-      } else {
+      tasks++;
+      if (!cluster.canWait(attempt.job)) {
         canWait = false;
-        capacity -= worth;
+        capacity -= worth(attempt.job.spec, machine.type);
       }
     }
-    if (canWait) {
+    // An idle one is kept for its images as long as it is worth it.
+    if (canWait && tasks > 0) {
       flexible.add(machine);
     }
   }
 
-  private static boolean canWait(JobSpec spec) {
-    return spec.shape() == Shape.ARRAY && spec.spotAllowed();
-  }
-
   // ---- what waits
 
   /** What found no room, the first by priority first. */
@@ -247,10 +238,12 @@
     Job job = waiting.job;
     JobSpec spec = job.spec;
     MachineType type = cheapest.apply(false, spec);
-    boolean avoidsSpot = type != null && cluster.avoidsSpot(job, today);
+    boolean canWait = cluster.canWait(job);
+    // Those that can wait would all come to avoid them while they do so, and have dear machines at once.
+    boolean avoidsSpot = type != null && !canWait && cluster.avoidsSpot(job, today);
     boolean maySpot = spec.spotAllowed() && !avoidsSpot;
     boolean forIdleTime = cluster.isForIdleTime(job, today);
-    if (canWait(spec) && !forIdleTime) {
+    if (canWait && !forIdleTime) {
       addToBacklog(waiting, type);
     }
     double tasks = waiting.count;
@@ -267,7 +260,7 @@
     MachineType spot = maySpot ? cheapest.apply(true, spec) : null;
     if (spot != null) {
       add(new Kind(spot.name(), true), spec, spot, tasks);
-    } else if (type != null && !forIdleTime && (!maySpot || !canWait(spec))) {
+    } else if (type != null && !forIdleTime && (!maySpot || !canWait)) {
       add(new Kind(type.name(), false), spec, type, tasks);
     }
   }
@@ -296,13 +289,13 @@
       return;
     }
     Duration ready = cluster.soonestElsewhere(spec);
-    // An objective that is missed before another machine is ready presses no more.
-    Duration allowance = cluster.allowance(waiting.job, today.plus(ready));
+    // For an objective that is missed soon after another machine is ready it is too late to rent.
+    Duration allowance = cluster.allowance(waiting.job, today.plus(ready.multipliedBy(2)));
     Duration slack = Duration.between(today, waiting.job.acceptedAt.plus(allowance));
     double run = seconds(spec.estimate());
     double lacked = backlog.lacking();
     backlog.add(
-        waiting.count * worth(spec, type) * run, seconds(slack) + MARGIN * run, seconds(ready));
+        waiting.count * worth(spec, type), run, seconds(slack) - MARGIN * run, seconds(ready));
     if (pressing == null && backlog.lacking() > lacked) {
       pressing = spec;
     }
--- a/src/main/java/io/pineladder/fleet/Renting.java
+++ b/src/main/java/io/pineladder/fleet/Renting.java
@@ -1,5 +1,6 @@
 package io.pineladder.fleet;
 
+import io.pineladder.model.Attempt;
 import io.pineladder.model.Job;
 import io.pineladder.model.JobSpec;
 import io.pineladder.model.Machine;
@@ -34,6 +35,12 @@
   /** A machine costs as much as if it had been kept for so long; returned much sooner it is money lost. */
   private static final Duration PAID_FOR = Duration.ofSeconds(45);
 
+  /** The last of some tasks runs for about so many times their estimate. */
+  private static final double LONGEST = 1.3;
+
+  /** How much longer than its tasks run a machine is kept by the last of them, for e times as many tasks. */
+  private static final double TAIL = 0.15;
+
   /** So much of what is needed of ordinary machines is kept, or they would come and go. */
   private static final double KEPT = 1.25;
 
@@ -171,8 +178,14 @@
         continue;
       }
       double price = type.price(spot);
-      // What a machine holds beyond one small job's tasks serves others, but not at once.
-      price /= spec == null ? type.price() : Math.min(spec.each().countIn(type.size()), spec.tasks());
+      if (spec == null) {
+        price /= type.price();
+      } else {
+        // What a machine holds beyond one small job's tasks serves others, but not at once; and it is
+        // paid for until the last of its tasks ends.
+        long tasks = Math.min(spec.each().countIn(type.size()), spec.tasks());
+        price *= (1 + TAIL * Math.log(tasks)) / tasks;
+      }
       if (price < bestPrice) {
         best = type;
         bestPrice = price;
@@ -246,29 +259,47 @@
   }
 
   /**
-   * Ordinary machines with nothing on them but arrays that would be in time without them take no more work
+   * Ordinary machines with nothing on them but jobs that would be in time without them take no more work
    * and are returned as it ends; they take work again when it is needed after all. Without this what was
    * rented in a rush was kept as long as anything waited.
    *
    * @return what is still to be rented for arrays that would be late, at list prices an hour
    */
   private double spare(Demand demand, Instant now) {
+    double wanted = 0;
+    for (Map.Entry<Demand.Kind, Demand.Want> want : demand.wants().entrySet()) {
+      double price = cluster.type(want.getKey().type()).price();
+      wanted += want.getKey().spot() ? 0 : want.getValue().machines * price;
+    }
     double lacking = demand.lacking();
-    boolean wantsAny = demand.wanted(false) > 0;
+    double unmet = wanted;
+    List<Machine> spared = new ArrayList<>();
     for (Machine machine : cluster.machines()) {
-      if (machine.spared && (lacking > 0 || wantsAny)) {
+      if (machine.spared) {
+        spared.add(machine);
+      }
+    }
+    // The dearer a machine is, the dearer are the last tasks that keep it.
+    spared.sort(Comparator.comparing(machine -> machine.type.price()));
+    for (Machine machine : spared) {
+      if (lacking > 0 || unmet > 0) {
         machine.spared = false;
         cluster.refresh(machine);
         scheduler.machineReady(machine);
+        unmet -= machine.type.price() * free(machine);
         lacking -= machine.type.price();
       }
     }
+    if (wanted > 0) {
+      double left = Math.max(0, unmet) / wanted;
+      demand.wants().forEach((kind, want) -> want.machines *= kind.spot() ? 1 : left);
+    }
     List<Machine> flexible = demand.flexible();
     double of = flexible.stream().mapToDouble(m -> m.type.price()).sum();
     double keep = Math.max(demand.needed(of) * KEPT, 2 * headroom(false));
-    flexible.sort(Comparator.comparing(machine -> machine.used.shareOf(machine.type.size())));
+    flexible.sort(Comparator.comparing(machine -> -free(machine) * machine.type.price()));
     for (Machine machine : flexible) {
-      if (wantsAny || lacking > 0 || of - machine.type.price() < keep) {
+      if (wanted > 0 || lacking > 0 || of - machine.type.price() < keep) {
         break;
       }
       if (machine.since.plus(PAID_FOR).isBefore(now)) {
@@ -277,9 +308,55 @@
         of -= machine.type.price();
       }
     }
+    log.debug(
+        "ordinary machines: lacking {}, wanted {}, flexible {}, of which to keep {}, spared before {}",
+        demand.lacking(), wanted, of, keep, spared.size());
+    if (wanted <= 0 && lacking <= 0) {
+      emptySpared(demand.free(true) - headroom(true), now);
+    }
     return Math.max(0, lacking);
   }
 
+  /**
+   * The last tasks on a machine that is to go start anew on spot machines with room for them if that loses
+   * less than the machine costs until they end. Found on galleharbour, where a hundred ordinary machines
+   * were each kept for two minutes by a few long tasks.
+   *
+   * @param room what is free on spot machines, at list prices an hour
+   */
+  private void emptySpared(double room, Instant now) {
+    Instant today = time.timeOfDay();
+    for (Machine machine : cluster.machines()) {
+      if (!machine.spared || machine.attempts.isEmpty()) {
+        continue;
+      }
+      double lost = 0;
+      double worth = 0;
+      double longest = 0;
+      boolean inTime = true;
+      for (Attempt attempt : machine.attempts.values()) {
+        if (!attempt.holdsRoom()) {
+          continue;
+        }
+        JobSpec spec = attempt.job.spec;
+        double run = spec.estimate().toMillis() / 1000.0;
+        Instant from = attempt.runningSince == null ? now : attempt.runningSince;
+        double ran = Duration.between(from, now).toMillis() / 1000.0;
+        double each = Demand.worth(spec, machine.type);
+        worth += each;
+        lost += each * ran * machine.type.spotPrice() / machine.type.price();
+        longest = Math.max(longest, Math.max(LONGEST * run - ran, run / 2));
+        inTime &= attempt.isWanted() && !cluster.breaksByRestart(attempt.job, today);
+      }
+      if (inTime && worth > 0 && worth < room && 2 * lost < longest * machine.type.price()) {
+        log.debug("machine {} is emptied: {} lost for {} s", machine, lost, longest);
+        room -= worth;
+        machine.draining = true;
+        List.copyOf(machine.attempts.values()).forEach(scheduler::displace);
+      }
+    }
+  }
+
   /** Whether the cloud has lately refused this kind in every zone. */
   private boolean isRefused(MachineType type, boolean spot) {
     Instant now = time.now();
--- a/src/main/java/io/pineladder/scheduling/Cluster.java
+++ b/src/main/java/io/pineladder/scheduling/Cluster.java
@@ -8,6 +8,7 @@
 import io.pineladder.model.Rank;
 import io.pineladder.model.Resources;
 import io.pineladder.model.Settings;
+import io.pineladder.model.Shape;
 import io.pineladder.model.Team;
 import java.time.Duration;
 import java.time.Instant;
@@ -31,6 +32,9 @@
   /** A loss that is likelier than this is worth the price of ordinary machines. */
   private static final double LIKELY = 0.1;
 
+  /** The dearer ordinary machines are, the likelier a loss must be: by this for each time the price. */
+  private static final double WORTH = 0.036;
+
   /** Work for idle time that has waited so long gets ordinary machines after all. */
   private static final Duration IDLE_TIME_WAITS = Duration.ofMinutes(10);
 
@@ -101,13 +105,20 @@
       return false;
     }
     double machines = 0;
+    double dearer = 0;
     for (MachineType type : types.values()) {
       if (spec.allowsType(type.name())) {
+        dearer = Math.max(dearer, type.price() / Math.max(1e-9, type.spotPrice()));
         double each = Math.min(1, spec.each().shareOf(type.size()));
         machines = Math.max(machines, (spec.tasks() - job.done.cardinality()) * each);
       }
     }
-    return spotRisk.likelihood(machines, spec.estimate()) > LIKELY;
+    return spotRisk.likelihood(machines, spec.estimate()) > Math.max(LIKELY, dearer * WORTH);
+  }
+
+  /** Whether the job keeps an objective if its tasks run through, and not if one has to start anew. */
+  public boolean breaksByRestart(Job job, Instant timeOfDay) {
+    return objectives.breaksByRestart(job, timeOfDay);
   }
 
   /** Whether the operators expect nothing of the job's class. */
@@ -127,6 +138,17 @@
     return soonest == null ? Duration.ZERO : soonest;
   }
 
+  /**
+   * Whether a job can wait for room that comes free: an array that may use spot machines, with twice the time
+   * at its submission that another machine takes to be ready. Others get machines at once.
+   */
+  public boolean canWait(Job job) {
+    JobSpec spec = job.spec;
+    return spec.shape() == Shape.ARRAY
+        && spec.spotAllowed()
+        && allowance(job, job.acceptedAt).compareTo(soonestElsewhere(spec).multipliedBy(2)) >= 0;
+  }
+
   /**
    * Work of the lowest rank of which nothing is expected: it fills what is idle and spot machines.
    * Found on colombo-ops: a guest's work for idle time had every ordinary machine rented.
