--- a/src/main/java/io/pineladder/Leader.java
+++ b/src/main/java/io/pineladder/Leader.java
@@ -835,11 +835,8 @@
       // Without orders nothing ends a cancelled job's tasks but the end of the worker's lease.
       return null;
     }
-    WorkerWire.Orders orders = workers.onReport(report);
+    WorkerWire.Orders orders = workers.onReport(report, relayed);
     Machine machine = cluster.machine(report.machine());
-    if (machine != null) {
-      machine.relayed = relayed;
-    }
     if (orders != null) {
       takeover.passed(Takeovers.Phase.FIRST_REPORT);
       if (takeover.awaitsMore() && machine != null && machine.recorded) {
--- a/src/main/java/io/pineladder/fleet/Backlog.java
+++ b/src/main/java/io/pineladder/fleet/Backlog.java
@@ -17,8 +17,17 @@
    * @param worth what all of that would take at once
    * @param within the seconds left to start it
    * @param ready the seconds until a machine rented now would work on it, less than {@code within}
+   * @param rate the work that comes before it each second
    */
-  private record Due(double sum, double worth, double within, double ready) {}
+  private record Due(double sum, double worth, double within, double ready, double rate) {
+    /** The capacity beyond that given which would start all in time, had it been there from now on. */
+    double lacks(double capacity) {
+      return sum / within + rate - capacity;
+    }
+  }
+
+  /** A machine is paid for so many seconds at least: what does not keep it busy that long is not worth one. */
+  private static final double PAID_FOR = 60;
 
   private final double capacity;
   private final List<Due> dues = new ArrayList<>();
@@ -29,31 +38,40 @@
     this.capacity = capacity;
   }
 
-  /** Adds work that comes after what was added before; what cannot be helped any more presses no more. */
-  void add(double tasksWorth, double run, double within, double ready) {
+  /**
+   * Adds tasks that come after what was added before; what cannot be helped any more presses no more.
+   *
+   * @param run the seconds that each of them runs
+   * @param rate the work that still comes each second and goes before them
+   */
+  void add(double tasksWorth, double run, double within, double ready, double rate) {
     sum += tasksWorth * run;
     worth += tasksWorth;
     if (within > ready) {
-      dues.add(new Due(sum, worth, within, ready));
+      dues.add(new Due(sum, worth, within, ready, rate));
     }
   }
 
-  /** The capacity that must be rented for all to be done in time; 0 when what there is will do. */
+  /** The capacity worth renting so that all starts in time; 0 when what there is will do. */
   double lacking() {
     double most = 0;
     for (Due due : dues) {
-      double lacks = (due.sum - capacity * due.within) / (due.within - due.ready);
-      most = Math.max(most, Math.min(due.worth, lacks));
+      double excess = due.lacks(capacity) * due.within;
+      most = Math.max(most, Math.min(due.worth, excess / Math.max(PAID_FOR, due.within - due.ready)));
     }
     return most;
   }
 
-  /** How much of the part {@code of} of the capacity is needed for all to be done in time. */
-  double needed(double of) {
-    double most = 0;
+  /**
+   * How much of the part {@code of} of the capacity is needed for all to start in time, and for what comes.
+   *
+   * @param rate all work that comes each second
+   */
+  double needed(double of, double rate) {
+    double most = rate - (capacity - of);
     for (Due due : dues) {
-      most = Math.max(most, due.sum / due.within - (capacity - of));
+      most = Math.max(most, due.lacks(capacity - of));
     }
-    return Math.min(of, most);
+    return Math.max(0, Math.min(of, most));
   }
 }
--- a/src/main/java/io/pineladder/fleet/Demand.java
+++ b/src/main/java/io/pineladder/fleet/Demand.java
@@ -57,6 +57,7 @@
   private final Instant now;
   private final Instant today;
   private final BiFunction<Boolean, JobSpec, MachineType> cheapest;
+  private final ToDoubleFunction<Rank> arriving;
   private final Map<Kind, Double> booting = new HashMap<>();
   private final Map<Kind, Want> wants = new LinkedHashMap<>();
 
@@ -79,6 +80,7 @@
    * A look at the cluster.
    *
    * @param freePart the part of a machine that is free
+   * @param arriving the work above a rank, or all if it is null, that comes each second and can wait
    * @param cheapest the type that serves a job best of those that can be had, spot machines or not; null
    *     for none
    */
@@ -89,11 +91,13 @@
       ToDoubleFunction<Machine> freePart,
       Instant now,
       Instant today,
+      ToDoubleFunction<Rank> arriving,
       BiFunction<Boolean, JobSpec, MachineType> cheapest) {
     this.cluster = cluster;
     this.now = now;
     this.today = today;
     this.cheapest = cheapest;
+    this.arriving = arriving;
     for (Machine machine : cluster.machines()) {
       count(machine, boots, freePart);
     }
@@ -141,7 +145,7 @@
   }
 
   double needed(double ofFlexible) {
-    return backlog.needed(ofFlexible);
+    return backlog.needed(ofFlexible, arriving.applyAsDouble(null));
   }
 
   // ---- what there is
@@ -166,30 +170,34 @@
       }
       case CONFIRMED -> {
         if (machine.takesWork()) {
-          free[kind(machine.spot)] += freePart.applyAsDouble(machine) * price;
+          double part = freePart.applyAsDouble(machine);
+          free[kind(machine.spot)] += part * price;
           capacity += price;
-          countWork(machine);
+          countWork(machine, part < 1);
         }
       }
       default -> {}
     }
   }
 
-  private void countWork(Machine machine) {
-    boolean canWait = !machine.spot;
-    int tasks = 0;
+  /**
+   * Takes what cannot wait from the capacity.
+   *
+   * @param works whether anything is there that it is worth to; an idle one is kept for its images as long as
+   *     that is worth it
+   */
+  private void countWork(Machine machine, boolean works) {
+    boolean canWait = works && !machine.spot;
     for (Attempt attempt : machine.attempts.values()) {
       if (!attempt.holdsRoom()) {
         continue;
       }
-      tasks++;
       if (!cluster.canWait(attempt.job)) {
         canWait = false;
         capacity -= worth(attempt.job.spec, machine.type);
       }
     }
-    // An idle one is kept for its images as long as it is worth it.
-    if (canWait && tasks > 0) {
+    if (canWait) {
       flexible.add(machine);
     }
   }
@@ -260,7 +268,7 @@
     MachineType spot = maySpot ? cheapest.apply(true, spec) : null;
     if (spot != null) {
       add(new Kind(spot.name(), true), spec, spot, tasks);
-    } else if (type != null && !forIdleTime && (!maySpot || !canWait)) {
+    } else if (type != null && (!maySpot || (!forIdleTime && !canWait))) {
       add(new Kind(type.name(), false), spec, type, tasks);
     }
   }
@@ -293,9 +301,15 @@
     Duration allowance = cluster.allowance(waiting.job, today.plus(ready.multipliedBy(2)));
     Duration slack = Duration.between(today, waiting.job.acceptedAt.plus(allowance));
     double run = seconds(spec.estimate());
+    // What is late for all of them must not wait for ever.
+    double within = Math.max(seconds(slack) - MARGIN * run, 2 * seconds(ready));
     double lacked = backlog.lacking();
     backlog.add(
-        waiting.count * worth(spec, type), run, seconds(slack) - MARGIN * run, seconds(ready));
+        waiting.count * worth(spec, type),
+        run,
+        within,
+        seconds(ready),
+        arriving.applyAsDouble(spec.rank()));
     if (pressing == null && backlog.lacking() > lacked) {
       pressing = spec;
     }
--- a/src/main/java/io/pineladder/fleet/Fleet.java
+++ b/src/main/java/io/pineladder/fleet/Fleet.java
@@ -359,6 +359,9 @@
           }
           if ((machine.draining || machine.spared) && machine.attempts.isEmpty()) {
             release(machine);
+          } else if (isDeafForLong(machine, now)) {
+            log.info("machine {} reports but hears nothing", machine);
+            release(machine);
           } else if (machine.takesWork()) {
             spare.merge(machine.spot, renting.free(machine) * machine.type.price(), Double::sum);
             Duration least = operator.idleRelease().dividedBy(SURPLUS_PART);
@@ -385,6 +388,18 @@
     }
   }
 
+  /**
+   * Whether a machine that hears nothing has been waited for as long as another takes, and a lease, by the
+   * end of which nothing of before runs there any more.
+   */
+  private boolean isDeafForLong(Machine machine, Instant now) {
+    if (machine.relayed || zones.isGone(machine.zone)) {
+      return false;
+    }
+    Duration waited = cluster.settings.workers().lease().plus(keepIdle(machine.type));
+    return machine.reportsUnhearing(now).compareTo(waited) > 0;
+  }
+
   /** Returns a machine that is not needed; work for idle time saves first and goes elsewhere. */
   private void empty(Machine machine) {
     if (machine.attempts.isEmpty()) {
--- a/src/main/java/io/pineladder/fleet/Forecast.java
+++ b/src/main/java/io/pineladder/fleet/Forecast.java
@@ -5,14 +5,17 @@
 
 /** Machines' worth of work arriving per second, as an exponential average. */
 final class Forecast {
-  private static final Duration MEMORY = Duration.ofSeconds(60);
-
+  private final Duration memory;
   private double rate;
   private Instant at;
 
+  Forecast(Duration memory) {
+    this.memory = memory;
+  }
+
   void add(double machines, Instant now) {
     decay(now);
-    rate += machines / MEMORY.toSeconds();
+    rate += machines / memory.toSeconds();
   }
 
   double rate(Instant now) {
@@ -23,7 +26,7 @@
   private void decay(Instant now) {
     if (at != null) {
       double seconds = Duration.between(at, now).toMillis() / 1000.0;
-      rate *= Math.exp(-seconds / MEMORY.toSeconds());
+      rate *= Math.exp(-seconds / memory.toSeconds());
     }
     at = now;
   }
--- a/src/main/java/io/pineladder/fleet/Renting.java
+++ b/src/main/java/io/pineladder/fleet/Renting.java
@@ -17,6 +17,7 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -41,8 +42,10 @@
   /** How much longer than its tasks run a machine is kept by the last of them, for e times as many tasks. */
   private static final double TAIL = 0.15;
 
-  /** So much of what is needed of ordinary machines is kept, or they would come and go. */
-  private static final double KEPT = 1.25;
+  private static final Duration MEMORY = Duration.ofSeconds(60);
+
+  /** Work that can wait comes in large pieces, so its rate is taken over longer. */
+  private static final Duration LONG_MEMORY = Duration.ofSeconds(180);
 
   /** Machines asked for at once: when hundreds are lost together, fifty a second are too few. */
   private static final int MOST_ASKED = 200;
@@ -62,10 +65,11 @@
 
   private final Map<Pool, Instant> refused = new HashMap<>();
   private final List<Rental> rentals = new ArrayList<>();
-  private final Forecast tightOrdinary = new Forecast();
-  private final Forecast tightSpot = new Forecast();
-  private final Forecast patientOrdinary = new Forecast();
-  private final Forecast patientSpot = new Forecast();
+  private final Forecast tightOrdinary = new Forecast(MEMORY);
+  private final Forecast tightSpot = new Forecast(MEMORY);
+  private final Forecast patientOrdinary = new Forecast(MEMORY);
+  private final Forecast patientSpot = new Forecast(MEMORY);
+  private final Map<Rank, Forecast> arrivals = new EnumMap<>(Rank.class);
   private double meanImageGb;
   private final Zones states;
   private long requests;
@@ -144,9 +148,22 @@
     } else {
       (patient ? patientOrdinary : tightOrdinary).add(worth, now);
     }
+    if (cluster.canWait(job)) {
+      double work = worth * spec.estimate().toMillis() / 1000.0;
+      arrivals.computeIfAbsent(spec.rank(), r -> new Forecast(LONG_MEMORY)).add(work, now);
+    }
     meanImageGb = meanImageGb == 0 ? spec.imageGb() : 0.9 * meanImageGb + 0.1 * spec.imageGb();
   }
 
+  /** The work above a rank, or all if it is null, that comes each second and can wait. */
+  private double arriving(Rank below) {
+    Instant now = time.now();
+    return arrivals.entrySet().stream()
+        .filter(e -> below == null || e.getKey().isAbove(below))
+        .mapToDouble(e -> e.getValue().rate(now))
+        .sum();
+  }
+
   /** Room to have ready for what comes while another machine boots, at list prices an hour. */
   double headroom(boolean spot) {
     Instant now = time.now();
@@ -228,12 +245,14 @@
             this::free,
             now,
             time.timeOfDay(),
+            this::arriving,
             (spot, spec) -> cheapest(spot, spec, false));
     Map<Demand.Kind, Demand.Want> wants = demand.wants();
     double lacking = spare(demand, now);
     if (lacking > 0) {
-      MachineType type = cheapest(false, demand.pressing(), false);
-      if (type != null) {
+      // Of the cheapest type only: others cost more than being late where that is worth something.
+      MachineType type = cheapest(false, demand.pressing(), true);
+      if (type != null && !isRefused(type, false)) {
         wants.computeIfAbsent(new Demand.Kind(type.name(), false), k -> new Demand.Want())
             .machines += lacking / type.price();
       }
@@ -296,7 +315,7 @@
     }
     List<Machine> flexible = demand.flexible();
     double of = flexible.stream().mapToDouble(m -> m.type.price()).sum();
-    double keep = Math.max(demand.needed(of) * KEPT, 2 * headroom(false));
+    double keep = Math.max(demand.needed(of), 2 * headroom(false));
     flexible.sort(Comparator.comparing(machine -> -free(machine) * machine.type.price()));
     for (Machine machine : flexible) {
       if (wanted > 0 || lacking > 0 || of - machine.type.price() < keep) {
--- a/src/main/java/io/pineladder/model/Machine.java
+++ b/src/main/java/io/pineladder/model/Machine.java
@@ -1,5 +1,6 @@
 package io.pineladder.model;
 
+import java.time.Duration;
 import java.time.Instant;
 import java.util.LinkedHashMap;
 import java.util.Map;
@@ -21,6 +22,15 @@
     GONE
   }
 
+  /** Whether what is sent to a machine arrives there. That its reports arrive here does not tell. */
+  public enum Hearing {
+    HEARS,
+    /** A direct order got no answer, though it reports: none of its orders may arrive. */
+    DOUBTED,
+    /** Its session ended although its reports were answered in time: nothing arrives there. */
+    DEAF
+  }
+
   public final String name;
   public final MachineType type;
   public final String zone;
@@ -66,6 +76,9 @@
   public Resources reserved = Resources.NONE;
   public Instant reservedUntil;
 
+  /** When the job it is kept for is thought to start: what ends sooner may run there until then; or null. */
+  public Instant reservedStart;
+
   /** Images thought to be cached, the most recently used last, with their size. */
   public final LinkedHashMap<String, Double> images = new LinkedHashMap<>(8, 0.75f, true);
 
@@ -84,8 +97,13 @@
   /** A direct order is under way; one at a time. */
   public boolean ordering;
 
-  /** The last direct order got no answer: orders go with report responses until one is heard. */
-  public boolean unanswered;
+  private Hearing hearing = Hearing.HEARS;
+
+  /** Since when it has reported without being known to hear; null while it is, or does not report. */
+  private Instant deafSince;
+
+  /** When its newest report was answered with our token last; null for never. */
+  public Instant answeredAt;
 
   /** When it was last asked whether it is there, being overdue; null for never. */
   public Instant probedAt;
@@ -113,11 +131,55 @@
     if (state == State.RELEASING && next != State.GONE) {
       return;
     }
+    if (next == State.SILENT) {
+      // That it hears nothing says no more than that it is cut off; a late report is no sign of life.
+      deafSince = null;
+    }
     state = next;
   }
 
+  public Hearing hearing() {
+    return hearing;
+  }
+
+  /** The one place where what is known of a machine's hearing changes. */
+  public void hear(Hearing next) {
+    if (next == Hearing.HEARS) {
+      deafSince = null;
+    }
+    hearing = next;
+  }
+
+  /** It has reported; for how long it has done so without being known to hear. */
+  public Duration reportsUnhearing(Instant now) {
+    if (hearing == Hearing.HEARS) {
+      return Duration.ZERO;
+    }
+    deafSince = deafSince == null ? now : deafSince;
+    return Duration.between(deafSince, now);
+  }
+
+
+  /**
+   * Whether orders may reach it. One whose reports come through a peer gets its orders with the responses,
+   * so that direct ones fail says nothing more.
+   */
+  private boolean mayHear() {
+    return switch (hearing) {
+      case HEARS -> true;
+      case DOUBTED -> relayed;
+      case DEAF -> false;
+    };
+  }
+
   public boolean takesWork() {
-    return state == State.CONFIRMED && !draining && !spared && !suspect && takenAt == null && !strangers;
+    return state == State.CONFIRMED
+        && mayHear()
+        && !draining
+        && !spared
+        && !suspect
+        && takenAt == null
+        && !strangers;
   }
 
   /**
--- a/src/main/java/io/pineladder/scheduling/Cluster.java
+++ b/src/main/java/io/pineladder/scheduling/Cluster.java
@@ -32,9 +32,6 @@
   /** A loss that is likelier than this is worth the price of ordinary machines. */
   private static final double LIKELY = 0.1;
 
-  /** The dearer ordinary machines are, the likelier a loss must be: by this for each time the price. */
-  private static final double WORTH = 0.036;
-
   /** Work for idle time that has waited so long gets ordinary machines after all. */
   private static final Duration IDLE_TIME_WAITS = Duration.ofMinutes(10);
 
@@ -105,15 +102,13 @@
       return false;
     }
     double machines = 0;
-    double dearer = 0;
     for (MachineType type : types.values()) {
       if (spec.allowsType(type.name())) {
-        dearer = Math.max(dearer, type.price() / Math.max(1e-9, type.spotPrice()));
         double each = Math.min(1, spec.each().shareOf(type.size()));
         machines = Math.max(machines, (spec.tasks() - job.done.cardinality()) * each);
       }
     }
-    return spotRisk.likelihood(machines, spec.estimate()) > Math.max(LIKELY, dearer * WORTH);
+    return spotRisk.likelihood(machines, spec.estimate()) > LIKELY;
   }
 
   /** Whether the job keeps an objective if its tasks run through, and not if one has to start anew. */
@@ -316,6 +311,7 @@
     machine.reservedFor = job;
     machine.reserved = job.spec.each();
     machine.reservedUntil = until;
+    machine.reservedStart = null;
     reservations.computeIfAbsent(job, j -> new LinkedHashSet<>(2)).add(machine);
   }
 
--- a/src/main/java/io/pineladder/scheduling/Placer.java
+++ b/src/main/java/io/pineladder/scheduling/Placer.java
@@ -151,10 +151,20 @@
         machine.reservedFor != null
             && machine.reservedFor != job
             && machine.reservedUntil.isAfter(now)
-            && !job.spec.rank().isAbove(machine.reservedFor.spec.rank());
+            && !job.spec.rank().isAbove(machine.reservedFor.spec.rank())
+            && !endsBefore(job, machine, now);
     return kept ? free.minus(machine.reserved) : free;
   }
 
+  /** Whether a task is thought to end there before the job that room is kept for can start. */
+  private static boolean endsBefore(Job job, Machine machine, Instant now) {
+    if (machine.reservedStart == null || job.spec.shape() != Shape.ARRAY) {
+      return false;
+    }
+    long millis = (long) (fetchSeconds(job, machine) * 1000);
+    return now.plusMillis(millis).plus(job.spec.estimate()).isBefore(machine.reservedStart);
+  }
+
   /** Everything of a job that may be somewhere, by zone. */
   private static Map<String, Integer> byZone(Job job) {
     Map<String, Integer> zones = new HashMap<>();
--- a/src/main/java/io/pineladder/scheduling/Scheduler.java
+++ b/src/main/java/io/pineladder/scheduling/Scheduler.java
@@ -45,6 +45,12 @@
    */
   private static final double LARGE_A_SECOND = 120;
 
+  /**
+   * A job of which nothing has begun goes before others of its rank by then: the largest, and those whose
+   * objectives are missed, must begin within four minutes too.
+   */
+  private static final Duration LATEST_START = Duration.ofSeconds(150);
+
   /** Tasks of a job at fault that are tried at a time. */
   private static final int PROBES = 2;
 
@@ -76,6 +82,7 @@
   private final Effects effects;
   private final Placer placer;
   private final RoomMaker rooms;
+  private final HeldRoom held;
   private final SchedulingQueue queue;
   private final Map<String, QueueEntry> entries = new HashMap<>();
   private final long term;
@@ -99,6 +106,7 @@
     this.effects = effects;
     this.placer = new Placer(cluster, time);
     this.rooms = new RoomMaker(cluster, time, this::displace);
+    this.held = new HeldRoom(cluster, time);
     // A back-off with its window may last for two seconds, and what comes up in them is not lost.
     this.large = new RateBudget(LARGE_A_SECOND, 2 * LARGE_A_SECOND, time.now());
     this.queue = new SchedulingQueue(Hints.table(cluster, time), new ByObjective(), operator);
@@ -162,7 +170,9 @@
         job.atFault
             ? Objectives.NO_HURRY
             : cluster.objectives().allowance(job, time.timeOfDay());
-    return allowance.plus(turn(job));
+    Duration due = allowance.plus(turn(job));
+    boolean begun = job.attempts.size() + job.done.cardinality() > 0;
+    return begun || job.atFault || due.compareTo(LATEST_START) < 0 ? due : LATEST_START;
   }
 
   /**
@@ -754,6 +764,7 @@
     boolean room = by == Check.FIT || by == Check.SPREAD || by == Check.TOGETHER;
     if (room && !entry.job.atFault) {
       rooms.makeRoom(entry.job, Double.MAX_VALUE, now);
+      held.turnedAway(entry.job, now);
     }
     queue.park(entry, by, now);
   }
--- a/src/main/java/io/pineladder/workers/Workers.java
+++ b/src/main/java/io/pineladder/workers/Workers.java
@@ -105,23 +105,69 @@
    * and must not be kept here.
    */
   public Orders onReport(Report report) {
+    return onReport(report, false);
+  }
+
+  /**
+   * Takes a report that a peer may have handed on.
+   *
+   * @param relayed whether it has
+   */
+  public Orders onReport(Report report, boolean relayed) {
+    Machine known = cluster.machine(report.machine());
+    // A copy of a report may come long after it: nobody waits for its answer, so no order goes with it.
+    boolean first = known == null || isNewer(report, known);
+    if (first && known != null) {
+      known.relayed = relayed;
+    }
     Machine machine = take(report);
     if (report.token() > term) {
       listener.onSuperseded(report.token());
       return null;
     }
     Orders orders = new Orders();
-    boolean newest =
-        machine != null
-            && machine.session == report.session()
-            && machine.sequence == report.sequence();
-    if (newest && report.token() == term && mayAct.getAsBoolean()) {
-      writeOrders(machine, orders, false);
-      writeStrangers(report, machine, orders);
+    if (machine != null && first) {
+      machine.relayed = relayed;
+      if (report.token() == term && mayAct.getAsBoolean()) {
+        writeOrders(machine, orders, false);
+        writeStrangers(report, machine, orders);
+      }
+      machine.answeredAt = time.now();
+      if (machine.hearing() != Machine.Hearing.HEARS && !relayed) {
+        machine.reportsUnhearing(time.now());
+        probe(machine);
+      }
     }
     return orders;
   }
 
+  private static boolean isNewer(Report report, Machine machine) {
+    return report.session() > machine.session
+        || (report.session() == machine.session && report.sequence() > machine.sequence);
+  }
+
+  /**
+   * Finds out whether orders reach a machine that reports. An order that got no answer is asked after with
+   * an empty one at its next report, so a lost packet costs it no more than that. One whose session ended
+   * although it was answered in time has heard nothing for a whole lease. Without this it took new tasks
+   * with each new session, of which none ever started.
+   */
+  private void hear(Machine machine, Machine.Hearing next) {
+    if (machine.hearing() == next) {
+      return;
+    }
+    log.info("machine {} {} (was {})", machine, next, machine.hearing());
+    boolean took = machine.takesWork();
+    machine.hear(next);
+    cluster.refresh(machine);
+    if (next == Machine.Hearing.DOUBTED) {
+      machine.probedAt = null;
+    }
+    if (!took && machine.takesWork()) {
+      scheduler.machineReady(machine);
+    }
+  }
+
   /** Whether tasks of jobs that are over may still be on a machine. */
   public boolean holdsEnded(String name) {
     Machine machine = cluster.machine(name);
@@ -149,15 +195,11 @@
       cluster.addMachine(machine);
       listener.onMachine(machine);
     }
-    boolean older =
-        report.session() < machine.session
-            || (report.session() == machine.session && report.sequence() <= machine.sequence);
-    if (older) {
+    if (!isNewer(report, machine)) {
       return machine;
     }
     machine.heardAt = time.now();
     machine.address = report.address();
-    machine.unanswered = false;
     if (report.session() > machine.session) {
       newSession(machine, report.session());
     }
@@ -205,6 +247,12 @@
       return;
     }
     log.info("machine {} is in session {}", machine, session);
+    Duration half = cluster.settings.workers().lease().dividedBy(2);
+    boolean answered =
+        machine.answeredAt != null && machine.answeredAt.plus(half).isAfter(time.now());
+    if (answered) {
+      hear(machine, Machine.Hearing.DEAF);
+    }
     for (Attempt attempt : List.copyOf(machine.attempts.values())) {
       boolean ofBefore =
           attempt.wasSeen() || (attempt.sentSession != 0 && attempt.sentSession < session);
@@ -212,6 +260,14 @@
         scheduler.gone(attempt, "the worker's session ended");
       }
     }
+    if (answered) {
+      // What is left was never sent, and would wait for a machine that hears nothing.
+      for (Attempt attempt : List.copyOf(machine.attempts.values())) {
+        if (attempt.holdsRoom() && attempt.isWanted()) {
+          scheduler.displace(attempt);
+        }
+      }
+    }
   }
 
   /** Brings the attempts of a machine in step with the newest report of one that has our token. */
@@ -231,6 +287,10 @@
         continue;
       }
       attempt.listedIn = mark;
+      if (attempt.state() == Attempt.State.STORED && attempt.sentInReport >= 0) {
+        // Its start went with a response, which has been heard.
+        hear(machine, Machine.Hearing.HEARS);
+      }
       if (task.state() == TaskState.EXITED) {
         scheduler.exited(attempt, task.cause());
       } else {
@@ -347,7 +407,9 @@
    * whether the orders run, so a machine that did not answer gets them with its reports only.
    */
   private void direct(Machine machine) {
-    if (machine.state() != Machine.State.CONFIRMED || machine.ordering || machine.unanswered) {
+    if (machine.state() != Machine.State.CONFIRMED
+        || machine.ordering
+        || machine.hearing() != Machine.Hearing.HEARS) {
       return;
     }
     if (!mayAct.getAsBoolean()) {
@@ -431,12 +493,13 @@
       machine.attempts.values().forEach(a -> a.killSent = false);
     }
     if (!reply.isAnswered()) {
-      if (!machine.unanswered) {
+      if (machine.hearing() == Machine.Hearing.HEARS) {
         log.info("machine {} did not answer ({})", machine, reply);
+        hear(machine, Machine.Hearing.DOUBTED);
       }
-      machine.unanswered = true;
       return;
     }
+    hear(machine, Machine.Hearing.HEARS);
     if (executed || reply.status() == 409) {
       try {
         Report report = WorkerWire.parseReport(reply.body());
@@ -447,7 +510,7 @@
         take(report);
       } catch (MalformedException e) {
         log.warn("machine {} answered a command with {}", machine, reply);
-        machine.unanswered = true;
+        hear(machine, Machine.Hearing.DOUBTED);
       }
     }
     ordersDue(machine);
--- a/src/test/java/io/pineladder/sim/FleetStandIn.java
+++ b/src/test/java/io/pineladder/sim/FleetStandIn.java
@@ -20,7 +20,6 @@
 /** The cloud and the workers on its machines, from their protocols, watched by the rules. */
 final class FleetStandIn implements HttpHandlerAsync {
   static final String ADDRESS = "10.2.0.2:8443";
-  private static final long LEASE_MILLIS = 20_000;
   private static final int CAPACITY = 12;
   private static final int PAGE = 500;
 
@@ -35,6 +34,22 @@
   /** Machines of one zone at most. */
   int capacity = CAPACITY;
 
+  /** How long a worker's lease lasts, and about how long it is between two of its reports. */
+  long leaseMillis = 20_000;
+
+  long reportMillis = 3_000;
+
+  /** A machine's type. */
+  record Type(
+      String name, double cpus, double gpus, double gb, double pull, double price, double spot,
+      double boot, List<String> zones) {}
+
+  List<Type> types =
+      List.of(new Type("g4", 16, 4, 64, 1, 4, 1, 10, List.of("a", "b")));
+
+  /** The part of reports of which a copy comes late, up to three leases, at any controller. */
+  double copies;
+
   /** Half of the machines come up late or never. */
   boolean badBoots;
 
@@ -75,21 +90,25 @@
     return new HttpAnswer(200, Json.bytes(body));
   }
 
-  private static ObjectNode flavors() {
+  private ObjectNode flavors() {
     ObjectNode out = Json.object();
-    ObjectNode type =
-        out.putArray("hulls")
-            .addObject()
-            .put("sku", "g4")
-            .put("vcpus", 16.0)
-            .put("cards", 4.0)
-            .put("memory_gb", 64.0)
-            .put("local_gb", 50.0)
-            .put("pull_gb_per_s", 1.0)
-            .put("hourly", 4.0)
-            .put("spot_price", 1.0)
-            .put("boot_s", 10.0);
-    type.putArray("yards").add("a").add("b");
+    ArrayNode hulls = out.putArray("hulls");
+    for (Type type : types) {
+      ArrayNode yards =
+          hulls
+              .addObject()
+              .put("sku", type.name)
+              .put("vcpus", type.cpus)
+              .put("cards", type.gpus)
+              .put("memory_gb", type.gb)
+              .put("local_gb", 50.0)
+              .put("pull_gb_per_s", type.pull)
+              .put("hourly", type.price)
+              .put("spot_price", type.spot)
+              .put("boot_s", type.boot)
+              .putArray("yards");
+      type.zones.forEach(yards::add);
+    }
     return out;
   }
 
@@ -108,15 +127,15 @@
     ObjectNode out = Json.object();
     ArrayNode names = out.putArray("hosts");
     for (int i = 0; i < count; i++) {
-      names.add(create(zone, spot));
+      names.add(create(request.get("hull").asText(), zone, spot));
     }
     answered.put(id, out);
     return ok(out);
   }
 
-  private String create(String zone, boolean spot) {
+  private String create(String type, String zone, boolean spot) {
     String name = String.format("m-%06d", ++names);
-    Worker worker = new Worker(name, "10.1.0." + names + ":9000", zone, spot);
+    Worker worker = new Worker(name, "10.1.0." + names + ":9000", type, zone, spot);
     machines.put(name, worker);
     // Some come up at once, some take several times as long, and a few never come.
     int luck = world.random.nextInt(badBoots ? 4 : 20);
@@ -131,7 +150,9 @@
   void addUp(int count) {
     for (int i = 0; i < count; i++) {
       String name = String.format("m-%06d", ++names);
-      Worker worker = new Worker(name, "10.1.0." + names + ":9000", i % 2 == 0 ? "a" : "b", false);
+      Worker worker = 
+          new Worker(
+              name, "10.1.0." + names + ":9000", types.get(0).name, i % 2 == 0 ? "a" : "b", false);
       machines.put(name, worker);
       world.after(world.random.nextInt(3_000), worker::boot);
     }
@@ -150,7 +171,7 @@
           .addObject()
           .put("ref", worker.name)
           .put("addr", worker.address)
-          .put("hull", "g4")
+          .put("hull", worker.type)
           .put("yard", worker.zone)
           .put("loaners", worker.spot)
           .put("status", worker.up ? "running" : "booting")
@@ -182,6 +203,7 @@
   final class Worker implements HttpHandlerAsync {
     final String name;
     final String address;
+    final String type;
     final String zone;
     final boolean spot;
     final LinkedHashMap<String, Task> tasks = new LinkedHashMap<>();
@@ -194,8 +216,9 @@
     private long answeredSentMillis;
     private long reportRound;
 
-    Worker(String name, String address, String zone, boolean spot) {
+    Worker(String name, String address, String type, String zone, boolean spot) {
       this.name = name;
+      this.type = type;
       this.address = address;
       this.zone = zone;
       this.spot = spot;
@@ -233,7 +256,7 @@
       if (ended) {
         return;
       }
-      if (world.now().toEpochMilli() - answeredSentMillis > LEASE_MILLIS) {
+      if (world.now().toEpochMilli() - answeredSentMillis > leaseMillis) {
         List.copyOf(tasks.values()).forEach(this::leave);
         tasks.clear();
         session++;
@@ -248,7 +271,7 @@
           Json.object()
               .put("host", name)
               .put("addr", address)
-              .put("hull", "g4")
+              .put("hull", type)
               .put("yard", zone)
               .put("loaners", spot)
               .put("shift", session)
@@ -277,6 +300,12 @@
       long sentSession = session;
       long sentMillis = world.now().toEpochMilli();
       byte[] body = Json.bytes(report());
+      if (copies > 0 && world.random.nextDouble() < copies) {
+        String where = controllers.get(world.random.nextInt(controllers.size()));
+        world.deliverCopy(
+            HttpCaller.Request.post(where, "/v1/report", body, Duration.ofSeconds(4)),
+            1_000 + world.random.nextLong(3 * leaseMillis));
+      }
       HttpCaller caller = world.caller(World.host(address), () -> !ended);
       caller.call(
           HttpCaller.Request.post(
@@ -299,7 +328,9 @@
             answeredSentMillis = sentMillis;
             execute(response.get("orders"));
           }
-          world.after(higher ? 500 : 2_250 + world.random.nextInt(1_500), this::send);
+          world.after(higher
+                  ? 500
+                  : reportMillis * 3 / 4 + world.random.nextInt((int) reportMillis / 2), this::send);
           return;
         }
         JsonNode leader = reply.is(421) ? Json.parseObject(reply.body()).get("foreman") : null;
--- a/src/test/java/io/pineladder/sim/Rules.java
+++ b/src/test/java/io/pineladder/sim/Rules.java
@@ -5,15 +5,21 @@
 import io.pineladder.sim.FleetStandIn.Worker;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
 
 /** The rules at the end of the protocol, checked at every start, exit and answer. */
 final class Rules {
   private static final Duration CANCEL = Duration.ofSeconds(40);
+  private static final Duration KNOWN = Duration.ofSeconds(75);
+  private static final Duration BEGINS = Duration.ofMinutes(4);
   private static final double BLUE_GPUS = 8;
 
   /** A submitted job as its user knows it. */
@@ -25,6 +31,13 @@
     /** Submitted with a mistake: every task of it fails. */
     boolean broken;
 
+    /** When its user first asked for it, a task of it first began, and a question was answered last. */
+    Instant submitted;
+
+    Instant begun;
+    Instant answered;
+    final Set<String> everStarted = new HashSet<>();
+
     boolean cancelAsked;
     Instant cancelled;
     boolean done;
@@ -53,6 +66,9 @@
   private final Map<String, Map<String, Worker>> gathered = new HashMap<>();
   int starts;
 
+  /** Since when all troubles are over, or null. */
+  Instant calmSince;
+
   Rules(World world) {
     this.world = world;
   }
@@ -83,6 +99,8 @@
   void started(Task task, Worker on) {
     starts++;
     Known job = jobs.get(task.job());
+    job.begun = job.begun == null ? world.now() : job.begun;
+    job.everStarted.add(task.piece);
     Worker other = places.get(task.piece);
     if (other != null && other != on) {
       throw broken("ran_twice", task.piece + " on " + other.name + " and " + on.name);
@@ -162,8 +180,66 @@
     }
   }
 
+  /**
+   * An accepted job that was not cancelled stays known: once all troubles are over some question about it is
+   * answered every 75 s, however others fare. Its user asks more often than that.
+   */
+  void watchKnown() {
+    if (calmSince == null) {
+      return;
+    }
+    for (Known job : jobs.values()) {
+      if (job.accepted && !job.cancelAsked) {
+        Instant last = job.answered.isAfter(calmSince) ? job.answered : calmSince;
+        if (last.plus(KNOWN).isBefore(world.now())) {
+          throw broken("forgotten", job.id + " had no answer since " + job.answered);
+        }
+      }
+    }
+  }
+
+  /** Of a class, of a team, and of the largest quarter of a class's jobs half must be served. */
+  void checkShares() {
+    Map<String, List<Known>> groups = new TreeMap<>();
+    for (Known job : jobs.values()) {
+      if (!job.cancelAsked && !job.broken) {
+        String owner = job.spec.get("owner").asText();
+        groups.computeIfAbsent("team " + owner, g -> new ArrayList<>()).add(job);
+        String of = job.spec.get("jobclass").asText();
+        groups.computeIfAbsent("class " + of, g -> new ArrayList<>()).add(job);
+      }
+    }
+    groups.forEach(this::checkShare);
+    groups.forEach(
+        (name, group) -> {
+          if (name.startsWith("class ")) {
+            group.sort(Comparator.comparingInt(Known::tasks).reversed());
+            List<Known> largest = group.subList(0, (group.size() + 3) / 4);
+            checkShare("largest of " + name, largest);
+            for (Known job : largest) {
+              if (job.begun == null || job.begun.isAfter(job.submitted.plus(BEGINS))) {
+                throw broken("largest began late", job.id + " of " + name + " at " + job.begun);
+              }
+            }
+          }
+        });
+  }
+
+  private void checkShare(String name, List<Known> group) {
+    long served = group.stream().filter(Rules::isServed).count();
+    if (2 * served < group.size()) {
+      throw broken("less than half served", name + ": " + served + " of " + group.size());
+    }
+  }
+
+  private static boolean isServed(Known job) {
+    boolean service = job.spec.get("shape").asText().equals("service");
+    return service ? job.everStarted.size() == job.tasks() : job.done;
+  }
+
   /** A user was told a state. */
   void told(Known job, String status) {
+    job.answered = world.now();
     if (status.equals("done") && job.completed.size() < job.tasks()) {
       throw broken("not_done", job.id);
     }
--- a/src/test/java/io/pineladder/sim/SimulatedCluster.java
+++ b/src/test/java/io/pineladder/sim/SimulatedCluster.java
@@ -45,6 +45,10 @@
   }
 
   final List<Controller> controllers = new ArrayList<>();
+
+  /** Where the controllers are reached; as many as there are. */
+  List<String> fronts = FRONTS;
+
   World world;
   StoreStandIn store;
   FleetStandIn fleet;
@@ -103,10 +107,10 @@
     world = new World(seed);
     rules = new Rules(world);
     store = new StoreStandIn(world, 12, 8192);
-    fleet = new FleetStandIn(world, rules, FRONTS);
+    fleet = new FleetStandIn(world, rules, fronts);
     world.serve(STORE, store);
     world.serve(FleetStandIn.ADDRESS, fleet);
-    for (int i = 0; i < 3; i++) {
+    for (int i = 0; i < fronts.size(); i++) {
       controllers.add(new Controller(i));
       start(controllers.get(i));
     }
@@ -115,6 +119,7 @@
 
   void watch() {
     rules.watchCancelled();
+    rules.watchKnown();
     world.after(500, this::watch);
   }
 
@@ -180,7 +185,7 @@
       return;
     }
     controller.alive[0] = false;
-    world.stop(FRONTS.get(controller.index));
+    world.stop(fronts.get(controller.index));
     world.stop("10.0.0." + (controller.index + 1) + ":8081");
     world.after(backMillis, () -> start(controller));
   }
@@ -214,6 +219,7 @@
   Rules.Known known(ObjectNode spec) {
     Rules.Known job = new Rules.Known(spec.get("ref").asText(), spec);
     rules.jobs.put(job.id, job);
+    job.submitted = world.now();
     return job;
   }
 
@@ -230,7 +236,7 @@
 
   void send(Rules.Known job, String method, String path, byte[] body) {
     HttpCaller user = world.caller("user", () -> true);
-    String node = FRONTS.get(world.random.nextInt(3));
+    String node = fronts.get(world.random.nextInt(fronts.size()));
     boolean poll = method.equals("GET");
     boolean wasOver = job.isOver();
     user.call(
--- /dev/null
+++ b/src/test/java/io/pineladder/sim/UnlistedTroublesTest.java
@@ -0,0 +1,329 @@
+package io.pineladder.sim;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.pineladder.model.Settings;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/**
+ * Machines that report and hear nothing, late copies of reports, a controller alone with its workers, and
+ * processes that are back at once; each alone and with another trouble, in deployments of several shapes.
+ */
+class UnlistedTroublesTest extends SimulatedCluster {
+  private static final Duration TROUBLE = Duration.ofSeconds(40);
+
+  /** What a deployment is like. */
+  enum Layout {
+    PAIR(2, List.of("a", "b")),
+    /** Cards, reports every 3 s, leases of 20 s. */
+    FLEET(3, List.of("a", "b")),
+    /** No cards, two types of which one is not everywhere, reports every second, leases of 11 s. */
+    SHORT(5, List.of("a", "b", "c"));
+
+    final int nodes;
+    final List<String> zones;
+
+    Layout(int nodes, List<String> zones) {
+      this.nodes = nodes;
+      this.zones = zones;
+    }
+  }
+
+  enum Trouble {
+    ONE_WAY,
+    ONE_WAY_THIRD,
+    LATE_COPIES,
+    ALONE,
+    AT_ONCE
+  }
+
+  enum Beside {
+    NOTHING,
+    TAKEOVER,
+    STATE_OUTAGE,
+    ZONE_CUT,
+    SPOT_WAVE
+  }
+
+  private Layout layout = Layout.FLEET;
+
+  private String zoneOf(int node) {
+    return layout.zones.get(node % layout.zones.size());
+  }
+
+  @Override
+  Settings settings(int index) {
+    Settings of = super.settings(0);
+    boolean fast = layout == Layout.SHORT;
+    List<Settings.Peer> peers = new ArrayList<>();
+    for (int i = 0; i < layout.nodes; i++) {
+      if (i != index) {
+        peers.add(new Settings.Peer("rung-" + i, zoneOf(i), host(i) + ":8081"));
+      }
+    }
+    return new Settings(
+        "rung-" + index,
+        zoneOf(index),
+        fronts.get(index),
+        host(index) + ":8081",
+        peers,
+        of.cloudAddress(),
+        of.storeAddress(),
+        layout.zones,
+        of.teams(),
+        of.objectives(),
+        fast
+            ? new Settings.WorkerTimes(
+                Duration.ofSeconds(1),
+                Duration.ofSeconds(11),
+                Duration.ofSeconds(30),
+                Duration.ofSeconds(6),
+                Duration.ofSeconds(41))
+            : of.workers(),
+        fast ? new Settings.StoreLimits(80, 30, 8192, 12) : of.store(),
+        fast ? new Settings.CloudLimits(1.5, Duration.ofSeconds(8)) : of.cloud(),
+        of.maxSockets(),
+        of.coreShare());
+  }
+
+  private static String host(int node) {
+    return "10.0.0." + (node + 1);
+  }
+
+  private void begin(Layout of, long seed) {
+    layout = of;
+    fronts = IntStream.range(0, of.nodes).mapToObj(i -> host(i) + ":8080").toList();
+    begin(seed);
+    if (of == Layout.SHORT) {
+      fleet.types =
+          List.of(
+              new FleetStandIn.Type("small", 8, 0, 16, 0.25, 0.5, 0.11, 8, of.zones),
+              new FleetStandIn.Type(
+                  "large", 64, 0, 128, 1, 3.86, 0.84, 12, List.of("a", "b")));
+      fleet.leaseMillis = 11_000;
+      fleet.reportMillis = 1_000;
+    }
+    world.runFor(Duration.ofSeconds(5));
+  }
+
+  private ObjectNode work(String shape, int tasks) {
+    ObjectNode spec = job(shape, tasks, "red").put("together", false).put("spread", false);
+    return layout == Layout.SHORT ? spec.put("cards", 0.0) : spec;
+  }
+
+  private void arrivals(int steps) {
+    for (int step = 0; step < steps; step++) {
+      submit(work(step % 4 == 0 ? "service" : "array", 1 + world.random.nextInt(4)));
+      if (step % 5 == 1) {
+        submit(work("group", 2 + world.random.nextInt(2)));
+      }
+      if (step % 8 == 2) {
+        submit(work("array", 24));
+      }
+      world.runFor(Duration.ofMillis(2_000));
+    }
+  }
+
+  private void strike(Trouble trouble) {
+    long millis = TROUBLE.toMillis();
+    switch (trouble) {
+      case ONE_WAY, ONE_WAY_THIRD -> {
+        List<FleetStandIn.Worker> up = fleet.up();
+        int first = world.random.nextInt(up.size());
+        for (int i = 0; i < up.size(); i++) {
+          if (trouble == Trouble.ONE_WAY ? i == first : i % 3 == first % 3) {
+            String there = World.host(up.get(i).address);
+            world.deaf.add(there);
+            world.after(millis, () -> world.deaf.remove(there));
+          }
+        }
+      }
+      case LATE_COPIES -> {
+        fleet.copies = 0.2;
+        world.after(millis, () -> fleet.copies = 0);
+      }
+      case ALONE -> {
+        String alone = host(leader());
+        List<String> others = new ArrayList<>(List.of("10.2.0.1"));
+        for (int i = 0; i < layout.nodes; i++) {
+          if (!host(i).equals(alone)) {
+            others.add(host(i));
+          }
+        }
+        others.forEach(other -> world.cut(alone, other));
+        world.after(millis, () -> others.forEach(other -> world.heal(alone, other)));
+      }
+      case AT_ONCE -> {
+        for (int i = 0; i < 8; i++) {
+          world.after(
+              i * (400L + world.random.nextInt(900)),
+              () -> {
+                int some =
+                    world.random.nextBoolean() && store.value("lead/holder") != null
+                        ? leader()
+                        : world.random.nextInt(layout.nodes);
+                kill(controllers.get(some), world.random.nextInt(500));
+              });
+        }
+      }
+      default -> throw new AssertionError(trouble);
+    }
+  }
+
+  private void strike(Beside beside) {
+    switch (beside) {
+      case NOTHING -> {}
+      case TAKEOVER -> kill(controllers.get(leader()), 6_000);
+      case STATE_OUTAGE -> {
+        store.outage = true;
+        world.after(15_000, store::endOutage);
+      }
+      case ZONE_CUT -> {
+        List<String> inside = new ArrayList<>();
+        List<String> outside = new ArrayList<>(List.of("10.2.0.1", "10.2.0.2", "user"));
+        for (int i = 0; i < layout.nodes; i++) {
+          (zoneOf(i).equals("b") ? inside : outside).add(host(i));
+        }
+        fleet.machines.values().forEach(
+            w -> (w.zone.equals("b") ? inside : outside).add(World.host(w.address)));
+        inside.forEach(one -> outside.forEach(other -> world.cut(one, other)));
+        world.after(
+            25_000, () -> inside.forEach(one -> outside.forEach(other -> world.heal(one, other))));
+      }
+      case SPOT_WAVE -> {
+        for (FleetStandIn.Worker worker : fleet.up()) {
+          if (worker.spot && world.random.nextInt(3) == 0) {
+            fleet.machines.remove(worker.name);
+            worker.end();
+          }
+        }
+      }
+      default -> throw new AssertionError(beside);
+    }
+  }
+
+  /** All cells; more seeds of each by hand with {@code -Dpineladder.unlisted=100}. */
+  static Stream<Arguments> cells() {
+    return Stream.of(Trouble.values())
+        .flatMap(
+            trouble ->
+                Stream.of(Beside.values())
+                    .flatMap(
+                        beside ->
+                            IntStream.range(0, Integer.getInteger("pineladder.unlisted", 1))
+                                .mapToObj(seed -> Arguments.of(trouble, beside, seed))));
+  }
+
+  @ParameterizedTest
+  @MethodSource("cells")
+  void allIsKnownAndServed(Trouble trouble, Beside beside, int seed) {
+    int cell = trouble.ordinal() * Beside.values().length + beside.ordinal();
+    Layout of = Layout.values()[(cell + seed) % Layout.values().length];
+    begin(of, 9_000 + 100L * seed + cell);
+    arrivals(12);
+    strike(trouble);
+    world.runFor(Duration.ofMillis(1_000 + world.random.nextInt(6_000)));
+    strike(beside);
+    arrivals(20);
+    world.runFor(TROUBLE);
+    rules.calmSince = world.now();
+    settle(Duration.ofSeconds(200));
+    rules.checkShares();
+  }
+
+  /** It was given new tasks with each new session, of which none ever started. */
+  @Test
+  void aMachineThatHearsNothingGetsNoNewWorkAndIsReplaced() {
+    begin(Layout.SHORT, 31);
+    for (int i = 0; i < 4; i++) {
+      submit(work("service", 4));
+    }
+    world.runFor(Duration.ofSeconds(40));
+    FleetStandIn.Worker deaf =
+        fleet.up().stream().filter(w -> !w.tasks.isEmpty()).findFirst().orElseThrow();
+    world.deaf.add(World.host(deaf.address));
+    world.runFor(Duration.ofSeconds(14));
+    assertTrue(deaf.tasks.isEmpty(), "its lease has ended");
+    Rules.Known late = submit(work("array", 6));
+    world.runFor(Duration.ofSeconds(45));
+    assertTrue(late.done, "served elsewhere");
+    int running = 0;
+    for (FleetStandIn.Worker worker : fleet.up()) {
+      running += worker.tasks.values().stream().filter(t -> t.there).count();
+    }
+    assertEquals(16, running, "what it ran runs elsewhere");
+    world.runFor(Duration.ofSeconds(30));
+    assertTrue(!fleet.machines.containsKey(deaf.name), "returned");
+  }
+
+  /** One that hears again works again. */
+  @Test
+  void aMachineThatHearsAgainIsUsedAgain() {
+    begin(Layout.FLEET, 32);
+    fleet.capacity = 1;
+    submit(work("service", 2));
+    submit(work("service", 2));
+    world.runFor(Duration.ofSeconds(40));
+    List<String> hosts = fleet.up().stream().map(w -> World.host(w.address)).toList();
+    world.deaf.addAll(hosts);
+    world.runFor(Duration.ofSeconds(6));
+    Rules.Known job = submit(work("array", 2));
+    world.runFor(Duration.ofSeconds(5));
+    world.deaf.clear();
+    world.runFor(Duration.ofSeconds(60));
+    assertTrue(job.done);
+  }
+
+  // ---- the checks of the checks
+
+  private Rules.Known accepted(String shape, int tasks) {
+    Rules.Known job = known(work(shape, tasks));
+    job.accepted = true;
+    job.answered = world.now();
+    return job;
+  }
+
+  @Test
+  void aJobNobodyAnswersForIsSeenAsForgotten() {
+    begin(Layout.FLEET, 33);
+    rules.calmSince = world.now();
+    accepted("array", 1);
+    assertThrows(AssertionError.class, () -> world.runFor(Duration.ofSeconds(77)));
+  }
+
+  @Test
+  void anUnservedHalfIsSeen() {
+    begin(Layout.FLEET, 34);
+    accepted("array", 1).done = true;
+    accepted("array", 1);
+    rules.jobs.values().forEach(job -> job.begun = world.now());
+    rules.checkShares();
+    accepted("array", 1);
+    assertThrows(AssertionError.class, rules::checkShares);
+  }
+
+  @Test
+  void aLargestJobThatBeginsLateIsSeen() {
+    begin(Layout.FLEET, 35);
+    Rules.Known large = accepted("array", 9);
+    for (int i = 0; i < 3; i++) {
+      accepted("array", 1).done = true;
+    }
+    rules.jobs.values().forEach(job -> job.begun = world.now());
+    large.done = true;
+    rules.checkShares();
+    large.begun = large.submitted.plusSeconds(241);
+    assertThrows(AssertionError.class, rules::checkShares);
+  }
+}
--- a/src/test/java/io/pineladder/sim/World.java
+++ b/src/test/java/io/pineladder/sim/World.java
@@ -36,6 +36,9 @@
   /** Hosts whose process stands still, and until when; their clocks go on. */
   private final Map<String, Long> frozen = new HashMap<>();
 
+  /** Hosts that send and that nothing reaches: neither requests nor answers to theirs. */
+  final Set<String> deaf = new HashSet<>();
+
   /** The part of messages whose reply is lost, and which may then be executed late. */
   double lossy;
 
@@ -156,6 +159,10 @@
                   });
       long timeout = request.timeout().toMillis();
       String way = from + " " + host(request.address());
+      if (deaf.contains(host(request.address()))) {
+        after(timeout, () -> once.accept(HttpCaller.Reply.UNKNOWN));
+        return;
+      }
       if (cuts.contains(way)) {
         // A connection that stood before the cut carries the request late; a new one never does.
         boolean late = random.nextInt(3) == 0;
@@ -180,7 +187,7 @@
               deliver(
                   request,
                   answer -> {
-                    if (!lost && !cuts.contains(way)) {
+                    if (!lost && !cuts.contains(way) && !deaf.contains(from)) {
                       after(
                           1 + random.nextInt(5),
                           () ->
@@ -191,6 +198,11 @@
     };
   }
 
+  /** Delivers a copy of a request later, to whoever is there by then; nobody waits for its answer. */
+  void deliverCopy(HttpCaller.Request request, long millis) {
+    after(millis, () -> deliver(request, answer -> {}));
+  }
+
   private void deliver(HttpCaller.Request request, Consumer<HttpAnswer> onAnswer) {
     HttpHandlerAsync server = servers.get(request.address());
     if (server != null) {
