--- a/src/test/java/io/pineladder/scheduling/PlacerTest.java
+++ b/src/test/java/io/pineladder/scheduling/PlacerTest.java
@@ -240,4 +240,55 @@
       assertEquals(seconds != 80, decision.machines().get(0).spot, seconds + " s");
     }
   }
+
+  /**
+   * Found on galleharbour: two of five tasks of low rank were stopped, many of them several times, for arrays
+   * with minutes left. Work of which nothing is expected makes way at once all the same.
+   */
+  @Test
+  void anArrayWithTimeLeftStopsOnlyWorkOfWhichNothingIsExpected()
+      throws SettingsReader.BadSettingsException {
+    String objective =
+        """
+        [[deployment.objectives]]
+        kind = "finished"
+        class = "class"
+        within_s = 120.0
+        share = 0.9
+
+        [deployment.workers]""";
+    for (boolean expected : List.of(true, false)) {
+      for (int age : List.of(0, 60, 100)) {
+        Cluster cluster =
+            new Cluster(
+                SettingsReader.parse(
+                    SettingsReaderTest.GOOD.replace("[deployment.workers]", objective)));
+        MachineType type = type("large", 24, 4);
+        cluster.setTypes(List.of(type));
+        Machine machine = new Machine("m-1", type, "a", true, NOW);
+        machine.moveTo(Machine.State.CONFIRMED);
+        cluster.addMachine(machine);
+        Job low = job("req-1", expected ? "class" : "other", Rank.LOW, NOW);
+        cluster.addJob(low);
+        cluster.addAttempt(low, 0, 1, machine, NOW, Attempt.State.STORING);
+        Job high = job("req-2", "class", Rank.NORMAL, NOW);
+        high.pending.set(0);
+        cluster.addJob(high);
+        Instant now = NOW.plusSeconds(age);
+        List<Attempt> stopped = new ArrayList<>();
+        new RoomMaker(cluster, new FixedTime(now), stopped::add)
+            .makeRoom(high, Double.MAX_VALUE, now);
+        // It runs for 10 s of its 120, and another machine would be ready after 11.
+        assertEquals(!expected || age == 100, !stopped.isEmpty(), expected + " at " + age);
+      }
+    }
+  }
+
+  private static Job job(String id, String jobClass, Rank rank, Instant accepted) {
+    JobSpec spec =
+        new JobSpec(
+            id, jobClass, "red", Shape.ARRAY, rank, 1, Resources.of(24, 4, 1), null, null, false,
+            false, true, "img", 1, Duration.ofSeconds(10), Duration.ZERO, Duration.ZERO, null);
+    return new Job(spec, accepted, Job.State.ACTIVE);
+  }
 }
