--- a/src/main/java/io/pineladder/fleet/Renting.java
+++ b/src/main/java/io/pineladder/fleet/Renting.java
@@ -8,9 +8,7 @@
 import io.pineladder.model.Rank;
 import io.pineladder.net.HttpCaller.Reply;
 import io.pineladder.net.Timeline;
-import io.pineladder.queue.QueueEntry;
 import io.pineladder.scheduling.Cluster;
-import io.pineladder.scheduling.Placer;
 import io.pineladder.scheduling.Scheduler;
 import io.pineladder.wire.CloudWire;
 import io.pineladder.wire.MalformedException;
@@ -257,7 +255,7 @@
       MachineType type = cheapest(false, demand.pressing(), false);
       if (type != null) {
         int count = (int) Math.ceil(lacking / type.price() / boots.comingPart(type));
-        ask(type, null, false, count, isFilled(type), now);
+        ask(type, null, false, count, true, now);
       }
     }
     for (boolean spot : new boolean[] {false, true}) {
@@ -280,17 +278,6 @@
         });
   }
 
-  /** Whether tasks wait that could use spot machines and fill one of the type, or nearly. */
-  private boolean isFilled(MachineType type) {
-    for (QueueEntry entry : scheduler.waiting()) {
-      JobSpec spec = entry.job.spec;
-      if (spec.spotAllowed() && isUsable(spec, type) && Placer.fills(spec, type)) {
-        return true;
-      }
-    }
-    return false;
-  }
-
   /**
    * Ordinary machines with nothing on them but jobs that would be in time without them take no more work
    * and are returned as it ends; they take work again when it is needed after all. Without this what was
--- a/src/main/java/io/pineladder/scheduling/Placer.java
+++ b/src/main/java/io/pineladder/scheduling/Placer.java
@@ -142,17 +142,19 @@
   }
 
   /**
-   * Whether a task would keep a dear machine that others leave whole: it takes a small part of it, and has
-   * time to wait for another. The last of many such tasks kept each for minutes after the rush that it was
-   * rented for; tasks that fill it leave it at once, and spot machines to the others.
+   * Whether a task would keep a dear machine for long: it takes a small part of it for twice the time that
+   * another machine takes, and has time to wait. The last of such tasks kept each for minutes after the rush
+   * that it was rented for; the others leave it soon, and spot machines to them.
    */
   static boolean keepsLong(Cluster cluster, Job job, Machine machine, Instant timeOfDay) {
-    if (fills(job.spec, machine.type) || !cluster.canWait(job)) {
+    Duration ready = cluster.soonestElsewhere(job.spec);
+    boolean isShort = job.spec.estimate().compareTo(ready.multipliedBy(2)) <= 0;
+    if (isShort || fills(job.spec, machine.type) || !cluster.canWait(job)) {
       return false;
     }
     Duration slack =
         Duration.between(timeOfDay, job.acceptedAt.plus(cluster.allowance(job, timeOfDay)));
-    return slack.compareTo(cluster.soonestElsewhere(job.spec)) > 0;
+    return slack.compareTo(ready) > 0;
   }
 
   /** Whether a task takes half of such a machine or more. */
--- a/src/test/java/io/pineladder/scheduling/PlacerTest.java
+++ b/src/test/java/io/pineladder/scheduling/PlacerTest.java
@@ -54,6 +54,22 @@
         name, Resources.of(cpus, gpus, 64), 50, 1, 4, 1, Duration.ofSeconds(10), List.of("a"));
   }
 
+  /** Jobs of the class {@code class} are to be done within two minutes. */
+  private static Cluster expecting() throws SettingsReader.BadSettingsException {
+    String objective =
+        """
+        [[deployment.objectives]]
+        kind = "finished"
+        class = "class"
+        within_s = 120.0
+        share = 0.9
+
+        [deployment.workers]""";
+    return new Cluster(
+        SettingsReader.parse(
+            SettingsReaderTest.GOOD.replace("[deployment.workers]", objective)));
+  }
+
   private static JobSpec randomSpec(RandomGenerator random, int id) {
     boolean gang = random.nextInt(3) == 0;
     return new JobSpec(
@@ -201,19 +217,7 @@
   /** Found on the grown colombo: long jobs on spot machines lost a task each and were done late. */
   @Test
   void aJobThatALossWouldMakeLateKeepsOffSpotMachines() throws SettingsReader.BadSettingsException {
-    String objective =
-        """
-        [[deployment.objectives]]
-        kind = "finished"
-        class = "class"
-        within_s = 120.0
-        share = 0.9
-
-        [deployment.workers]""";
-    Cluster cluster =
-        new Cluster(
-            SettingsReader.parse(
-                SettingsReaderTest.GOOD.replace("[deployment.workers]", objective)));
+    Cluster cluster = expecting();
     MachineType type = type("large", 24, 4);
     cluster.setTypes(List.of(type));
     for (boolean spot : List.of(true, false)) {
@@ -248,21 +252,9 @@
   @Test
   void anArrayWithTimeLeftStopsOnlyWorkOfWhichNothingIsExpected()
       throws SettingsReader.BadSettingsException {
-    String objective =
-        """
-        [[deployment.objectives]]
-        kind = "finished"
-        class = "class"
-        within_s = 120.0
-        share = 0.9
-
-        [deployment.workers]""";
     for (boolean expected : List.of(true, false)) {
       for (int age : List.of(0, 60, 100)) {
-        Cluster cluster =
-            new Cluster(
-                SettingsReader.parse(
-                    SettingsReaderTest.GOOD.replace("[deployment.workers]", objective)));
+        Cluster cluster = expecting();
         MachineType type = type("large", 24, 4);
         cluster.setTypes(List.of(type));
         Machine machine = new Machine("m-1", type, "a", true, NOW);
