--- a/src/main/java/io/pineladder/fleet/Backlog.java
+++ b/src/main/java/io/pineladder/fleet/Backlog.java
@@ -14,12 +14,10 @@
    * What is due at one time.
    *
    * @param sum the work of this and of everything before it
-   * @param worth what all of that would take at once
    * @param within the seconds left to start it
-   * @param ready the seconds until a machine rented now would work on it, less than {@code within}
    * @param rate the work that comes before it each second
    */
-  private record Due(double sum, double worth, double within, double ready, double rate) {
+  private record Due(double sum, double within, double rate) {
     /** The capacity beyond that given which would start all in time, had it been there from now on. */
     double lacks(double capacity) {
       return sum / within + rate - capacity;
@@ -30,6 +28,7 @@
   private final List<Due> dues = new ArrayList<>();
   private double sum;
   private double worth;
+  private double lacking;
 
   Backlog(double capacity) {
     this.capacity = capacity;
@@ -39,24 +38,23 @@
    * Adds tasks that come after what was added before; what cannot be helped any more presses no more.
    *
    * @param run the seconds that each of them runs
+   * @param within the seconds left to start them
+   * @param ready the seconds until a machine rented now would work on them
    * @param rate the work that still comes each second and goes before them
    */
   void add(double tasksWorth, double run, double within, double ready, double rate) {
     sum += tasksWorth * run;
     worth += tasksWorth;
     if (within > ready) {
-      dues.add(new Due(sum, worth, within, ready, rate));
+      Due due = new Due(sum, within, rate);
+      dues.add(due);
+      lacking = Math.max(lacking, Math.min(worth, due.lacks(capacity) * within / (within - ready)));
     }
   }
 
   /** The capacity that must be rented for all to start in time; 0 when what there is will do. */
   double lacking() {
-    double most = 0;
-    for (Due due : dues) {
-      double lacks = due.lacks(capacity) * due.within / (due.within - due.ready);
-      most = Math.max(most, Math.min(due.worth, lacks));
-    }
-    return most;
+    return lacking;
   }
 
   /**
--- a/src/main/java/io/pineladder/fleet/Renting.java
+++ b/src/main/java/io/pineladder/fleet/Renting.java
@@ -130,8 +130,7 @@
 
   /** How long a machine of the type fetches an image like most. */
   Duration fetchTime(MachineType type) {
-    return Duration.ofMillis(
-        (long) (meanImageGb / Math.max(1e-3, type.fetchGbPerSecond()) * 1000));
+    return type.fetchTime(meanImageGb);
   }
 
   /** A job has come in: it counts for the forecast. */
--- a/src/main/java/io/pineladder/scheduling/Cluster.java
+++ b/src/main/java/io/pineladder/scheduling/Cluster.java
@@ -92,6 +92,11 @@
     return objectives.allowance(job, timeOfDay);
   }
 
+  /** How long the job may still wait before it should have started; negative when it should have. */
+  public Duration slack(Job job, Instant timeOfDay) {
+    return Duration.between(timeOfDay, job.acceptedAt.plus(allowance(job, timeOfDay)));
+  }
+
   /**
    * Whether a job that may use spot machines is better kept off them: the loss of one would make it
    * miss an objective, and is likely enough for a job of its size and length.
--- a/src/main/java/io/pineladder/scheduling/Placer.java
+++ b/src/main/java/io/pineladder/scheduling/Placer.java
@@ -152,9 +152,7 @@
     if (isShort || fills(job.spec, machine.type) || !cluster.canWait(job)) {
       return false;
     }
-    Duration slack =
-        Duration.between(timeOfDay, job.acceptedAt.plus(cluster.allowance(job, timeOfDay)));
-    return slack.compareTo(ready) > 0;
+    return cluster.slack(job, timeOfDay).compareTo(ready) > 0;
   }
 
   /** Whether a task takes half of such a machine or more. */
--- a/src/main/java/io/pineladder/scheduling/Preemptor.java
+++ b/src/main/java/io/pineladder/scheduling/Preemptor.java
@@ -147,7 +147,7 @@
           || !(presses || cluster.hasNoObjective(victim))) {
         return Double.POSITIVE_INFINITY;
       }
-      return cluster.objectives().breaksByRestart(victim, time.timeOfDay()) ? LATE : 0;
+      return cluster.breaksByRestart(victim, time.timeOfDay()) ? LATE : 0;
     }
 
     Plan plan(Machine machine, double fetch) {
--- a/src/main/java/io/pineladder/scheduling/RoomMaker.java
+++ b/src/main/java/io/pineladder/scheduling/RoomMaker.java
@@ -85,8 +85,7 @@
     if (job.spec.shape() != Shape.ARRAY || cluster.isGuaranteed(job)) {
       return true;
     }
-    Instant today = time.timeOfDay();
-    Duration slack = Duration.between(today, job.acceptedAt.plus(cluster.allowance(job, today)));
+    Duration slack = cluster.slack(job, time.timeOfDay());
     return slack.compareTo(cluster.soonestElsewhere(job.spec)) < 0;
   }
 
--- a/src/main/java/io/pineladder/workers/Workers.java
+++ b/src/main/java/io/pineladder/workers/Workers.java
@@ -117,17 +117,13 @@
     Machine known = cluster.machine(report.machine());
     // A copy of a report may come long after it: nobody waits for its answer, so no order goes with it.
     boolean first = known == null || isNewer(report, known);
-    if (first && known != null) {
-      known.relayed = relayed;
-    }
-    Machine machine = take(report);
+    Machine machine = take(report, relayed);
     if (report.token() > term) {
       listener.onSuperseded(report.token());
       return null;
     }
     Orders orders = new Orders();
     if (machine != null && first) {
-      machine.relayed = relayed;
       if (report.token() == term && mayAct.getAsBoolean()) {
         writeOrders(machine, orders, false);
         writeStrangers(report, machine, orders);
@@ -176,7 +172,7 @@
   }
 
   /** Takes in what a report, or the body of a command's response, says. */
-  private Machine take(Report report) {
+  private Machine take(Report report, boolean relayed) {
     if (report.token() > term) {
       return null;
     }
@@ -199,6 +195,7 @@
       return machine;
     }
     machine.heardAt = time.now();
+    machine.relayed = relayed;
     machine.address = report.address();
     if (report.session() > machine.session) {
       newSession(machine, report.session());
@@ -507,7 +504,7 @@
           listener.onSuperseded(report.token());
           return;
         }
-        take(report);
+        take(report, machine.relayed);
       } catch (MalformedException e) {
         log.warn("machine {} answered a command with {}", machine, reply);
         hear(machine, Machine.Hearing.DOUBTED);
