Tests: copies of every transaction, ends and returns at each step of an election, real processes back at once

A copy of each transaction is now carried out again later, by kind, and must have no effect; whoever leads or is about to ends 0 to 4 s into an election and returns within a second; three real processes end and return in the midst of elections and never tell less than before.

--- a/src/test/java/io/pineladder/sim/LoopbackCluster.java
+++ b/src/test/java/io/pineladder/sim/LoopbackCluster.java
@@ -179,6 +179,11 @@
     }
   }
 
+  /** One request to one controller's users' address; null when there was no answer. */
+  HttpResponse<String> askOnce(int index, String method, String path) throws InterruptedException {
+    return ask(fronts.get(index), method, path, null);
+  }
+
   /** The controllers' addresses for administrators. */
   List<String> clusters() {
     return clusters;
--- a/src/test/java/io/pineladder/sim/MeetingsTest.java
+++ b/src/test/java/io/pineladder/sim/MeetingsTest.java
@@ -1,17 +1,20 @@
 package io.pineladder.sim;
 
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
 
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
@@ -226,6 +229,70 @@
     settle(Duration.ofSeconds(400));
   }
 
+  /**
+   * A copy of each transaction is carried out again 2 to 12 s after it, the same leader still leading or
+   * another, or none: whatever was executed once has no effect a second time. But for the notes on workers
+   * that are kept, of which the newest counts, and which nothing but service depends on.
+   */
+  @Test
+  void aTransactionThatWasExecutedHasNoEffectASecondTime() {
+    begin(Layout.FLEET, 77);
+    store.repeats = true;
+    int number = 0;
+    for (; number < 20; number++) {
+      step(number);
+    }
+    killLeader(400);
+    for (; number < 24; number++) {
+      step(number);
+    }
+    // Two zones apart, so that leases are kept by one controller and submissions stored by another.
+    aloneFor(25_000);
+    for (; number < 45; number++) {
+      step(number);
+    }
+    world.runFor(Duration.ofSeconds(60));
+    settle(Duration.ofSeconds(400));
+    Set<String> kinds =
+        Set.of("accepted/", "placed/", "done/", "images/", "end/", "job/", "-job/", "inbox/", "-inbox/", "lead/");
+    for (String kind : kinds) {
+      assertTrue(store.repeated.getOrDefault(kind, 0) > 0, "no copy of " + kind + " in " + store.repeated);
+    }
+    store.repeatedWithEffect.remove("apart/");
+    assertEquals(Map.of(), store.repeatedWithEffect);
+  }
+
+  /** Milliseconds from the leader's end to that of whoever is there then: before, in and after an election. */
+  static IntStream steps() {
+    return IntStream.rangeClosed(0, 10).map(i -> 400 * i);
+  }
+
+  /** Whoever leads or is about to ends at each step of an election, and is back within a second. */
+  @ParameterizedTest
+  @MethodSource("steps")
+  void controllersEndAndReturnAtEachStepOfAnElection(int step) {
+    begin(Layout.SHORT, 30_000 + step);
+    int number = 0;
+    for (; number < 10; number++) {
+      step(number);
+    }
+    int leader = leader();
+    kill(controllers.get(leader), some(0, 1_000));
+    at(
+        step,
+        () -> {
+          int next = store.value("lead/holder") == null ? (leader + 1) % layout.nodes : leader();
+          kill(controllers.get(next), some(0, 1_000));
+          kill(controllers.get((next + 1) % layout.nodes), some(0, 200));
+        });
+    at(step + 600L, () -> controllers.forEach(each -> kill(each, each.index * some(0, 250))));
+    for (; number < 18; number++) {
+      step(number);
+    }
+    rules.calmSince = world.now();
+    settle(Duration.ofSeconds(300));
+  }
+
   /** Each meeting in two shapes; more seeds by hand with {@code -Dpineladder.meetings=100}. */
   static Stream<Arguments> alone() {
     return Stream.of(Meeting.values())
--- /dev/null
+++ b/src/test/java/io/pineladder/sim/RestartProcessTest.java
@@ -0,0 +1,85 @@
+package io.pineladder.sim;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.pineladder.wire.Json;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Real processes that end without a word and are started again at once, with the same addresses. */
+class RestartProcessTest {
+  private static final int ROUNDS = 6;
+
+  @TempDir Path folder;
+
+  /** Nobody is ever told less than before, and in the end everything is known. */
+  @Test
+  @Timeout(150)
+  void whatWasToldStaysThoughProcessesEndAndReturnAtOnce() throws Exception {
+    try (LoopbackCluster cluster = new LoopbackCluster(folder, 3, 1, List.of())) {
+      List<String> pending = new ArrayList<>();
+      List<String> aborted = new ArrayList<>();
+      for (int round = 0; round < ROUNDS; round++) {
+        for (int i = 0; i < 4; i++) {
+          String id = DeliveryProcessTest.submit(cluster, 4 * round + i);
+          if (i % 2 == 0) {
+            ObjectNode told = cluster.insist(false, "POST", "/v1/jobs/" + id + "/cancel", null);
+            assertEquals("aborted", told.get("status").asText(), id);
+            aborted.add(id);
+          } else {
+            pending.add(id);
+          }
+        }
+        if (round % 3 == 2) {
+          for (int i = 0; i < 3; i++) {
+            cluster.controller(i).destroyForcibly().waitFor();
+          }
+          for (int i = 0; i < 3; i++) {
+            cluster.startController(i);
+          }
+        } else {
+          // In the midst of the election that the first one's end brings about.
+          cluster.killController(round % 3);
+          Thread.sleep(150L * round);
+          cluster.killController((round + 1) % 3);
+        }
+        for (int node = 0; node < 3; node++) {
+          check(cluster, node, pending, "pending");
+          check(cluster, node, aborted, "aborted");
+        }
+      }
+      for (String id : pending) {
+        assertEquals("pending", status(cluster, id), id);
+      }
+      for (String id : aborted) {
+        assertEquals("aborted", status(cluster, id), id);
+      }
+    }
+  }
+
+  private static String status(LoopbackCluster cluster, String id) throws Exception {
+    return cluster.insist(false, "GET", "/v1/jobs/" + id, null).get("status").asText();
+  }
+
+  /** A controller says the same as before or that it does not know yet. */
+  private static void check(LoopbackCluster cluster, int node, List<String> jobs, String expected)
+      throws Exception {
+    for (String id : jobs) {
+      HttpResponse<String> got = cluster.askOnce(node, "GET", "/v1/jobs/" + id);
+      if (got == null || got.statusCode() == 503) {
+        continue;
+      }
+      assertEquals(200, got.statusCode(), id + " at " + node);
+      String status = Json.parseObject(got.body().getBytes(StandardCharsets.UTF_8)).get("status").asText();
+      assertTrue(status.equals(expected), id + " is " + status + " at " + node);
+    }
+  }
+}
--- a/src/test/java/io/pineladder/sim/StoreStandIn.java
+++ b/src/test/java/io/pineladder/sim/StoreStandIn.java
@@ -58,6 +58,14 @@
   /** The part of transactions that get no answer and are carried out 2 to 12 s later. */
   double lateWrites;
 
+  /** Of each transaction a copy is carried out 2 to 12 s later, if it still can be. */
+  boolean repeats;
+
+  /** Copies of transactions that were executed, by the kinds of keys they change; and those that had effect. */
+  final Map<String, Integer> repeated = new TreeMap<>();
+
+  final Map<String, Integer> repeatedWithEffect = new TreeMap<>();
+
   /** Answers take up to so long. */
   int slowMillis;
 
@@ -291,6 +299,26 @@
     }
   }
 
+  private void repeat(ObjectNode txn) {
+    if (outage) {
+      world.after(1_000, () -> repeat(txn));
+      return;
+    }
+    TreeSet<String> kinds = new TreeSet<>();
+    for (JsonNode change : txn.get("apply")) {
+      boolean remove = change.has("remove");
+      String key = inside(change.get(remove ? "remove" : "write").asText(), space());
+      kinds.add((remove ? "-" : "") + key.substring(0, key.indexOf('/') + 1));
+    }
+    boolean effect = multi(txn).status() == 200;
+    for (String kind : kinds) {
+      repeated.merge(kind, 1, Integer::sum);
+      if (effect) {
+        repeatedWithEffect.merge(kind, 1, Integer::sum);
+      }
+    }
+  }
+
   private HttpAnswer now(String method, String path, byte[] body) throws MalformedException {
     if (path.startsWith("/keys?")) {
       return list(query(path));
@@ -304,7 +332,12 @@
       return answer(200, entry(key, found));
     }
     if (path.equals("/multi")) {
-      return multi(Json.parseObject(body));
+      ObjectNode txn = Json.parseObject(body);
+      HttpAnswer given = multi(txn);
+      if (repeats && given.status() == 200 && !txn.get("apply").isEmpty()) {
+        world.after(2_000 + world.random.nextInt(10_000), () -> repeat(txn));
+      }
+      return given;
     }
     if (path.equals("/holds")) {
       Lease lease = new Lease();
