An answer that the protocol does not name settles nothing

Cause: a start was taken as refused, its task free and its job to be told cancelled, on any answer but 200, a 502 of something in between included; a 200 that cannot be read left the start to be settled by a report from before it. A transaction was put together anew on any answer but 200, 409 and 400, with the first copy perhaps executed. Now only 400, 409 and a command that never left say that a start was refused, and only 429, 503 and a request that never left that a transaction was not executed.

--- a/src/main/java/io/pineladder/store/Committer.java
+++ b/src/main/java/io/pineladder/store/Committer.java
@@ -313,7 +313,9 @@
       fenced("the store refused a transaction as malformed: " + reply);
       return;
     }
-    if (reply.outcome() == Outcome.UNKNOWN || reply.is(200) || reply.is(409)) {
+    boolean notExecuted = reply.is(503) || reply.is(429) || reply.outcome() == Outcome.NOT_SENT;
+    if (!notExecuted) {
+      // No answer, or one that the protocol does not name: it may have been executed, or be yet.
       batch.ambiguous = true;
     } else if (!batch.ambiguous) {
       // Not executed, so what waits may be put together anew when the store is back.
--- a/src/main/java/io/pineladder/workers/Workers.java
+++ b/src/main/java/io/pineladder/workers/Workers.java
@@ -480,7 +480,8 @@
   private void onDirectReply(Machine machine, List<Attempt> started, Reply reply) {
     machine.ordering = false;
     boolean executed = reply.is(200);
-    boolean refused = reply.isAnswered() && !executed || reply.outcome() == Outcome.NOT_SENT;
+    // What the protocol does not name tells nothing, least of all that a start was not executed.
+    boolean refused = reply.is(409) || reply.is(400) || reply.outcome() == Outcome.NOT_SENT;
     for (Attempt attempt : started) {
       attempt.direct = false;
       if (refused) {
@@ -515,6 +516,8 @@
         take(report, machine.relayed, false);
       } catch (MalformedException e) {
         log.warn("machine {} answered a command with {}", machine, reply);
+        // It does not list what it started, and a report from before the command may still come.
+        started.forEach(attempt -> attempt.doubtful |= executed);
         hear(machine, Machine.Hearing.DOUBTED);
       }
     }
--- a/src/test/java/io/pineladder/workers/WorkersTest.java
+++ b/src/test/java/io/pineladder/workers/WorkersTest.java
@@ -28,6 +28,8 @@
 import java.util.List;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class WorkersTest {
   private final LeaderHarness leader = new LeaderHarness();
@@ -154,6 +156,42 @@
     assertTrue(job.endStored, "a report of the worker's own shows that the response was dropped");
   }
 
+  private LeaderHarness.Sent startSent() {
+    reported(1, 1, LeaderHarness.TERM);
+    leader.accept(LeaderHarness.spec("req-1", Shape.ARRAY, Rank.LOW, 1, "i"));
+    return leader.nextDirect();
+  }
+
+  /** Only what the protocol names says that a start was not executed. */
+  @ParameterizedTest
+  @ValueSource(ints = {200, 201, 404, 421, 429, 500, 502, 503})
+  void anAnswerThatTheProtocolDoesNotNameSettlesNoStart(int status) {
+    startSent().onReply().accept(HttpCaller.Reply.answered(status, new byte[] {'?'}));
+    Attempt attempt = leader.attempts().get(0);
+    leader.scheduler.cancel(attempt.job);
+    // Sent before the command arrived there.
+    reported(1, 2, LeaderHarness.TERM);
+    leader.runFor(Duration.ofMillis(60));
+    assertTrue(attempt.holdsRoom(), "it may run");
+    assertFalse(attempt.job.endStored, "and nothing is told");
+  }
+
+  @ParameterizedTest
+  @ValueSource(ints = {400, 409, -1})
+  void aStartThatTheProtocolSaysWasRefusedNeverRan(int status) {
+    LeaderHarness.Sent start = startSent();
+    Job job = leader.attempts().get(0).job;
+    leader.scheduler.cancel(job);
+    start
+        .onReply()
+        .accept(
+            status < 0
+                ? HttpCaller.Reply.NOT_SENT
+                : HttpCaller.Reply.answered(status, body(1, 0)));
+    leader.runFor(Duration.ofMillis(60));
+    assertTrue(job.endStored);
+  }
+
   /** One that is heard through a peer gets its orders with the responses, and goes on working. */
   @Test
   void aMachineHeardThroughAPeerTakesWorkThoughDirectOrdersFail() {
