In an outage of the state service for all, workers of every zone are kept

Cause: a leader in doubt keeps workers of its own zone past the time that leases are kept from memory, and those of others go to nodes that know it, hear it and send them back, until their leases end. Where a round of all controllers takes longer than a lease those of its own zone as well. Now a node that hears from half of its peers or more, and from none otherwise, that the store is out for them keeps any worker. No rule hangs on it: no cancellation is told before nothing of its job is anywhere. The test fails without, in both shapes. Expected: few or no tasks ended by leases in outages.

--- a/src/main/java/io/pineladder/front/Reports.java
+++ b/src/main/java/io/pineladder/front/Reports.java
@@ -216,21 +216,29 @@
   }
 
   /**
-   * Whether this node, which reaches neither leader nor store, keeps a worker of its own zone: both are
-   * most likely cut off together. For as long as that lasts, since no user is told that a job is
-   * cancelled before nothing of it is anywhere. But it may be this node alone that is cut off, peers and
-   * all, and the worker could reach a leader: so after a while each is sent to the others now and then, and comes
-   * back if nobody answers, well before its lease ends.
+   * Whether this node, which reaches neither leader nor store, keeps a worker: of its own zone, since both are
+   * most likely cut off together, or of any zone where most controllers say that the store is out. For as long
+   * as that lasts, since no user is told that a job is cancelled before nothing of it is anywhere.
+   *
+   * <p>But it may be this node alone that is cut off, peers and all, and the worker could reach a leader: so
+   * after a while each is sent to the others now and then, and comes back if nobody answers, well before its
+   * lease ends. Not in an outage for all: workers outside the leader's zone were sent to and fro between a
+   * leader that did not keep them and nodes that sent them back to it, until their leases ended.
    */
   private boolean keepsZone(WorkerWire.Report report, Instant since) {
     Instant now = node.time().now();
     if (since == null
         // A peer that reaches the store has a leader or will: this node alone is cut off.
         || node.membership().hearsOfStore()
-        || !report.zone().equals(node.settings().zone())
         || now.isAfter(since.plus(MOST_KEPT))) {
       return false;
     }
+    if (node.membership().isStoreOutForMost()) {
+      return true;
+    }
+    if (!report.zone().equals(node.settings().zone())) {
+      return false;
+    }
     Settings.WorkerTimes workers = node.settings().workers();
     if (now.isBefore(since.plus(Election.longestKeepAlive(workers)))) {
       return true;
--- a/src/main/java/io/pineladder/membership/Membership.java
+++ b/src/main/java/io/pineladder/membership/Membership.java
@@ -442,6 +442,18 @@
         .anyMatch(p -> p.state == State.UP && p.told != null && p.told.storeOk());
   }
 
+  /**
+   * Whether the state service answers neither half of the peers, nor any that is heard: no part of the
+   * cluster is cut off from it then, and no other leader can have been elected in the part that is.
+   */
+  public boolean isStoreOutForMost() {
+    long without =
+        peers.values().stream()
+            .filter(p -> p.state == State.UP && p.told != null && !p.told.storeOk())
+            .count();
+    return without > 0 && 2 * without >= peers.size() && !hearsOfStore();
+  }
+
   /** When the latest beat that the peer answered was sent; null for never. */
   public Instant answeredAt(String member) {
     Peer peer = peers.get(member);
--- a/src/test/java/io/pineladder/sim/FleetStandIn.java
+++ b/src/test/java/io/pineladder/sim/FleetStandIn.java
@@ -53,6 +53,9 @@
   /** The part of reports of which a copy comes late, up to three leases, at any controller. */
   double copies;
 
+  /** Tasks that ended with their worker's lease. */
+  int endedByLease;
+
   /** Half of the machines come up late or never. */
   boolean badBoots;
 
@@ -260,6 +263,7 @@
         return;
       }
       if (world.now().toEpochMilli() - answeredSentMillis > leaseMillis) {
+        endedByLease += (int) tasks.values().stream().filter(t -> !t.status.equals("ended")).count();
         List.copyOf(tasks.values()).forEach(this::leave);
         tasks.clear();
         session++;
--- a/src/test/java/io/pineladder/sim/MeetingsTest.java
+++ b/src/test/java/io/pineladder/sim/MeetingsTest.java
@@ -17,6 +17,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.MethodSource;
 
 /**
@@ -262,6 +263,32 @@
     assertEquals(Map.of(), store.repeatedWithEffect);
   }
 
+  /**
+   * Found on the gap days of laval and galleharbour: in an outage for all that lasts for longer than leases
+   * are kept from memory, what ran outside the leader's zone ended with its leases.
+   */
+  @ParameterizedTest
+  @EnumSource(
+      value = Layout.class,
+      names = {"FLEET", "SHORT"})
+  void nothingEndsInALongOutageThoughTheLeaderWasRefusedBefore(Layout of) {
+    begin(of, 50);
+    for (int i = 0; i < 8; i++) {
+      submit(work("service", 3).put("spread", true));
+    }
+    world.runFor(Duration.ofSeconds(60));
+    assertTrue(fleet.up().stream().map(w -> w.zone).distinct().count() > 1);
+    List<String> machines = fleet.up().stream().map(w -> w.name).toList();
+    refuseLeader(14_000);
+    at(2_000, () -> outage(90_000));
+    world.runFor(Duration.ofSeconds(130));
+    assertEquals(0, fleet.endedByLease);
+    // One may be returned for having no work, none for its silence.
+    List<String> gone = machines.stream().filter(m -> !fleet.machines.containsKey(m)).toList();
+    assertTrue(gone.size() <= 1, "returned: " + gone);
+    settle(Duration.ofSeconds(20));
+  }
+
   /** Milliseconds from the leader's end to that of whoever is there then: before, in and after an election. */
   static IntStream steps() {
     return IntStream.rangeClosed(0, 10).map(i -> 400 * i);
