--- a/src/main/java/io/pineladder/membership/Membership.java
+++ b/src/main/java/io/pineladder/membership/Membership.java
@@ -443,8 +443,8 @@
   }
 
   /**
-   * Whether the state service answers neither half of the peers, nor any that is heard: no part of the
-   * cluster is cut off from it then, and no other leader can have been elected in the part that is.
+   * Whether half of the peers or more tell that the state service does not answer them, and none that it
+   * does. A leader with a certain lease could then be only among the rest, of whom nothing is heard.
    */
   public boolean isStoreOutForMost() {
     long without =
