--- a/src/test/java/io/pineladder/sim/MeetingsTest.java
+++ b/src/test/java/io/pineladder/sim/MeetingsTest.java
@@ -2,6 +2,7 @@
 
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
@@ -15,6 +16,7 @@
 import java.util.stream.Stream;
 
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.function.Executable;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -354,4 +356,26 @@
     Layout of = Layout.values()[(first + seed) % Layout.values().length];
     day(of, 400_000 + 100L * seed + first, met);
   }
+
+  // ---- the checks of the checks
+
+  @Test
+  void whatIsToldTooSoonOrStartedUnstoredIsSeen() {
+    begin(Layout.ONE_ZONE, 60);
+    Rules.Known job = submit(work("service", 1));
+    world.runFor(Duration.ofSeconds(60));
+    FleetStandIn.Worker on =
+        fleet.up().stream().filter(w -> !w.tasks.isEmpty()).findFirst().orElseThrow();
+    FleetStandIn.Task task = on.tasks.values().iterator().next();
+    rules.commanded(task, on);
+    assertBroken("not_stored", () -> rules.commanded(new FleetStandIn.Task(task.piece, 999), on));
+    job.cancelAsked = true;
+    assertBroken("told_too_soon", () -> rules.told(job, "aborted"));
+    assertBroken("told_too_soon", () -> rules.commanded(task, on));
+  }
+
+  private static void assertBroken(String rule, Executable wrong) {
+    AssertionError seen = assertThrows(AssertionError.class, wrong);
+    assertTrue(seen.getMessage().startsWith(rule), seen.getMessage());
+  }
 }
