--- a/src/test/java/io/pineladder/scheduling/PlacerTest.java
+++ b/src/test/java/io/pineladder/scheduling/PlacerTest.java
@@ -145,7 +145,7 @@
     for (var zone : takes.entrySet()) {
       int room = Math.min(zone.getValue(), most - own.getOrDefault(zone.getKey(), 0));
       boolean only = own.isEmpty() || (own.size() == 1 && own.containsKey(zone.getKey()));
-      inOne |= only && zone.getValue() >= wanted;
+      inOne |= only && room >= wanted;
       sum += Math.max(0, room);
     }
     return job.spec.together() ? inOne : sum >= wanted;
@@ -171,9 +171,6 @@
     int refused = 0;
     for (int step = 0; step < 400; step++) {
       JobSpec spec = randomSpec(random, step);
-      if (spec.together() && spec.spread()) {
-        continue;
-      }
       Job job = new Job(spec, NOW, Job.State.ACTIVE);
       int turns = spec.shape() == Shape.GANG ? 1 : spec.tasks();
       int wanted = spec.shape() == Shape.GANG ? spec.tasks() : 1;
