--- a/src/main/java/io/pineladder/front/Reports.java
+++ b/src/main/java/io/pineladder/front/Reports.java
@@ -216,9 +216,9 @@
   }
 
   /**
-   * Whether this node, which reaches neither leader nor store, keeps a worker: of its own zone, since both are
-   * most likely cut off together, or of any zone where most controllers say that the store is out. For as long
-   * as that lasts, since no user is told that a job is cancelled before nothing of it is anywhere.
+   * Whether this node, which reaches neither leader nor store, keeps a worker: of its own zone, since both
+   * are most likely cut off together, or of any zone where most controllers say that the store is out. For
+   * as long as that lasts, since no user is told that a job is cancelled before nothing of it is anywhere.
    *
    * <p>But it may be this node alone that is cut off, peers and all, and the worker could reach a leader: so
    * after a while each is sent to the others now and then, and comes back if nobody answers, well before its
--- a/src/test/java/io/pineladder/store/CommitterTest.java
+++ b/src/test/java/io/pineladder/sim/CommitterTest.java
@@ -1,4 +1,4 @@
-package io.pineladder.store;
+package io.pineladder.sim;
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -9,55 +9,33 @@
 import io.pineladder.net.HttpCaller.Reply;
 import io.pineladder.net.HttpCaller.Request;
 import io.pineladder.net.Timeline;
+import io.pineladder.store.Committer;
+import io.pineladder.store.Mutation;
+import io.pineladder.store.StoreClient;
 import io.pineladder.wire.Json;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
-import java.time.Instant;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Consumer;
-import java.util.random.RandomGenerator;
-import java.util.random.RandomGeneratorFactory;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
 /** What becomes of a transaction by the answer that it gets. */
-class CommitterTest implements Timeline {
+class CommitterTest {
   private record Sent(Request request, Consumer<Reply> onReply) {}
 
-  private final RandomGenerator random = RandomGeneratorFactory.of("L64X128MixRandom").create(1);
-  private final ArrayDeque<Runnable> timers = new ArrayDeque<>();
+  private final World world = new World(1);
+  private final Timeline time = world.timeline("10.0.0.1", () -> true, 1);
   private final ArrayDeque<Sent> sent = new ArrayDeque<>();
   private final List<String> ended = new ArrayList<>();
-  private Instant now = Instant.EPOCH;
   private int made;
   private int stored;
 
-  @Override
-  public Instant now() {
-    return now;
-  }
-
-  @Override
-  public Instant timeOfDay() {
-    return now;
-  }
-
-  @Override
-  public RandomGenerator random() {
-    return random;
-  }
-
-  @Override
-  public void after(Duration delay, Runnable action) {
-    timers.add(action);
-  }
-
   private Sent next() {
     while (sent.isEmpty()) {
-      now = now.plusSeconds(1);
-      timers.poll().run();
+      world.runFor(Duration.ofMillis(10));
     }
     return sent.poll();
   }
@@ -100,11 +78,11 @@
     StoreClient store =
         new StoreClient(
             (request, onReply) -> sent.add(new Sent(request, onReply)),
-            this,
+            time,
             "10.2.0.1:2379",
             new Settings.StoreLimits(100, 40, 8192, 12),
             3);
-    Committer committer = new Committer(store, this, 5, new Listener());
+    Committer committer = new Committer(store, time, 5, new Listener());
     committer.submit(
         Mutation.of(
             Mutation.Priority.PLACE,
--- a/src/test/java/io/pineladder/sim/FleetStandIn.java
+++ b/src/test/java/io/pineladder/sim/FleetStandIn.java
@@ -203,6 +203,10 @@
     String job() {
       return piece.substring(0, piece.indexOf('/'));
     }
+
+    int index() {
+      return Integer.parseInt(piece.substring(piece.indexOf('/') + 1));
+    }
   }
 
   /** A machine with its worker. */
--- a/src/test/java/io/pineladder/sim/LateClaimTest.java
+++ b/src/test/java/io/pineladder/sim/LateClaimTest.java
@@ -6,7 +6,6 @@
 
 import io.pineladder.leadership.Election;
 import io.pineladder.model.Settings;
-import io.pineladder.net.HttpCaller;
 import io.pineladder.net.HttpCaller.Reply;
 import io.pineladder.net.HttpCaller.Request;
 import io.pineladder.net.Timeline;
@@ -17,6 +16,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.Consumer;
 import org.junit.jupiter.api.Test;
 
 /** A claim of the leader's key that got no answer and is carried out in a later round. */
@@ -26,9 +26,9 @@
   private final List<Request> claims = new ArrayList<>();
   private final List<Long> terms = new ArrayList<>();
 
-  private void pass(Request request, HttpCaller.Reply[] instead, java.util.function.Consumer<Reply> onReply) {
+  private void pass(Request request, Reply instead, Consumer<Reply> onReply) {
     if (instead != null) {
-      world.after(50, () -> onReply.accept(instead[0]));
+      world.after(50, () -> onReply.accept(instead));
       return;
     }
     store.handle(
@@ -40,25 +40,29 @@
   }
 
   /** The first claim is lost, the next one and the end of its lease refused, the third lost again. */
-  private void network(Request request, java.util.function.Consumer<Reply> onReply) {
+  private void network(Request request, Consumer<Reply> onReply) {
     Reply refused = Reply.answered(503, new byte[0]);
-    Reply[] instead = null;
+    Reply instead = null;
     if (request.path().equals("/multi")) {
       claims.add(request);
       instead =
           switch (claims.size()) {
-            case 1 -> new Reply[] {Reply.UNKNOWN};
-            case 2 -> new Reply[] {refused};
+            case 1 -> Reply.UNKNOWN;
+            case 2 -> refused;
             case 3 -> {
               // Now the first one is carried out: its lease has not run out yet.
               Request late = claims.get(0);
-              store.handle(late.method(), late.path(), late.body(), answer -> assertEquals(200, answer.status()));
-              yield new Reply[] {Reply.UNKNOWN};
+              store.handle(
+                  late.method(),
+                  late.path(),
+                  late.body(),
+                  answer -> assertEquals(200, answer.status()));
+              yield Reply.UNKNOWN;
             }
             default -> null;
           };
     } else if (request.method().equals("DELETE") && claims.size() == 2) {
-      instead = new Reply[] {refused};
+      instead = refused;
     }
     pass(request, instead, onReply);
   }
--- a/src/test/java/io/pineladder/sim/Rules.java
+++ b/src/test/java/io/pineladder/sim/Rules.java
@@ -106,7 +106,7 @@
 
   long runMillis(Task task) {
     ObjectNode spec = jobs.get(task.job()).spec;
-    long apart = Long.parseLong(task.piece.substring(task.piece.indexOf('/') + 1)) * spec.path("apart_ms").asLong();
+    long apart = task.index() * spec.path("apart_ms").asLong();
     return spec.get("shape").asText().equals("service") ? 0 : spec.get("guess_s").asLong() * 1000 + apart;
   }
 
@@ -188,8 +188,7 @@
 
   void completed(Task task) {
     Known job = jobs.get(task.job());
-    int index = Integer.parseInt(task.piece.substring(task.piece.indexOf('/') + 1));
-    job.completed.add(index);
+    job.completed.add(task.index());
     if (isGang(task)) {
       for (int i = 0; i < job.tasks(); i++) {
         job.completed.add(i);
--- a/src/test/java/io/pineladder/sim/StoreStandIn.java
+++ b/src/test/java/io/pineladder/sim/StoreStandIn.java
@@ -61,7 +61,7 @@
   /** Of each transaction a copy is carried out 2 to 12 s later, if it still can be. */
   boolean repeats;
 
-  /** Copies of transactions that were executed, by the kinds of keys they change; and those that had effect. */
+  /** Copies carried out, by the kinds of keys they change; and those of them that had effect. */
   final Map<String, Integer> repeated = new TreeMap<>();
 
   final Map<String, Integer> repeatedWithEffect = new TreeMap<>();
@@ -101,12 +101,9 @@
   /** Whether a placement of this start is stored. */
   boolean hasPlacement(String machine, String piece, long attempt) {
     String within = space() + "placed/";
-    for (Value page : keys.tailMap(within, true).values()) {
-      // Other keys have no entries of this form.
+    for (Value page : keys.subMap(within, within + Character.MAX_VALUE).values()) {
       for (JsonNode entry : page.value.path("entries")) {
-        if (entry.isArray()
-            && entry.size() == 8
-            && entry.get(0).asText().equals(machine)
+        if (entry.get(0).asText().equals(machine)
             && (entry.get(5).asText() + "/" + entry.get(6).asText()).equals(piece)
             && entry.get(7).asLong() == attempt) {
           return true;
@@ -278,7 +275,7 @@
           && path.equals("/multi")
           && world.random.nextDouble() < lateWrites) {
         ObjectNode txn = Json.parseObject(body);
-        world.after(2_000 + world.random.nextInt(10_000), () -> late(txn));
+        late(() -> multi(txn));
       } else if (slowMillis > 0) {
         HttpAnswer given = now(method, path, body);
         world.after(world.random.nextInt(slowMillis), () -> answer.accept(given));
@@ -290,20 +287,20 @@
     }
   }
 
-  /** A transaction that its sender has given up; carried out once the service works. */
-  private void late(ObjectNode txn) {
+  /** Carries something out 2 to 12 s later, once the service works. */
+  private void late(Runnable action) {
+    world.after(2_000 + world.random.nextInt(10_000), () -> onceUp(action));
+  }
+
+  private void onceUp(Runnable action) {
     if (outage) {
-      world.after(1_000, () -> late(txn));
+      world.after(1_000, () -> onceUp(action));
     } else {
-      multi(txn);
+      action.run();
     }
   }
 
   private void repeat(ObjectNode txn) {
-    if (outage) {
-      world.after(1_000, () -> repeat(txn));
-      return;
-    }
     TreeSet<String> kinds = new TreeSet<>();
     for (JsonNode change : txn.get("apply")) {
       boolean remove = change.has("remove");
@@ -335,7 +332,7 @@
       ObjectNode txn = Json.parseObject(body);
       HttpAnswer given = multi(txn);
       if (repeats && given.status() == 200 && !txn.get("apply").isEmpty()) {
-        world.after(2_000 + world.random.nextInt(10_000), () -> repeat(txn));
+        late(() -> repeat(txn));
       }
       return given;
     }
