--- a/src/main/java/io/pineladder/fleet/Fleet.java
+++ b/src/main/java/io/pineladder/fleet/Fleet.java
@@ -143,6 +143,7 @@
       silence.review(now).forEach(this::release);
       silence.findRelayed(now);
       scheduler.failures().review(now);
+      scheduler.review(now);
       retire(now);
       sendReleases();
       renting.rent(now);
@@ -362,6 +363,8 @@
           }
           if ((machine.draining || machine.spared) && machine.attempts.isEmpty()) {
             release(machine);
+          } else if (drainsForLong(machine, now)) {
+            empty(machine);
           } else if (isDeafForLong(machine, now)) {
             log.info("machine {} reports but hears nothing", machine);
             release(machine);
@@ -391,6 +394,19 @@
     }
   }
 
+  /**
+   * A machine that is to go is emptied after the time for which policy may keep a job from room: what is left
+   * on a faulty one may be a service, which never ends by itself.
+   */
+  private boolean drainsForLong(Machine machine, Instant now) {
+    if (!machine.draining) {
+      machine.drainsSince = null;
+      return false;
+    }
+    machine.drainsSince = machine.drainsSince == null ? now : machine.drainsSince;
+    return machine.drainsSince.plus(Scheduler.MOST_WITHHELD).isBefore(now);
+  }
+
   /**
    * Whether a machine that hears nothing has been waited for as long as another takes, and a lease, by the
    * end of which nothing of before runs there any more.
--- a/src/main/java/io/pineladder/front/Leaderless.java
+++ b/src/main/java/io/pineladder/front/Leaderless.java
@@ -20,6 +20,8 @@
 import io.pineladder.wire.MalformedException;
 import io.pineladder.wire.RecordWire;
 import io.pineladder.wire.StoreWire;
+import java.util.HashSet;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -49,16 +51,19 @@
     if (team == null) {
       return "unknown team";
     }
-    boolean fits = false;
+    Set<String> zones = new HashSet<>();
     for (MachineType type : node.types()) {
-      fits |=
-          spec.allowsType(type.name())
-              && spec.each().fitsIn(type.size())
-              && (spec.zone() == null || type.zones().contains(spec.zone()));
+      if (spec.allowsType(type.name()) && spec.each().fitsIn(type.size())) {
+        type.zones().stream().filter(spec::allowsZone).forEach(zones::add);
+      }
     }
-    if (!fits) {
+    if (zones.isEmpty()) {
       return "a task fits no allowed machine type";
     }
+    if (spec.isGangOfSeveral() && spec.spread() && (spec.together() || zones.size() == 1)) {
+      // Accepted it would wait for ever: all of it runs at once, and no more than half may in one zone.
+      return "all of its tasks can't be in one zone and spread over several";
+    }
     return team.allows(spec.least()) ? null : "beyond the team's limit";
   }
 
--- a/src/main/java/io/pineladder/model/Job.java
+++ b/src/main/java/io/pineladder/model/Job.java
@@ -40,6 +40,9 @@
   /** Machines on which it failed of late. */
   public final Set<String> avoid = new LinkedHashSet<>();
 
+  /** When it was last looked at what policy alone keeps from it; null for never. */
+  public Instant reviewedAt;
+
   /** It fails wherever it is tried, so its user has made a mistake: it is tried now and then only. */
   public boolean atFault;
 
--- a/src/main/java/io/pineladder/model/JobSpec.java
+++ b/src/main/java/io/pineladder/model/JobSpec.java
@@ -39,6 +39,11 @@
     return !checkpointEvery.isZero();
   }
 
+  /** All of its tasks run at the same time or none does, and there is more than one. */
+  public boolean isGangOfSeveral() {
+    return shape == Shape.GANG && tasks > 1;
+  }
+
   /** What must be free of the team's limit before any of it can run. */
   public Resources least() {
     return shape == Shape.ARRAY ? each : each.times(tasks);
--- a/src/main/java/io/pineladder/model/Machine.java
+++ b/src/main/java/io/pineladder/model/Machine.java
@@ -52,6 +52,9 @@
   /** No new work: it is to be returned. */
   public boolean draining;
 
+  /** Since when it is draining with work on it, as far as that was noticed; or null. */
+  public Instant drainsSince;
+
   /** Its price is worth more than it: no new work, and it is returned once empty unless it is needed. */
   public boolean spared;
 
@@ -175,14 +178,14 @@
     };
   }
 
+  /** Whether work may be given to it, as far as the rules go and what is on it lasts. */
+  public boolean mayTakeWork() {
+    return state == State.CONFIRMED && mayHear() && !draining && takenAt == null && !strangers;
+  }
+
+  /** Whether it is given work: policy keeps it from some machines that might take it. */
   public boolean takesWork() {
-    return state == State.CONFIRMED
-        && mayHear()
-        && !draining
-        && !spared
-        && !suspect
-        && takenAt == null
-        && !strangers;
+    return mayTakeWork() && !spared && !suspect;
   }
 
   /**
--- a/src/main/java/io/pineladder/queue/QueueEntry.java
+++ b/src/main/java/io/pineladder/queue/QueueEntry.java
@@ -42,6 +42,11 @@
     return rejectedBy;
   }
 
+  /** When it was tried last. */
+  public Instant triedAt() {
+    return triedAt;
+  }
+
   public int attempts() {
     return attempts;
   }
--- a/src/main/java/io/pineladder/queue/SchedulingQueue.java
+++ b/src/main/java/io/pineladder/queue/SchedulingQueue.java
@@ -253,6 +253,29 @@
     }
   }
 
+  /**
+   * Moves entries to the active heap that no event has woken since {@code before}, those parked first: events
+   * tell of room that comes, and not that what kept an entry from room has passed, as a reservation that ends.
+   *
+   * @param most so many of each check at the most, so that a full fleet's backlog costs a bounded number of tries
+   */
+  public void flushLeftover(Instant before, int most) {
+    for (Set<QueueEntry> parked : unschedulable.values()) {
+      parked.stream()
+          .limit(most)
+          .filter(entry -> entry.triedAt.isBefore(before))
+          .toList()
+          .forEach(entry -> moveTo(entry, QueueEntry.Place.ACTIVE));
+    }
+  }
+
+  /** Moves a parked entry to the active heap. */
+  public void wake(QueueEntry entry) {
+    if (entry.place == QueueEntry.Place.UNSCHEDULABLE) {
+      moveTo(entry, QueueEntry.Place.ACTIVE);
+    }
+  }
+
   /** When the next back-off ends, or null. */
   public Instant nextExpiry() {
     Instant first = rejected.isEmpty() ? null : rejected.peek().expiry;
--- a/src/main/java/io/pineladder/scheduling/Cluster.java
+++ b/src/main/java/io/pineladder/scheduling/Cluster.java
@@ -49,6 +49,9 @@
   /** Machines that take work and have any processor and memory left. */
   private final Set<Machine> open = new LinkedHashSet<>();
 
+  /** Machines with any processor and memory left that policy alone keeps from work. */
+  private final Set<Machine> withheld = new LinkedHashSet<>();
+
   /** How many machines there are of each kind. */
   private final Map<Kind, Integer> kinds = new HashMap<>();
 
@@ -275,6 +278,7 @@
       unreserve(machine);
       open.remove(machine);
       openWithGpu.remove(machine);
+      withheld.remove(machine);
     }
     return machine;
   }
@@ -290,7 +294,9 @@
   /** Brings the indexes in step with a machine whose state, notice or use has changed. */
   public void refresh(Machine machine) {
     Resources free = machine.free();
-    boolean takes = machine.takesWork() && free.microCpus() > 0 && free.microGb() > 0;
+    boolean any = free.microCpus() > 0 && free.microGb() > 0;
+    boolean takes = machine.takesWork() && any;
+    put(withheld, machine, any && !takes && machine.mayTakeWork());
     put(open, machine, takes);
     put(openWithGpu, machine, takes && free.microGpus() > 0);
   }
@@ -308,6 +314,16 @@
     return job.spec.each().microGpus() > 0 ? openWithGpu : open;
   }
 
+  /** The machines with room that policy alone keeps from work. */
+  Collection<Machine> withheld() {
+    return withheld;
+  }
+
+  /** Whether policy may keep any room from the job; not which, which takes a look at the machines. */
+  boolean policyKeeps(Job job) {
+    return !withheld.isEmpty() || !reservations.isEmpty() || !job.avoid.isEmpty() || canWait(job);
+  }
+
   // ---- room kept
 
   /** Keeps room on the machine for one task of the job. */
--- a/src/main/java/io/pineladder/scheduling/HeldRoom.java
+++ b/src/main/java/io/pineladder/scheduling/HeldRoom.java
@@ -50,7 +50,7 @@
   /** The gang was turned away once more: room is held for it, or longer, if it is its turn. */
   void turnedAway(Job job, Instant now) {
     JobSpec spec = job.spec;
-    if (!Scheduler.isGangOfSeveral(spec) || spec.spread() || !isItsTurn(job)) {
+    if (!spec.isGangOfSeveral() || spec.spread() || !isItsTurn(job)) {
       return;
     }
     List<Soon> first = first(job, now);
--- a/src/main/java/io/pineladder/scheduling/Hints.java
+++ b/src/main/java/io/pineladder/scheduling/Hints.java
@@ -26,7 +26,7 @@
               || !job.spec.each().fitsIn(Placer.room(job, machine, time.now()))) {
             return Hint.SKIP;
           }
-          boolean waits = Scheduler.isGangOfSeveral(job.spec) && machine.reservedFor != job;
+          boolean waits = job.spec.isGangOfSeveral() && machine.reservedFor != job;
           return waits ? Hint.QUEUE : Hint.QUEUE_AT_ONCE;
         };
     HintTable.HintFunction ownTask =
--- a/src/main/java/io/pineladder/scheduling/Placer.java
+++ b/src/main/java/io/pineladder/scheduling/Placer.java
@@ -64,6 +64,15 @@
    * or not at all; of other jobs the first tasks may be placed and the rest rejected.
    */
   Decision place(Job job, int wanted, Instant now) {
+    return place(job, wanted, false, now);
+  }
+
+  /** Decides as {@link #place(Job, int, Instant)} does, by the checks alone that the rules need. */
+  Decision placeByRules(Job job, int wanted, Instant now) {
+    return place(job, wanted, true, now);
+  }
+
+  private Decision place(Job job, int wanted, boolean byRules, Instant now) {
     JobSpec spec = job.spec;
     boolean whole = spec.shape() == Shape.GANG;
     Team team = cluster.team(spec.team());
@@ -74,13 +83,21 @@
     int most = (int) Math.min(wanted, within);
     boolean avoidsSpot = cluster.avoidsSpot(job, time.timeOfDay());
     List<Candidate> candidates = new ArrayList<>();
-    for (Machine machine : cluster.openFor(job)) {
-      if (!machine.takesWork()
-          || !isAllowed(job, machine)
-          || (machine.surge && keepsLong(cluster, job, machine, time.timeOfDay()))) {
+    List<Machine> machines = new ArrayList<>(cluster.openFor(job));
+    if (byRules) {
+      machines.addAll(cluster.withheld());
+    }
+    for (Machine machine : machines) {
+      boolean may =
+          byRules
+              ? machine.mayTakeWork() && isLegal(spec, machine)
+              : machine.takesWork()
+                  && isAllowed(job, machine)
+                  && !(machine.surge && keepsLong(cluster, job, machine, time.timeOfDay()));
+      if (!may) {
         continue;
       }
-      long room = spec.each().countIn(room(job, machine, now));
+      long room = spec.each().countIn(byRules ? machine.free() : room(job, machine, now));
       if (room > 0) {
         int count = (int) Math.min(room, wanted);
         double cost = cost(job, machine, avoidsSpot);
@@ -132,13 +149,16 @@
     return false;
   }
 
-  /** Type, zone, kind, and no earlier failure of this job there. */
-  static boolean isAllowed(Job job, Machine machine) {
-    JobSpec spec = job.spec;
+  /** Type, zone and kind. */
+  private static boolean isLegal(JobSpec spec, Machine machine) {
     return spec.allowsType(machine.type.name())
         && spec.allowsZone(machine.zone)
-        && (spec.spotAllowed() || !machine.spot)
-        && !job.avoid.contains(machine.name);
+        && (spec.spotAllowed() || !machine.spot);
+  }
+
+  /** Type, zone, kind, and no earlier failure of this job there. */
+  static boolean isAllowed(Job job, Machine machine) {
+    return isLegal(job.spec, machine) && !job.avoid.contains(machine.name);
   }
 
   /**
--- a/src/main/java/io/pineladder/scheduling/RoomMaker.java
+++ b/src/main/java/io/pineladder/scheduling/RoomMaker.java
@@ -56,7 +56,7 @@
     if (lacking <= 0 || looksFrom.isAfter(begun) || !cluster.mayDisplaceAny(job)) {
       return false;
     }
-    boolean gang = Scheduler.isGangOfSeveral(job.spec);
+    boolean gang = job.spec.isGangOfSeveral();
     if (gang && cluster.reservedFor(job).stream().anyMatch(m -> m.reservedUntil.isAfter(now))) {
       return false;
     }
--- a/src/main/java/io/pineladder/scheduling/Scheduler.java
+++ b/src/main/java/io/pineladder/scheduling/Scheduler.java
@@ -54,6 +54,21 @@
   /** Tasks of a job at fault that are tried at a time. */
   private static final int PROBES = 2;
 
+  /** What no event has woken for so long is tried again: a third of the starvation bound is left for it. */
+  static final Duration LEFTOVER = Duration.ofSeconds(15);
+
+  /** The part of the parked entries that is tried again in a second at the most. */
+  private static final int LEFTOVER_PART = 15;
+
+  /** Policy alone keeps a job from room, and room from work, for no longer than that. */
+  public static final Duration MOST_WITHHELD = StarvationBound.MOST;
+
+  /** Parked entries of one check that are tried again in a second at the most. */
+  private static final int MOST_LEFTOVER = 32;
+
+  /** Between two tries of a job that policy keeps from room. */
+  private static final Duration WITHHELD_AGAIN = Duration.ofSeconds(5);
+
   /** Machines that a job keeps off because it failed there. */
   private static final int AVOIDED = 16;
 
@@ -83,6 +98,7 @@
   private final Placer placer;
   private final RoomMaker rooms;
   private final HeldRoom held;
+  private final StarvationBound starvation;
   private final SchedulingQueue queue;
   private final Map<String, QueueEntry> entries = new HashMap<>();
   private final long term;
@@ -107,6 +123,7 @@
     this.placer = new Placer(cluster, time);
     this.rooms = new RoomMaker(cluster, time, this::displace);
     this.held = new HeldRoom(cluster, time);
+    this.starvation = new StarvationBound(cluster, placer);
     // A back-off with its window may last for two seconds, and what comes up in them is not lost.
     this.large = new RateBudget(LARGE_A_SECOND, 2 * LARGE_A_SECOND, time.now());
     this.queue = new SchedulingQueue(Hints.table(cluster, time), new ByObjective(), operator);
@@ -189,10 +206,6 @@
     return Duration.ofMillis((long) (spec.estimate().toMillis() * share));
   }
 
-  static boolean isGangOfSeveral(JobSpec spec) {
-    return spec.shape() == Shape.GANG && spec.tasks() > 1;
-  }
-
   // ---- jobs
 
   /** A new job, or one read from the store whose attempts are known already. */
@@ -284,6 +297,7 @@
 
   private void leaveQueue(Job job) {
     job.pending.clear();
+    starvation.moved(job);
     failures.forget(job);
     QueueEntry entry = entries.remove(job.spec.id());
     if (entry != null) {
@@ -704,7 +718,7 @@
         queue.park(entry, Check.PREDECESSOR, now);
         return;
       }
-      Placer.Decision decision = placer.place(job, now);
+      Placer.Decision decision = place(job, job.spec.tasks(), now);
       if (!decision.isPlaced()) {
         reject(entry, decision.rejectedBy(), now);
         return;
@@ -737,7 +751,7 @@
         return;
       }
     }
-    Placer.Decision decision = placer.place(job, wanted, now);
+    Placer.Decision decision = place(job, wanted, now);
     if (paced) {
       large.take(decision.machines().size(), now);
     }
@@ -760,6 +774,30 @@
     }
   }
 
+  private Placer.Decision place(Job job, int wanted, Instant now) {
+    Placer.Decision decision = placer.place(job, wanted, now);
+    return decision.isPlaced() ? decision : starvation.review(job, wanted, decision, now);
+  }
+
+  /**
+   * Tries again what no event has woken for long, and what policy keeps from room; once a second. Without it a
+   * job waited for as long as nothing else happened on the machine whose room had been reserved for another.
+   */
+  public void review(Instant now) {
+    int parked = queue.sizes().get(QueueEntry.Place.UNSCHEDULABLE);
+    int most = Math.min(MOST_LEFTOVER, 1 + parked / LEFTOVER_PART);
+    queue.flushLeftover(now.minus(LEFTOVER), most);
+    for (Job job : starvation.withheld()) {
+      QueueEntry entry = entries.get(job.spec.id());
+      if (entry != null && !entry.triedAt().plus(WITHHELD_AGAIN).isAfter(now)) {
+        queue.wake(entry);
+      }
+    }
+    if (queue.hasActive()) {
+      kick();
+    }
+  }
+
   private void reject(QueueEntry entry, Check by, Instant now) {
     boolean room = by == Check.FIT || by == Check.SPREAD || by == Check.TOGETHER;
     if (room && !entry.job.atFault) {
@@ -771,9 +809,11 @@
 
   /** Whether the entry waits for room where its image is, which is being made. */
   private boolean waitsForWarmRoom(QueueEntry entry, Machine cold, Instant now) {
-    if (!rooms.waitsForWarmRoom(entry.job, cold, allowance(entry.job), now)) {
+    if (starvation.isOver(entry.job, now)
+        || !rooms.waitsForWarmRoom(entry.job, cold, allowance(entry.job), now)) {
       return false;
     }
+    starvation.withholds(entry.job, now);
     queue.park(entry, Check.FIT, now);
     return true;
   }
@@ -801,6 +841,7 @@
       cluster.unreserve(machine);
     }
     job.pending.clear(task);
+    starvation.moved(job);
     double fetch = Placer.fetchSeconds(job, machine);
     log.debug("{}/{} goes to {} ({} s of fetching)", job, task, machine, fetch);
     Attempt attempt =
--- a/src/main/java/io/pineladder/wire/JobWire.java
+++ b/src/main/java/io/pineladder/wire/JobWire.java
@@ -19,7 +19,7 @@
   private static final int MAX_TASKS = 100_000;
   private static final int MAX_NAME = 200;
   private static final double MAX_AMOUNT = 1e6;
-  private static final Pattern ID = Pattern.compile("req-[A-Za-z0-9_.-]{1,120}");
+  private static final Pattern ID = Pattern.compile("req-[0-9]{1,120}");
   private static final Map<String, Shape> SHAPES =
       Map.of("array", Shape.ARRAY, "group", Shape.GANG, "service", Shape.SERVICE);
   private static final Map<String, Rank> RANKS =
@@ -61,9 +61,10 @@
             in.number("memory_gb", 0, MAX_AMOUNT)),
         types == null ? null : List.copyOf(types),
         in.textOr("yard", null),
-        in.flagOr("together", false),
-        in.flagOr("spread", false),
-        in.flagOr("loaners", false),
+        // Only fields that may be null may be absent: taken for false they had jobs accepted that lack one.
+        in.flag("together"),
+        in.flag("spread"),
+        in.flag("loaners"),
         name(in, "bundle"),
         in.number("image_gb", 0, MAX_AMOUNT),
         in.seconds("guess_s"),
--- a/src/test/java/io/pineladder/front/FrontHttpTest.java
+++ b/src/test/java/io/pineladder/front/FrontHttpTest.java
@@ -119,8 +119,8 @@
     String job =
         """
         {"ref":"req-1","jobclass":"c","owner":"red","shape":"array","rank":"low","pieces":2,
-         "vcpus":1.0,"cards":0.0,"memory_gb":1.0,"bundle":"i","image_gb":1.0,
-         "guess_s":1.0,"mark_every_s":0.0,"stow_s":0.0}""";
+         "vcpus":1.0,"cards":0.0,"memory_gb":1.0,"together":false,"spread":false,"loaners":true,
+         "bundle":"i","image_gb":1.0,"guess_s":1.0,"mark_every_s":0.0,"stow_s":0.0}""";
     HttpResponse<String> response = send(front, "POST", "/v1/jobs", job);
     assertEquals(503, response.statusCode());
     assertEquals("1", response.headers().firstValue("Retry-After").orElse(""));
--- a/src/test/java/io/pineladder/sim/BadInputTest.java
+++ b/src/test/java/io/pineladder/sim/BadInputTest.java
@@ -6,12 +6,17 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.pineladder.net.HttpCaller;
 import io.pineladder.wire.Json;
+import io.pineladder.wire.MalformedException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.function.Predicate;
 import org.junit.jupiter.api.Test;
 
 /** What no user or worker should send, through every node and again and again. */
@@ -125,4 +130,138 @@
     assertTrue(!runs.isOver());
     settle(Duration.ofSeconds(30));
   }
+
+  /** What is sent, by what is done to a good job, and how every node answers it. */
+  private static final Map<String, Integer> SUBMISSIONS = new LinkedHashMap<>();
+
+  static {
+    List<String> required =
+        List.of(
+            "ref", "jobclass", "owner", "shape", "rank", "pieces", "vcpus", "cards", "memory_gb", "together",
+            "spread", "loaners", "bundle", "image_gb", "guess_s", "mark_every_s", "stow_s");
+    for (String field : required) {
+      // Only a field that may be null may be absent, or null.
+      SUBMISSIONS.put(field, 400);
+      SUBMISSIONS.put(field + "=null", 400);
+      SUBMISSIONS.put(field + "=[1]", 400);
+      SUBMISSIONS.put(field + "={}", 400);
+    }
+    for (String amount : List.of("vcpus", "cards", "memory_gb", "image_gb", "guess_s", "mark_every_s", "stow_s")) {
+      for (String value : List.of("-1", "1e400", "\"NaN\"", "\"7\"", "true")) {
+        SUBMISSIONS.put(amount + "=" + value, 400);
+      }
+    }
+    for (String value : List.of("0", "100001", "-3", "1.5", "99999999999999999999", "\"2\"")) {
+      SUBMISSIONS.put("pieces=" + value, 400);
+    }
+    for (String each :
+        List.of(
+            "shape=\"heap\"", "rank=\"first\"", "rank=1", "together=\"true\"", "spread=0", "loaners=\"no\"",
+            "ref=\"job-000412\"", "ref=\"req-\"", "ref=\"req-00a412\"", "ref=\"REQ-000412\"", "ref=412",
+            "hulls=\"g4\"", "hulls=[]", "hulls=[4]", "yard=4", "due_s=\"soon\"", "due_s=-1", "owner=\"\"")) {
+      SUBMISSIONS.put(each, 400);
+    }
+    for (String each :
+        List.of(
+            "owner=\"nobody\"", "hulls=[\"none\"]", "yard=\"nowhere\"", "vcpus=17", "cards=5", "memory_gb=65",
+            "owner=\"blue\",shape=\"group\",pieces=9", "owner=\"blue\",shape=\"service\",pieces=9",
+            "shape=\"group\",together=true,spread=true", "shape=\"group\",yard=\"a\",spread=true")) {
+      SUBMISSIONS.put(each, 422);
+    }
+    for (String each :
+        List.of(
+            "hulls=null", "yard=null", "due_s=null", "novelty={}", "owner=\"blue\",shape=\"array\",pieces=9",
+            "shape=\"array\",together=true,spread=true", "shape=\"group\",spread=true",
+            "shape=\"group\",pieces=1,together=true,spread=true", "yard=\"a\"")) {
+      SUBMISSIONS.put(each, 201);
+    }
+  }
+
+  private ObjectNode changed(String how) throws MalformedException {
+    ObjectNode spec = work("array", 2);
+    rules.jobs.remove(spec.get("ref").asText());
+    if (!how.contains("=")) {
+      spec.remove(how);
+      return spec;
+    }
+    for (String each : how.split(",(?=[a-z_]+=)")) {
+      int is = each.indexOf('=');
+      String text = spec.toString().replaceAll("\\}$", ",\"" + each.substring(0, is) + "\":");
+      spec = Json.parseObject((text + each.substring(is + 1) + "}").getBytes(StandardCharsets.UTF_8));
+    }
+    return spec;
+  }
+
+  /** What each node answers to what is done to a good job; every node is sent a job of its own. */
+  private Map<String, List<Integer>> answers(List<String> nodes, Predicate<Integer> which)
+      throws MalformedException {
+    Map<String, List<Integer>> found = new LinkedHashMap<>();
+    for (Map.Entry<String, Integer> each : SUBMISSIONS.entrySet()) {
+      if (!which.test(each.getValue())) {
+        continue;
+      }
+      for (String node : nodes) {
+        ObjectNode spec = changed(each.getKey());
+        if (each.getValue() == 201) {
+          known(spec);
+        }
+        world
+            .caller("user", () -> true)
+            .call(
+                new HttpCaller.Request(node, "POST", "/v1/jobs", Json.bytes(spec), Duration.ofSeconds(5)),
+                reply -> found.computeIfAbsent(each.getKey(), k -> new ArrayList<>()).add(reply.status()));
+      }
+      world.runFor(Duration.ofMillis(20));
+    }
+    world.runFor(Duration.ofSeconds(5));
+    return found;
+  }
+
+  private static Map<String, List<Integer>> expected(int nodes, Predicate<Integer> which, Integer instead) {
+    Map<String, List<Integer>> all = new LinkedHashMap<>();
+    SUBMISSIONS.forEach(
+        (how, status) -> {
+          if (which.test(status)) {
+            all.put(how, Collections.nCopies(nodes, instead == null ? status : instead));
+          }
+        });
+    return all;
+  }
+
+  /** The same at the leader, at those that hand on to it, and where there is none. */
+  @Test
+  void aSubmissionIsRefusedForWhatItLacksAlikeByEveryNode() throws MalformedException {
+    begin(Layout.FLEET, 42);
+    world.runFor(Duration.ofSeconds(10));
+    Predicate<Integer> all = status -> true;
+    assertEquals(expected(3, all, null), answers(fronts, all));
+    int leader = leader();
+    kill(controllers.get(leader), 3_600_000);
+    // Before the leader's lease ends, and so before there is another.
+    List<String> others = fronts.stream().filter(f -> !f.equals(fronts.get(leader))).toList();
+    Predicate<Integer> malformed = status -> status == 400;
+    assertEquals(expected(2, malformed, null), answers(others, malformed));
+    kill(controllers.get(leader()), 500);
+    // Without a leader each takes reads of the state service, of which a node has few: who gets none says 503.
+    // The one that has just ended refuses connections.
+    Predicate<Integer> impossible = status -> status == 422;
+    Map<String, List<Integer>> asked = answers(others, impossible);
+    assertEquals(expected(2, impossible, null).keySet(), asked.keySet());
+    asked.forEach((how, got) -> assertTrue(Set.of(0, 422, 503).containsAll(got), how + " got " + got));
+    world.runFor(Duration.ofSeconds(10));
+    assertEquals(expected(2, impossible, null), answers(others, impossible));
+  }
+
+  /** No node may judge by types that it does not know; what is malformed is so whatever they are. */
+  @Test
+  void whereTypesAreNotKnownNothingIsCalledImpossible() throws MalformedException {
+    layout = Layout.FLEET;
+    begin(43);
+    fleet.outage = true;
+    world.runFor(Duration.ofSeconds(10));
+    Predicate<Integer> malformed = status -> status == 400;
+    assertEquals(expected(3, malformed, null), answers(fronts, malformed));
+    Predicate<Integer> others = status -> status != 400;
+    assertEquals(expected(3, others, 503), answers(fronts, others));
+  }
 }
--- a/src/test/java/io/pineladder/sim/FleetStandIn.java
+++ b/src/test/java/io/pineladder/sim/FleetStandIn.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.pineladder.model.Resources;
 import io.pineladder.net.HttpAnswer;
 import io.pineladder.net.HttpCaller;
 import io.pineladder.net.HttpHandlerAsync;
@@ -50,9 +51,23 @@
   List<Type> types =
       List.of(new Type("g4", 16, 4, 64, 1, 4, 1, 10, List.of("a", "b")));
 
+  /** What a machine of this type has. */
+  Resources size(String type) {
+    Type of = types.stream().filter(t -> t.name.equals(type)).findFirst().orElseThrow();
+    return Resources.of(of.cpus, of.gpus, of.gb);
+  }
+
   /** The part of reports of which a copy comes late, up to three leases, at any controller. */
   double copies;
 
+  /** Copies of such reports are kept until {@link #deliverKept}. */
+  boolean keepsCopies;
+
+  private final List<byte[]> kept = new ArrayList<>();
+
+  /** Machines are up within two seconds. */
+  boolean quickBoots;
+
   /** Tasks that ended with their worker's lease. */
   int endedByLease;
 
@@ -144,6 +159,10 @@
     Worker worker = new Worker(name, "10.1.0." + names + ":9000", type, zone, spot);
     machines.put(name, worker);
     // Some come up at once, some take several times as long, and a few never come.
+    if (quickBoots) {
+      world.after(world.random.nextInt(2_000), worker::boot);
+      return name;
+    }
     int luck = world.random.nextInt(badBoots ? 4 : 20);
     long late = luck == 0 ? 40_000 : luck == 1 ? 0 : 5_000;
     if (luck != 2) {
@@ -311,7 +330,9 @@
       long sentSession = session;
       long sentMillis = world.now().toEpochMilli();
       byte[] body = Json.bytes(report());
-      if (copies > 0 && world.random.nextDouble() < copies) {
+      if (keepsCopies && world.random.nextDouble() < copies) {
+        kept.add(body);
+      } else if (copies > 0 && world.random.nextDouble() < copies) {
         String where = controllers.get(world.random.nextInt(controllers.size()));
         world.deliverCopy(
             HttpCaller.Request.post(where, "/v1/report", body, Duration.ofSeconds(4)),
@@ -463,6 +484,24 @@
         .toList();
   }
 
+  /** What was kept arrives at every controller, each copy some time within two leases from now. */
+  void deliverKept() {
+    for (byte[] body : kept) {
+      for (String where : controllers) {
+        world.deliverCopy(
+            HttpCaller.Request.post(where, "/v1/report", body, Duration.ofSeconds(4)),
+            world.random.nextInt(2) == 0 ? 0 : world.random.nextLong(2 * leaseMillis));
+      }
+    }
+    kept.clear();
+  }
+
+  /** A machine dies, and everything on it. */
+  void die(Worker worker) {
+    machines.remove(worker.name);
+    worker.end();
+  }
+
   List<Worker> up() {
     return new ArrayList<>(machines.values().stream().filter(w -> w.up).toList());
   }
--- a/src/test/java/io/pineladder/sim/LaidOutCluster.java
+++ b/src/test/java/io/pineladder/sim/LaidOutCluster.java
@@ -1,7 +1,9 @@
 package io.pineladder.sim;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.pineladder.model.Resources;
 import io.pineladder.model.Settings;
+import io.pineladder.model.Team;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -53,7 +55,7 @@
         of.cloudAddress(),
         of.storeAddress(),
         layout.zones,
-        of.teams(),
+        fast ? of.teams().stream().map(LaidOutCluster::inCpus).toList() : of.teams(),
         of.objectives(),
         fast
             ? new Settings.WorkerTimes(
@@ -69,6 +71,11 @@
         of.coreShare());
   }
 
+  /** The team with its limit in processors, where there are no cards: as many tasks of two. */
+  private static Team inCpus(Team team) {
+    return new Team(team.name(), Resources.NONE, 2 * team.maxGpus(), 0);
+  }
+
   static String host(int node) {
     return "10.0.0." + (node + 1);
   }
--- a/src/test/java/io/pineladder/sim/LoopbackCluster.java
+++ b/src/test/java/io/pineladder/sim/LoopbackCluster.java
@@ -51,7 +51,7 @@
     this.coreShare = coreShare;
     this.options = options;
     runtime = new XnioRuntime(4_000, Duration.ofSeconds(3));
-    FleetStandIn fleet = new FleetStandIn(world, new Rules(world), List.of());
+    FleetStandIn fleet = new FleetStandIn(world, new Rules(world, List.of()), List.of());
     fleet.capacity = 0;
     runtime.serve(
         new XnioRuntime.Listener(
--- a/src/test/java/io/pineladder/sim/MeetingsTest.java
+++ b/src/test/java/io/pineladder/sim/MeetingsTest.java
@@ -1,8 +1,6 @@
 package io.pineladder.sim;
 
-
 import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
@@ -16,7 +14,6 @@
 import java.util.stream.Stream;
 
 import org.junit.jupiter.api.Test;
-import org.junit.jupiter.api.function.Executable;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -26,7 +23,7 @@
  * Two troubles that meet, while users cancel and ask. Beside the rules each of these days asks for the promise
  * behind them: nothing of a job is on any machine when its user is told that it is cancelled.
  */
-class MeetingsTest extends LaidOutCluster {
+class MeetingsTest extends TroubledCluster {
   /** What meets; the rows of docs/meetings.md. */
   enum Meeting {
     /** The leader alone is refused, another confirms cancellations, then nobody is served for long. */
@@ -46,7 +43,37 @@
     /** A leader ends while machines with long tasks can't be reached, or do not hear. */
     UNREACHED,
     /** A leader without state service and peers, while jobs are cancelled through the new one. */
-    ALONE
+    ALONE,
+    /** Users ask at all nodes within milliseconds of each answer, submit again, some cancel; the leader ends. */
+    CLOSE_LOOKS,
+    /** Transactions are carried out at once and only the answer is lost, while users look closely. */
+    ANSWERS_LOST,
+    /** Every team is at its limit, jobs are cancelled whose machines are cut off or hang, the leader changes. */
+    AT_LIMIT,
+    /** Jobs are cancelled every 100 ms from before the leader changes until after. */
+    CANCELS_AT_HANDOVER,
+    /** Machines are up within two seconds and get work while writes lag, and the leader ends. */
+    QUICK_BOOTS,
+    /** Old reports reach every controller just as a new leader begins. */
+    REPORTS_FOR_NEXT,
+    /** One-task jobs, four a second, a quarter of them cancelled. */
+    SWARM,
+    /** Jobs bound to one zone lose machines. */
+    BOUND_TO_ZONE,
+    /** Jobs are cancelled as the state service refuses the leader; a second later it is out for long. */
+    CANCELS_AT_REFUSAL,
+    /** More work than room, urgent and not, over slow links. */
+    PRESSURE,
+    /** A cancellation, a question and a repeated submission meet the end of a job's last task. */
+    AT_THE_END,
+    /** All controllers are away for longer than a lease. */
+    ALL_AWAY,
+    /** Leaders change ten times in two minutes, also inside an outage. */
+    TEN_LEADERS,
+    /** A zone with workers and a controller is cut off for longer than a lease. */
+    ZONE_CUT,
+    /** Workers can't open connections to any controller, while direct commands still reach them. */
+    MUTE
   }
 
   private static final Duration CANCEL = Duration.ofSeconds(40);
@@ -60,39 +87,6 @@
    */
   private static final Duration TOLD = Duration.ofSeconds(75);
 
-  /** The part of the open jobs that are cancelled, a step. */
-  private static final double CANCELS = 0.08;
-
-  private long some(long least, long most) {
-    return least + world.random.nextLong(most - least);
-  }
-
-  private void at(long millis, Runnable action) {
-    world.after(millis, action);
-  }
-
-  private void killLeader(long backMillis) {
-    kill(controllers.get(leading().charAt(leading().length() - 1) - '1'), backMillis);
-  }
-
-  private void refuseLeader(long millis) {
-    String refused = leading();
-    world.answerRefused(refused, "10.2.0.1", true);
-    at(millis, () -> world.answerRefused(refused, "10.2.0.1", false));
-  }
-
-  private void outage(long millis) {
-    store.outage = true;
-    at(millis, store::endOutage);
-  }
-
-  private List<String> someMachines(int oneOf) {
-    return fleet.up().stream()
-        .map(w -> World.host(w.address))
-        .filter(h -> world.random.nextInt(oneOf) == 0)
-        .toList();
-  }
-
   private void meet(Meeting meeting) {
     switch (meeting) {
       case GAP -> {
@@ -175,38 +169,189 @@
         at(some(500, 15_000), () -> killLeader(some(0, 8_000)));
       }
       case ALONE -> aloneFor(some(20_000, 70_000));
+      case CLOSE_LOOKS -> {
+        looksClosely = true;
+        at(60_000, () -> looksClosely = false);
+        for (int i = 0; i < 3; i++) {
+          at(some(2_000, 50_000), () -> killLeader(some(0, 8_000)));
+        }
+      }
+      case ANSWERS_LOST -> {
+        looksClosely = true;
+        store.unanswered = 0.3;
+        at(
+            50_000,
+            () -> {
+              looksClosely = false;
+              store.unanswered = 0;
+            });
+        at(some(5_000, 45_000), () -> killLeader(some(0, 8_000)));
+      }
+      case AT_LIMIT -> {
+        for (int i = 0; i < 10; i++) {
+          submit(work("array", 4).put("owner", "blue").put("guess_s", some(20, 90)));
+        }
+        at(
+            12_000,
+            () -> {
+              List<String> away = someMachines(2);
+              away.forEach(
+                  machine -> {
+                    if (world.random.nextBoolean()) {
+                      world.freeze(machine, some(5_000, 40_000));
+                    } else {
+                      cutFor(List.of(machine), nodes(), some(10_000, 60_000));
+                    }
+                  });
+              at(some(0, 2_000), () -> cancelSome(0.6));
+              at(some(0, 4_000), () -> killLeader(some(0, 8_000)));
+              at(some(4_000, 12_000), () -> cancelSome(0.6));
+            });
+      }
+      case CANCELS_AT_HANDOVER -> {
+        at(3_000, () -> killLeader(some(0, 8_000)));
+        for (int i = 0; i < 80; i++) {
+          at(i * 100L, () -> cancelSome(0.03));
+        }
+        at(30_000, () -> killLeader(0));
+        for (int i = 0; i < 80; i++) {
+          at(27_000 + i * 100L, () -> cancelSome(0.03));
+        }
+      }
+      case QUICK_BOOTS -> {
+        fleet.quickBoots = true;
+        store.lateWrites = 0.2;
+        for (int i = 0; i < 12; i++) {
+          submit(work("array", 8));
+        }
+        at(some(1_000, 8_000), () -> killLeader(some(0, 6_000)));
+        at(some(10_000, 20_000), () -> fleet.up().forEach(this::perhapsDies));
+        at(some(15_000, 30_000), () -> killLeader(some(0, 6_000)));
+        at(
+            40_000,
+            () -> {
+              fleet.quickBoots = false;
+              store.lateWrites = 0;
+            });
+      }
+      case REPORTS_FOR_NEXT -> {
+        fleet.copies = 0.4;
+        fleet.keepsCopies = true;
+        for (int i = 0; i < 3; i++) {
+          at(some(10_000, 50_000), () -> killLeader(some(0, 6_000)));
+        }
+        at(some(5_000, 40_000), () -> deafen(someMachines(4), some(5_000, 25_000)));
+        at(
+            60_000,
+            () -> {
+              fleet.copies = 0;
+              fleet.keepsCopies = false;
+            });
+      }
+      case SWARM -> {
+        for (int i = 0; i < 200; i++) {
+          at(
+              i * 250L,
+              () -> {
+                Rules.Known job = submit(work("array", 1).put("guess_s", some(3, 12)));
+                if (world.random.nextInt(4) == 0) {
+                  at(some(200, 9_000), () -> cancel(job));
+                }
+              });
+        }
+        at(some(15_000, 35_000), () -> killLeader(some(0, 6_000)));
+      }
+      case BOUND_TO_ZONE -> {
+        for (int i = 0; i < 6; i++) {
+          String shape = List.of("array", "service", "group").get(i % 3);
+          ObjectNode spec = work(shape, 2 + i % 2).put("guess_s", shape.equals("service") ? 0 : some(20, 80));
+          submit(i % 2 == 0 ? spec.put("yard", layout.zones.get(0)) : spec.put("together", true));
+        }
+        for (int i = 0; i < 4; i++) {
+          at(some(5_000, 50_000), () -> fleet.up().forEach(this::perhapsDies));
+        }
+        at(some(5_000, 50_000), () -> killLeader(some(0, 6_000)));
+        at(some(5_000, 30_000), () -> cutFor(someMachines(4), nodes(), some(10_000, 40_000)));
+      }
+      case CANCELS_AT_REFUSAL -> {
+        long refused = some(5_000, 40_000);
+        at(
+            5_000,
+            () -> {
+              refuseLeader(refused);
+              cancelSome(0.3);
+            });
+        for (int i = 0; i < 20; i++) {
+          at(4_900 + i * 60L, () -> cancelSome(0.05));
+        }
+        at(6_000, () -> outage(some(CANCEL.toMillis(), 2 * CANCEL.toMillis())));
+      }
+      case PRESSURE -> {
+        fleet.capacity = Math.max(2, fleet.up().size() / (2 * layout.zones.size()));
+        world.held = 0.1;
+        for (int i = 0; i < 25; i++) {
+          ObjectNode spec =
+              work(i % 4 == 0 ? "group" : "array", 2 + i % 3)
+                  .put("rank", List.of("prod", "urgent", "standard", "low").get(i % 4))
+                  .put("mark_every_s", i % 2 * 5.0)
+                  .put("stow_s", i % 2 * 2.0);
+          at(some(0, 40_000), () -> submit(spec));
+        }
+        at(60_000, () -> world.held = 0);
+      }
+      case AT_THE_END -> {
+        cancelledAtEnd = 0.7;
+        meetEnds();
+        for (int i = 0; i < 120; i++) {
+          at(some(0, 50_000), () -> submit(work("array", 1 + world.random.nextInt(2)).put("guess_s", 3)));
+        }
+        at(70_000, () -> cancelledAtEnd = 0);
+      }
+      case ALL_AWAY -> {
+        long away = fleet.leaseMillis + some(1_000, 25_000);
+        controllers.forEach(each -> kill(each, away + some(0, 3_000)));
+        at(some(0, 3_000), () -> cancelSome(0.2));
+      }
+      case TEN_LEADERS -> {
+        for (int i = 0; i < 10; i++) {
+          at(some(i * 10_000L, i * 10_000L + 9_000), () -> killLeader(some(0, 4_000)));
+        }
+        at(some(20_000, 40_000), () -> outage(some(10_000, 50_000)));
+      }
+      case ZONE_CUT -> {
+        String zone = layout.zones.get(world.random.nextInt(layout.zones.size()));
+        cutZone(zone, fleet.leaseMillis + some(5_000, 60_000));
+        at(some(0, 20_000), () -> cancelSome(0.3));
+        at(some(5_000, 30_000), () -> killLeader(some(0, 6_000)));
+      }
+      case MUTE -> {
+        muteFor(someMachines(2), some(10_000, 60_000));
+        at(some(1_000, 15_000), () -> cancelSome(0.3));
+        at(some(5_000, 40_000), () -> killLeader(some(0, 6_000)));
+      }
       default -> throw new AssertionError(meeting);
     }
   }
 
-  private void deafen(List<String> hosts, long millis) {
-    world.deaf.addAll(hosts);
-    at(millis, () -> hosts.forEach(world.deaf::remove));
-  }
-
-  private void step(int number) {
-    String shape = number % 5 == 0 ? "service" : number % 5 == 3 ? "group" : "array";
-    ObjectNode spec = work(shape, 1 + world.random.nextInt(shape.equals("group") ? 3 : 5));
-    boolean together = shape.equals("group") && number % 2 == 0;
-    spec.put("together", together).put("spread", !together && number % 7 == 0);
-    if (number % 2 == 0 && !shape.equals("service")) {
-      // Long enough to be there from before the troubles until after them.
-      spec.put("guess_s", some(30, 110));
-    }
-    if (number % 3 == 0 && !shape.equals("service")) {
-      // Services run on, and would fill this team's limit for good.
-      spec.put("owner", "blue");
-    }
-    submit(spec);
+  private void cancelSome(double part) {
     for (Rules.Known job : new ArrayList<>(rules.jobs.values())) {
-      if (job.accepted && !job.cancelAsked && !job.isOver() && world.random.nextDouble() < CANCELS) {
+      if (job.accepted && !job.cancelAsked && !job.isOver() && world.random.nextDouble() < part) {
         cancel(job);
       }
-      if (world.random.nextInt(10) == 0) {
-        ask(job);
-      }
     }
-    world.runFor(Duration.ofMillis(2_000));
+  }
+
+  private void perhapsDies(FleetStandIn.Worker worker) {
+    if (world.random.nextInt(6) == 0) {
+      fleet.die(worker);
+    }
+  }
+
+  @Override
+  void onStored(String key) {
+    if (key.endsWith("lead/holder") && fleet.keepsCopies) {
+      fleet.deliverKept();
+    }
   }
 
   void day(Layout of, long seed, Set<Meeting> meetings) {
@@ -340,9 +485,11 @@
     day(of, 20_000 + 100L * seed + meeting.ordinal(), Set.of(meeting));
   }
 
-  /** Three of the nine at a time, in turn, in all shapes; each seed takes three others. */
+  /** Three at a time, each in its turn first, in all shapes; each seed takes three others. */
   static Stream<Arguments> together() {
-    return seeds().boxed().flatMap(s -> IntStream.range(0, 9).mapToObj(i -> Arguments.of(i, s)));
+    return seeds()
+        .boxed()
+        .flatMap(s -> IntStream.range(0, Meeting.values().length).mapToObj(i -> Arguments.of(i, s)));
   }
 
   @ParameterizedTest
@@ -351,31 +498,10 @@
     Meeting[] all = Meeting.values();
     Set<Meeting> met = new TreeSet<>();
     met.add(all[first]);
-    met.add(all[(first + 1 + seed % 8) % 9]);
-    met.add(all[(first + 1 + (seed / 8 + 3 + seed) % 8) % 9]);
+    int others = all.length - 1;
+    met.add(all[(first + 1 + (5 * seed + 2) % others) % all.length]);
+    met.add(all[(first + 1 + (seed / others + 7 * seed + 11) % others) % all.length]);
     Layout of = Layout.values()[(first + seed) % Layout.values().length];
     day(of, 400_000 + 100L * seed + first, met);
   }
-
-  // ---- the checks of the checks
-
-  @Test
-  void whatIsToldTooSoonOrStartedUnstoredIsSeen() {
-    begin(Layout.ONE_ZONE, 60);
-    Rules.Known job = submit(work("service", 1));
-    world.runFor(Duration.ofSeconds(60));
-    FleetStandIn.Worker on =
-        fleet.up().stream().filter(w -> !w.tasks.isEmpty()).findFirst().orElseThrow();
-    FleetStandIn.Task task = on.tasks.values().iterator().next();
-    rules.commanded(task, on);
-    assertBroken("not_stored", () -> rules.commanded(new FleetStandIn.Task(task.piece, 999), on));
-    job.cancelAsked = true;
-    assertBroken("told_too_soon", () -> rules.told(job, "aborted"));
-    assertBroken("told_too_soon", () -> rules.commanded(task, on));
-  }
-
-  private static void assertBroken(String rule, Executable wrong) {
-    AssertionError seen = assertThrows(AssertionError.class, wrong);
-    assertTrue(seen.getMessage().startsWith(rule), seen.getMessage());
-  }
 }
--- a/src/test/java/io/pineladder/sim/Rules.java
+++ b/src/test/java/io/pineladder/sim/Rules.java
@@ -1,6 +1,8 @@
 package io.pineladder.sim;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.pineladder.model.Resources;
+import io.pineladder.model.Team;
 import io.pineladder.sim.FleetStandIn.Task;
 import io.pineladder.sim.FleetStandIn.Worker;
 import java.time.Duration;
@@ -14,14 +16,21 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.Consumer;
 import java.util.function.Function;
 
 /** The rules at the end of the protocol, checked at every start, exit and answer. */
 final class Rules {
+  /** What some user of a job has been told: of two answers the higher may not come before the lower is asked for. */
+  enum Told {
+    NOTHING,
+    ACCEPTED,
+    OVER
+  }
+
   private static final Duration CANCEL = Duration.ofSeconds(40);
   private static final Duration KNOWN = Duration.ofSeconds(75);
   private static final Duration BEGINS = Duration.ofMinutes(4);
-  private static final double BLUE_GPUS = 8;
 
   /** A submitted job as its user knows it. */
   static final class Known {
@@ -32,11 +41,23 @@
     /** Submitted with a mistake: every task of it fails. */
     boolean broken;
 
+    /** It can't run or lacks a field: no node may accept it. */
+    boolean unfit;
+
+    /** The last of what was told of it that was new. */
+    Told news = Told.NOTHING;
+
+    /** Its user asks for it every few seconds. */
+    boolean polled;
+
     /** When its user first asked for it, a task of it first began, and a question was answered last. */
     Instant submitted;
 
     Instant begun;
     Instant answered;
+    /** How often a task of it began. */
+    int begins;
+
     final Set<String> everStarted = new HashSet<>();
 
     boolean cancelAsked;
@@ -56,14 +77,23 @@
     boolean isOver() {
       return done || cancelled != null;
     }
+
+    /** What has been told of it by any node so far. */
+    Told told() {
+      return isOver() ? Told.OVER : accepted ? Told.ACCEPTED : Told.NOTHING;
+    }
   }
 
   private final World world;
+  private final List<Team> teams;
   final Map<String, Known> jobs = new LinkedHashMap<>();
 
   /** Where each task is. */
   private final Map<String, Worker> places = new HashMap<>();
 
+  /** Told of each job whose last task has just completed. */
+  Consumer<Known> onLastDone = job -> {};
+
   private final Map<String, Map<String, Worker>> gathered = new HashMap<>();
   int starts;
 
@@ -88,8 +118,9 @@
    */
   Placed placed;
 
-  Rules(World world) {
+  Rules(World world, List<Team> teams) {
     this.world = world;
+    this.teams = teams;
   }
 
   private AssertionError broken(String rule, Object what) {
@@ -128,23 +159,25 @@
     Known job = jobs.get(task.job());
     job.begun = job.begun == null ? world.now() : job.begun;
     job.everStarted.add(task.piece);
+    job.begins++;
+    if (job.cancelled != null) {
+      throw broken("started_cancelled", task.piece + " starts on " + on.name + " after its user was told");
+    }
     Worker other = places.get(task.piece);
     if (other != null && other != on) {
       throw broken("ran_twice", task.piece + " on " + other.name + " and " + on.name);
     }
-    if (job.cancelled != null && job.cancelled.plus(CANCEL).isBefore(world.now())) {
-      throw broken("ran_cancelled", task.piece);
-    }
     places.put(task.piece, on);
     ObjectNode spec = job.spec;
     if (on.spot && !spec.get("loaners").asBoolean()) {
       throw broken("wrong_place", task.piece + " on a spot machine");
     }
-    if (spec.has("yard") && !spec.get("yard").asText().equals(on.zone)) {
+    if (spec.hasNonNull("yard") && !spec.get("yard").asText().equals(on.zone)) {
       throw broken("wrong_place", task.piece + " in zone " + on.zone);
     }
     int inZone = 0;
-    double gpus = 0;
+    Resources used = Resources.NONE;
+    String owner = spec.get("owner").asText();
     for (var place : places.entrySet()) {
       String id = place.getKey().substring(0, place.getKey().indexOf('/'));
       if (id.equals(job.id)) {
@@ -153,15 +186,17 @@
           throw broken("wrong_place", task.piece + " apart from the others");
         }
       }
-      if (jobs.get(id).spec.get("owner").asText().equals(spec.get("owner").asText())) {
-        gpus += jobs.get(id).spec.get("cards").asDouble();
+      if (jobs.get(id).spec.get("owner").asText().equals(owner)) {
+        used = used.plus(StarvationCheck.each(jobs.get(id).spec));
       }
     }
     if (spec.get("spread").asBoolean() && inZone > (job.tasks() + 1) / 2) {
       throw broken("wrong_place", task.piece + " is one too many in zone " + on.zone);
     }
-    if (spec.get("owner").asText().equals("blue") && gpus > BLUE_GPUS) {
-      throw broken("quota", gpus + " used at the start of " + task.piece);
+    for (Team team : teams) {
+      if (team.name().equals(owner) && !team.allows(used)) {
+        throw broken("quota", used + " used at the start of " + task.piece);
+      }
     }
   }
 
@@ -194,6 +229,9 @@
         job.completed.add(i);
       }
     }
+    if (job.completed.size() == job.tasks()) {
+      onLastDone.accept(job);
+    }
   }
 
   /** Tasks of cancelled jobs must be gone in time; asked again and again. */
@@ -289,9 +327,29 @@
     }
   }
 
-  void answered(Known job, int status) {
-    if (job.accepted && (status == 404 || status == 400 || status == 422)) {
-      throw broken("forgotten", job.id + " got " + status);
+  /**
+   * An answer of any node: read-your-writes and monotonic reads over all of them, as one history of the job.
+   *
+   * @param before what had been told of the job, by whichever node, when the question was sent
+   * @param state the state that the answer names, or null
+   */
+  void answered(Known job, Told before, int status, String state) {
+    if (status == 404 || status == 400 || status == 422) {
+      if (before != Told.NOTHING) {
+        throw broken("forgotten", job.id + " got " + status + " asked when told " + before);
+      }
+    } else if (state != null) {
+      if (job.unfit) {
+        throw broken("accepted_unfit", job.id + " is called " + state);
+      }
+      boolean over = state.equals("done") || state.equals("aborted");
+      // What was asked before the job was over may be answered as it was then.
+      if (over || before == Told.OVER || !job.isOver()) {
+        told(job, state);
+      } else {
+        job.answered = world.now();
+      }
+      job.accepted = true;
     }
   }
 }
--- a/src/test/java/io/pineladder/sim/SimulatedCluster.java
+++ b/src/test/java/io/pineladder/sim/SimulatedCluster.java
@@ -53,6 +53,7 @@
   StoreStandIn store;
   FleetStandIn fleet;
   Rules rules;
+  StarvationCheck starvation;
   int jobs;
   int unanswered;
 
@@ -105,9 +106,11 @@
 
   void begin(long seed) {
     world = new World(seed);
-    rules = new Rules(world);
+    rules = new Rules(world, settings(0).teams());
     store = new StoreStandIn(world, 12, 8192);
     fleet = new FleetStandIn(world, rules, fronts);
+    starvation = new StarvationCheck(world, rules, fleet, settings(0).teams());
+    store.onChange = this::onStored;
     if (!losesData) {
       rules.holding = fleet::holding;
       rules.placed = store::hasPlacement;
@@ -124,6 +127,7 @@
   void watch() {
     rules.watchCancelled();
     rules.watchKnown();
+    starvation.watch();
     world.after(500, this::watch);
   }
 
@@ -179,6 +183,12 @@
     node.start();
   }
 
+  /** A key of the state service has changed. */
+  void onStored(String key) {}
+
+  /** A user was told something that nobody had been told of the job before. */
+  void onNews(Rules.Known job) {}
+
   /** What the host delivers notices with; null for none. */
   Delivery delivery(String host) {
     return null;
@@ -239,43 +249,54 @@
   }
 
   void send(Rules.Known job, String method, String path, byte[] body) {
-    HttpCaller user = world.caller("user", () -> true);
     String node = fronts.get(world.random.nextInt(fronts.size()));
     boolean poll = method.equals("GET");
-    boolean wasOver = job.isOver();
-    user.call(
-        new HttpCaller.Request(node, method, path, body, Duration.ofSeconds(poll ? 2 : 5)),
-        reply -> {
-          boolean good = reply.is(200) || reply.is(201);
-          if (reply.isAnswered()) {
-            rules.answered(job, reply.status());
-          }
-          if (good) {
-            try {
-              String status = Json.parseObject(reply.body()).get("status").asText();
-              // What was asked before the job was over may be answered as it was then.
-              if (wasOver == job.isOver() || status.equals("done") || status.equals("aborted")) {
-                rules.told(job, status);
-              }
-            } catch (MalformedException e) {
-              throw new AssertionError(e);
-            }
-          } else {
-            unanswered++;
-          }
-          if (path.equals("/v1/jobs")) {
-            if (good) {
-              job.accepted = true;
-              world.after(2_000, () -> poll(job));
-            } else {
-              world.after(1_000, () -> send(job, method, path, body));
-            }
-          } else if (!poll && !good) {
+    boolean submission = path.equals("/v1/jobs");
+    send(
+        job,
+        node,
+        method,
+        path,
+        body,
+        good -> {
+          if (!good && !poll && !job.unfit) {
             world.after(1_000, () -> send(job, method, path, body));
+          } else if (submission && good && !job.polled) {
+            job.polled = true;
+            world.after(2_000, () -> poll(job));
           }
         });
   }
 
+  /** One request about a job at one node; {@code then} is told whether it was answered as wanted. */
+  void send(
+      Rules.Known job, String node, String method, String path, byte[] body, Consumer<Boolean> then) {
+    Rules.Told before = job.told();
+    Duration patience = Duration.ofSeconds(method.equals("GET") ? 2 : 5);
+    world
+        .caller("user", () -> true)
+        .call(
+            new HttpCaller.Request(node, method, path, body, patience),
+            reply -> {
+              boolean good = reply.is(200) || reply.is(201);
+              try {
+                String state =
+                    good ? Json.parseObject(reply.body()).get("status").asText() : null;
+                if (reply.isAnswered()) {
+                  rules.answered(job, before, reply.status(), state);
+                }
+              } catch (MalformedException e) {
+                throw new AssertionError(e);
+              }
+              if (job.told().compareTo(before) > 0 && job.told() != job.news) {
+                job.news = job.told();
+                onNews(job);
+              }
+              unanswered += good ? 0 : 1;
+              then.accept(good);
+            });
+  }
+
   void poll(Rules.Known job) {
     send(job, "GET", "/v1/jobs/" + job.id, null);
     world.after(job.isOver() ? 20_000 : 5_000, () -> poll(job));
--- a/src/test/java/io/pineladder/sim/StoreStandIn.java
+++ b/src/test/java/io/pineladder/sim/StoreStandIn.java
@@ -58,6 +58,15 @@
   /** The part of transactions that get no answer and are carried out 2 to 12 s later. */
   double lateWrites;
 
+  /** The part of transactions that are carried out at once and get no answer. */
+  double unanswered;
+
+  /** So carried out, by the kinds of keys they change. */
+  final Map<String, Integer> unansweredKinds = new TreeMap<>();
+
+  /** Told of each key that has changed. */
+  Consumer<String> onChange = key -> {};
+
   /** Of each transaction a copy is carried out 2 to 12 s later, if it still can be. */
   boolean repeats;
 
@@ -276,6 +285,13 @@
           && world.random.nextDouble() < lateWrites) {
         ObjectNode txn = Json.parseObject(body);
         late(() -> multi(txn));
+      } else if (unanswered > 0
+          && path.equals("/multi")
+          && world.random.nextDouble() < unanswered) {
+        ObjectNode txn = Json.parseObject(body);
+        if (multi(txn).status() == 200) {
+          kinds(txn).forEach(kind -> unansweredKinds.merge(kind, 1, Integer::sum));
+        }
       } else if (slowMillis > 0) {
         HttpAnswer given = now(method, path, body);
         world.after(world.random.nextInt(slowMillis), () -> answer.accept(given));
@@ -300,15 +316,19 @@
     }
   }
 
-  private void repeat(ObjectNode txn) {
+  private Set<String> kinds(ObjectNode txn) {
     TreeSet<String> kinds = new TreeSet<>();
     for (JsonNode change : txn.get("apply")) {
       boolean remove = change.has("remove");
       String key = inside(change.get(remove ? "remove" : "write").asText(), space());
       kinds.add((remove ? "-" : "") + key.substring(0, key.indexOf('/') + 1));
     }
+    return kinds;
+  }
+
+  private void repeat(ObjectNode txn) {
     boolean effect = multi(txn).status() == 200;
-    for (String kind : kinds) {
+    for (String kind : kinds(txn)) {
       repeated.merge(kind, 1, Integer::sum);
       if (effect) {
         repeatedWithEffect.merge(kind, 1, Integer::sum);
@@ -410,6 +430,7 @@
     for (JsonNode change : changes) {
       String changed = change.path("write").asText() + change.path("remove").asText();
       this.changes.merge(changed.substring(0, changed.indexOf('/') + 1), 1, Integer::sum);
+      world.after(0, () -> onChange.accept(changed));
       if (change.has("remove")) {
         remove(change.get("remove").asText());
         continue;
--- /dev/null
+++ b/src/test/java/io/pineladder/sim/TroubledCluster.java
@@ -0,0 +1,191 @@
+package io.pineladder.sim;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.pineladder.wire.Json;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.IntStream;
+
+/** A laid out cluster with the troubles that are not one controller's, and users who go on meanwhile. */
+abstract class TroubledCluster extends LaidOutCluster {
+  /** The part of the open jobs that are cancelled, a step. */
+  private static final double CANCELS = 0.08;
+
+  /** Between two of the questions that follow one another closely, in milliseconds. */
+  private static final long[] CLOSELY = {0, 2, 7, 20, 60, 200, 800};
+
+  /** Users ask at all nodes, again and again, right after an answer that says something new. */
+  boolean looksClosely;
+
+  /** The part of the jobs that end by themselves which are cancelled at that moment. */
+  double cancelledAtEnd;
+
+  long some(long least, long most) {
+    return least + world.random.nextLong(most - least);
+  }
+
+  void at(long millis, Runnable action) {
+    world.after(millis, action);
+  }
+
+  void killLeader(long backMillis) {
+    kill(controllers.get(leading().charAt(leading().length() - 1) - '1'), backMillis);
+  }
+
+  void refuseLeader(long millis) {
+    String refused = leading();
+    world.answerRefused(refused, "10.2.0.1", true);
+    at(millis, () -> world.answerRefused(refused, "10.2.0.1", false));
+  }
+
+  void outage(long millis) {
+    store.outage = true;
+    at(millis, store::endOutage);
+  }
+
+  List<String> someMachines(int oneOf) {
+    return fleet.up().stream()
+        .map(w -> World.host(w.address))
+        .filter(h -> world.random.nextInt(oneOf) == 0)
+        .toList();
+  }
+
+  void deafen(List<String> hosts, long millis) {
+    world.deaf.addAll(hosts);
+    at(millis, () -> hosts.forEach(world.deaf::remove));
+  }
+
+  void step(int number) {
+    String shape = number % 5 == 0 ? "service" : number % 5 == 3 ? "group" : "array";
+    ObjectNode spec = work(shape, 1 + world.random.nextInt(shape.equals("group") ? 3 : 5));
+    boolean together = shape.equals("group") && number % 2 == 0;
+    spec.put("together", together).put("spread", !together && number % 7 == 0);
+    if (number % 2 == 0 && !shape.equals("service")) {
+      // Long enough to be there from before the troubles until after them.
+      spec.put("guess_s", some(30, 110));
+    }
+    if (number % 3 == 0 && !shape.equals("service")) {
+      // Services run on, and would fill this team's limit for good.
+      spec.put("owner", "blue");
+    }
+    submit(spec);
+    oddRequests();
+    for (Rules.Known job : new ArrayList<>(rules.jobs.values())) {
+      if (job.accepted && !job.cancelAsked && !job.isOver() && world.random.nextDouble() < CANCELS) {
+        cancel(job);
+      }
+      if (world.random.nextInt(10) == 0) {
+        ask(job);
+      }
+    }
+    world.runFor(Duration.ofMillis(2_000));
+  }
+
+  @Override
+  void onNews(Rules.Known job) {
+    if (looksClosely) {
+      lookClosely(job);
+    }
+  }
+
+  /** Asks at every node within milliseconds, submits again, and cancels some that were just accepted. */
+  void lookClosely(Rules.Known job) {
+    boolean cancels =
+        job.told() == Rules.Told.ACCEPTED && !job.cancelAsked && world.random.nextInt(4) == 0;
+    for (String node : fronts) {
+      for (long millis : CLOSELY) {
+        at(millis, () -> send(job, node, "GET", "/v1/jobs/" + job.id, null, good -> {}));
+      }
+      at(some(0, 50), () -> send(job, node, "POST", "/v1/jobs", Json.bytes(job.spec), good -> {}));
+    }
+    if (cancels) {
+      at(some(0, 30), () -> cancel(job));
+    }
+  }
+
+  /** Each of the jobs that end may be cancelled, asked for and submitted again within that very moment. */
+  void meetEnds() {
+    rules.onLastDone =
+        job -> {
+          if (world.random.nextDouble() < cancelledAtEnd) {
+            at(some(0, 1_000), () -> lookClosely(job));
+            job.cancelAsked = true;
+            for (int i = 0; i < 2; i++) {
+              String path = "/v1/jobs/" + job.id + "/cancel";
+              at(some(0, 700), () -> send(job, "POST", path, null));
+            }
+          }
+        };
+  }
+
+  /** What users should not send: jobs that can't run or lack a field, repeats of jobs, cancels of those done. */
+  void oddRequests() {
+    ObjectNode spec = work("array", 2);
+    rules.jobs.remove(spec.get("ref").asText());
+    switch (world.random.nextInt(8)) {
+      case 0 -> spec.put("owner", "nobody");
+      case 1 -> spec.put("vcpus", 1e5);
+      case 2 -> spec.put("yard", "nowhere");
+      case 3 -> spec.put("pieces", 0);
+      case 4 -> spec.put("shape", "group").put("owner", "blue").put("pieces", 9);
+      case 5 -> spec.put("shape", "group").put("together", true).put("spread", true);
+      default -> {
+        List<String> required = new ArrayList<>();
+        spec.fieldNames().forEachRemaining(required::add);
+        required.remove("ref");
+        spec.remove(required.get(world.random.nextInt(required.size())));
+      }
+    }
+    Rules.Known unfit = new Rules.Known(spec.get("ref").asText(), spec);
+    unfit.unfit = true;
+    send(unfit, "POST", "/v1/jobs", Json.bytes(spec));
+    for (Rules.Known job : List.copyOf(rules.jobs.values())) {
+      if (job.accepted && world.random.nextInt(10) == 0) {
+        String node = fronts.get(world.random.nextInt(fronts.size()));
+        send(job, node, "POST", "/v1/jobs", Json.bytes(job.spec), good -> {});
+        if (job.done) {
+          send(job, node, "POST", "/v1/jobs/" + job.id + "/cancel", null, good -> {});
+        }
+      }
+    }
+  }
+
+  /** Neither side reaches the other, in both directions. */
+  void cutFor(List<String> some, List<String> others, long millis) {
+    for (String one : some) {
+      for (String other : others) {
+        world.cut(one, other);
+        at(millis, () -> world.heal(one, other));
+      }
+    }
+  }
+
+  /** These machines can open connections to no controller; direct commands reach them. */
+  void muteFor(List<String> machines, long millis) {
+    for (String machine : machines) {
+      for (int i = 0; i < layout.nodes; i++) {
+        String node = host(i);
+        world.refuse(machine, node);
+        at(millis, () -> world.heal(machine, node));
+      }
+    }
+  }
+
+  /** A zone's workers and controllers are cut off from all others and from the regional services. */
+  void cutZone(String zone, long millis) {
+    List<String> inside = new ArrayList<>();
+    List<String> outside = new ArrayList<>(List.of("10.2.0.1", "10.2.0.2", "user"));
+    for (int i = 0; i < layout.nodes; i++) {
+      (zoneOf(i).equals(zone) ? inside : outside).add(host(i));
+    }
+    for (FleetStandIn.Worker worker : fleet.up()) {
+      (worker.zone.equals(zone) ? inside : outside).add(World.host(worker.address));
+    }
+    cutFor(inside, outside, millis);
+  }
+
+  List<String> nodes() {
+    return IntStream.range(0, layout.nodes).mapToObj(LaidOutCluster::host).toList();
+  }
+}
--- a/src/test/java/io/pineladder/sim/World.java
+++ b/src/test/java/io/pineladder/sim/World.java
@@ -39,6 +39,11 @@
   /** Hosts that send and that nothing reaches: neither requests nor answers to theirs. */
   final Set<String> deaf = new HashSet<>();
 
+  /** Whether anything can reach the host from somewhere, and its process moves. */
+  boolean hears(String host) {
+    return !deaf.contains(host) && frozen.getOrDefault(host, 0L) <= nowMillis;
+  }
+
   /** The part of messages whose reply is lost, and which may then be executed late. */
   double lossy;
 
