--- a/src/main/java/io/pineladder/cli/Training.java
+++ b/src/main/java/io/pineladder/cli/Training.java
@@ -101,7 +101,7 @@
       """
       {"ref":"req-1","jobclass":"c","owner":"t","shape":"array","rank":"low","pieces":2,
        "vcpus":1.0,"cards":0.0,"memory_gb":1.0,"bundle":"i","image_gb":1.0,"hulls":["t"],
-       "guess_s":1.0,"mark_every_s":0.0,"stow_s":0.0}"""
+       "together":false,"spread":false,"loaners":false,"guess_s":1.0,"mark_every_s":0.0,"stow_s":0.0}"""
           .getBytes(StandardCharsets.UTF_8);
 
   /** The state service's revision; a first leader's key has the next one. */
