A machine that answers commands and does not report gets no new work, and goes like one that hears nothing

Its lease ends whatever is commanded, and each new session was given tasks that ended with it. The leader took its answers to probes for life and placed on. Now it is mute once it has answered for as long as a machine may be silent without a report of its own: no new work until it reports; returned after a lease and the time that another machine takes. What runs there is not moved before its lease ends: the copy there must be gone before another starts, so nothing is won. aMachineThatAnswersAndDoesNotReportGetsNoNewWork fails without it.

--- a/src/main/java/io/pineladder/workers/Workers.java
+++ b/src/main/java/io/pineladder/workers/Workers.java
@@ -199,7 +199,8 @@
     if (!isNewer(report, machine)) {
       return machine;
     }
-    machine.heardAt = time.now();
+    boolean wasReady = machine.takesWork();
+    machine.heard(reported, time.now());
     machine.relayed = relayed;
     machine.address = report.address();
     if (report.session() > machine.session) {
@@ -228,7 +229,6 @@
       cluster.refresh(machine);
       return machine;
     }
-    boolean wasReady = machine.takesWork();
     machine.moveTo(Machine.State.CONFIRMED);
     follow(machine, report, reported);
     cluster.refresh(machine);
