--- a/src/main/java/io/pineladder/fleet/Fleet.java
+++ b/src/main/java/io/pineladder/fleet/Fleet.java
@@ -365,8 +365,8 @@
             release(machine);
           } else if (drainsForLong(machine, now)) {
             empty(machine);
-          } else if (isOneWayForLong(machine, now)) {
-            log.info("machine {} is heard or hears, and not both", machine);
+          } else if (isDeafForLong(machine, now)) {
+            log.info("machine {} reports but hears nothing", machine);
             release(machine);
           } else if (machine.takesWork()) {
             spare.merge(machine.spot, renting.free(machine) * machine.type.price(), Double::sum);
@@ -408,17 +408,15 @@
   }
 
   /**
-   * Whether a machine that hears nothing, or answers and does not report, has been waited for as long as another
-   * takes, and a lease, by the end of which nothing of before runs there any more.
+   * Whether a machine that hears nothing has been waited for as long as another takes, and a lease, by the
+   * end of which nothing of before runs there any more.
    */
-  private boolean isOneWayForLong(Machine machine, Instant now) {
+  private boolean isDeafForLong(Machine machine, Instant now) {
     if (machine.relayed || zones.isGone(machine.zone)) {
       return false;
     }
     Duration waited = cluster.settings.workers().lease().plus(keepIdle(machine.type));
-    Duration unreported = machine.mute ? machine.answersUnreported(now) : Duration.ZERO;
-    return unreported.compareTo(waited) > 0
-        || machine.reportsUnhearing(now).compareTo(waited) > 0;
+    return machine.reportsUnhearing(now).compareTo(waited) > 0;
   }
 
   /** Returns a machine that is not needed; work for idle time saves first and goes elsewhere. */
--- a/src/main/java/io/pineladder/fleet/Silence.java
+++ b/src/main/java/io/pineladder/fleet/Silence.java
@@ -119,7 +119,6 @@
           effects.probe(machine);
         }
       }
-      noticeMute(machine, allowed, now);
       if (since.plus(allowed).isBefore(now)) {
         silent.add(machine);
         if (machine.state() == Machine.State.CONFIRMED) {
@@ -172,19 +171,6 @@
     return givenUp;
   }
 
-  /**
-   * A machine that is heard by its answers to commands only. Found by the days with workers that could open no
-   * connection: each went on to be given tasks, which ended with its lease, again and again.
-   */
-  private void noticeMute(Machine machine, Duration allowed, Instant now) {
-    boolean listened = listeningSince.plus(allowed).isBefore(now);
-    if (!machine.mute && listened && machine.answersUnreported(now).compareTo(allowed) > 0) {
-      log.info("machine {} answers and does not report", machine);
-      machine.mute = true;
-      cluster.refresh(machine);
-    }
-  }
-
   /**
    * Most workers heard of late came through peers: they do not reach this node, but others. Orders
    * then go out only with reports handed on, so a peer serves better as the leader. Found on
--- a/src/main/java/io/pineladder/workers/Workers.java
+++ b/src/main/java/io/pineladder/workers/Workers.java
@@ -199,8 +199,7 @@
     if (!isNewer(report, machine)) {
       return machine;
     }
-    boolean wasReady = machine.takesWork();
-    machine.heard(reported, time.now());
+    machine.heardAt = time.now();
     machine.relayed = relayed;
     machine.address = report.address();
     if (report.session() > machine.session) {
@@ -229,6 +228,7 @@
       cluster.refresh(machine);
       return machine;
     }
+    boolean wasReady = machine.takesWork();
     machine.moveTo(Machine.State.CONFIRMED);
     follow(machine, report, reported);
     cluster.refresh(machine);
