--- a/src/main/java/io/pineladder/scheduling/Placer.java
+++ b/src/main/java/io/pineladder/scheduling/Placer.java
@@ -83,30 +83,12 @@
     int most = (int) Math.min(wanted, within);
     boolean avoidsSpot = cluster.avoidsSpot(job, time.timeOfDay());
     List<Candidate> candidates = new ArrayList<>();
-    List<Machine> machines = new ArrayList<>(cluster.openFor(job));
-    if (byRules) {
-      machines.addAll(cluster.withheld());
+    for (Machine machine : cluster.openFor(job)) {
+      consider(job, machine, wanted, byRules, avoidsSpot, now, candidates);
     }
-    for (Machine machine : machines) {
-      boolean may =
-          byRules
-              ? machine.mayTakeWork() && isLegal(spec, machine)
-              : machine.takesWork()
-                  && isAllowed(job, machine)
-                  && !(machine.surge && keepsLong(cluster, job, machine, time.timeOfDay()));
-      if (!may) {
-        continue;
-      }
-      long room = spec.each().countIn(byRules ? machine.free() : room(job, machine, now));
-      if (room > 0) {
-        int count = (int) Math.min(room, wanted);
-        double cost = cost(job, machine, avoidsSpot);
-        if (count > 1 && isSlowFetch(job, machine)) {
-          candidates.add(new Candidate(machine, cost, 1));
-          candidates.add(new Candidate(machine, cost + SECOND_COPY, count - 1));
-        } else {
-          candidates.add(new Candidate(machine, cost, count));
-        }
+    if (byRules) {
+      for (Machine machine : cluster.withheld()) {
+        consider(job, machine, wanted, true, avoidsSpot, now, candidates);
       }
     }
     if (candidates.isEmpty()) {
@@ -119,6 +101,38 @@
     return limited ? new Decision(decision.machines(), Check.TEAM_LIMIT) : decision;
   }
 
+  /** Adds a machine that passes the checks and has room, once or in two parts of different cost. */
+  private void consider(
+      Job job,
+      Machine machine,
+      int wanted,
+      boolean byRules,
+      boolean avoidsSpot,
+      Instant now,
+      List<Candidate> candidates) {
+    boolean may =
+        byRules
+            ? machine.mayTakeWork() && isLegal(job.spec, machine)
+            : machine.takesWork()
+                && isAllowed(job, machine)
+                && !(machine.surge && keepsLong(cluster, job, machine, time.timeOfDay()));
+    if (!may) {
+      return;
+    }
+    Resources free = byRules ? machine.free() : room(job, machine, now);
+    int count = (int) Math.min(job.spec.each().countIn(free), wanted);
+    if (count <= 0) {
+      return;
+    }
+    double cost = cost(job, machine, avoidsSpot);
+    if (count > 1 && isSlowFetch(job, machine)) {
+      candidates.add(new Candidate(machine, cost, 1));
+      candidates.add(new Candidate(machine, cost + SECOND_COPY, count - 1));
+    } else {
+      candidates.add(new Candidate(machine, cost, count));
+    }
+  }
+
   /**
    * Whether the image is yet to be fetched there and takes longer than another machine would to
    * boot. Then copies are scarcer than machines: tasks that have to fetch go to different ones, and
--- a/src/test/java/io/pineladder/scheduling/PlacerTest.java
+++ b/src/test/java/io/pineladder/scheduling/PlacerTest.java
@@ -25,7 +25,7 @@
 import java.util.random.RandomGeneratorFactory;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
-import org.junit.jupiter.params.provider.ValueSource;
+import org.junit.jupiter.params.provider.CsvSource;
 
 /** The placement checks against a plain model that counts how many tasks each zone could take. */
 class PlacerTest {
@@ -151,9 +151,11 @@
     return job.spec.together() ? inOne : sum >= wanted;
   }
 
+  /** With policy in the way as well: by the rules alone what the model places is placed, and else no more. */
   @ParameterizedTest
-  @ValueSource(longs = {1, 2, 3, 4, 5})
-  void placesJustWhenThePlainModelCan(long seed) throws SettingsReader.BadSettingsException {
+  @CsvSource({"1,false", "2,false", "3,false", "4,false", "5,false", "6,true", "7,true", "8,true"})
+  void placesJustWhenThePlainModelCan(long seed, boolean policy)
+      throws SettingsReader.BadSettingsException {
     RandomGenerator random = RandomGeneratorFactory.of("L64X128MixRandom").create(seed);
     Cluster cluster = new Cluster(SettingsReader.parse(SettingsReaderTest.GOOD));
     List<MachineType> types = List.of(type("small", 8, 2), type("large", 24, 4));
@@ -163,9 +165,16 @@
               "m-" + i, types.get(i % 2), i % 3 == 0 ? "a" : "b", random.nextInt(4) == 0, NOW);
       machine.moveTo(i == 8 ? Machine.State.HEARD : Machine.State.CONFIRMED);
       machine.draining = i == 7;
+      machine.spared = policy && i == 3;
+      machine.suspect = policy && i == 4;
       cluster.addMachine(machine);
     }
+    if (policy) {
+      Job other = new Job(randomSpec(random, 1_000), NOW, Job.State.ACTIVE);
+      cluster.reserve(cluster.machine("m-1"), other, NOW.plusSeconds(60));
+    }
     Placer placer = new Placer(cluster, new FixedTime(NOW));
+    int kept = 0;
     List<Attempt> there = new ArrayList<>();
     int placed = 0;
     int refused = 0;
@@ -176,7 +185,14 @@
       int wanted = spec.shape() == Shape.GANG ? spec.tasks() : 1;
       for (int turn = 0; turn < turns; turn++) {
         boolean possible = canPlace(cluster, job, wanted);
-        Placer.Decision decision = placer.place(job, NOW);
+        if (policy) {
+          job.avoid.add("m-" + random.nextInt(8));
+          boolean placedAllTheSame = placer.place(job, NOW).isPlaced();
+          assertTrue(possible || !placedAllTheSame, spec.toString());
+          kept += possible && !placedAllTheSame ? 1 : 0;
+        }
+        Placer.Decision decision =
+            policy ? placer.placeByRules(job, wanted, NOW) : placer.place(job, NOW);
         assertEquals(possible, decision.isPlaced(), spec + " " + decision.rejectedBy());
         if (!possible) {
           refused++;
@@ -195,6 +211,7 @@
       }
     }
     assertTrue(placed > 50 && refused > 50, placed + " placed, " + refused + " refused");
+    assertTrue(policy == (kept > 20), kept + " kept from room by policy");
     there.forEach(attempt -> cluster.move(attempt, Attempt.State.GONE));
     assertEquals(Resources.NONE, cluster.usage("blue"));
   }
