--- a/src/test/java/io/pineladder/sim/MeetingsTest.java
+++ b/src/test/java/io/pineladder/sim/FaultCombinationsTest.java
@@ -23,9 +23,9 @@
  * Two troubles that meet, while users cancel and ask. Beside the rules each of these days asks for the promise
  * behind them: nothing of a job is on any machine when its user is told that it is cancelled.
  */
-class MeetingsTest extends TroubledCluster {
-  /** What meets; the rows of docs/meetings.md. */
-  enum Meeting {
+class FaultCombinationsTest extends TroubledCluster {
+  /** What meets; the rows of docs/fault-combinations.md. */
+  enum Combination {
     /** The leader alone is refused, another confirms cancellations, then nobody is served for long. */
     GAP,
     /** The state service answers slowly, refuses the leader, then everybody. */
@@ -90,8 +90,8 @@
    */
   private static final Duration TOLD = Duration.ofSeconds(75);
 
-  private void meet(Meeting meeting) {
-    switch (meeting) {
+  private void strike(Combination combination) {
+    switch (combination) {
       case GAP -> {
         String old = leading();
         long before = some(500, 20_000);
@@ -337,7 +337,7 @@
         at(some(1_000, 15_000), () -> cancelSome(0.3));
         at(some(5_000, 40_000), () -> killLeader(some(0, 6_000)));
       }
-      default -> throw new AssertionError(meeting);
+      default -> throw new AssertionError(combination);
     }
   }
 
@@ -362,15 +362,15 @@
     }
   }
 
-  void day(Layout of, long seed, Set<Meeting> meetings) {
+  void day(Layout of, long seed, Set<Combination> combinations) {
     begin(of, seed);
     fleet.capacity = CAPACITY;
     int number = 0;
     for (; number < 14; number++) {
       step(number);
     }
-    for (Meeting meeting : meetings) {
-      meet(meeting);
+    for (Combination combination : combinations) {
+      strike(combination);
       world.runFor(Duration.ofMillis(some(0, 4_000)));
     }
     for (; number < 45; number++) {
@@ -507,36 +507,36 @@
     settle(Duration.ofSeconds(300));
   }
 
-  /** Each meeting in two shapes; more seeds by hand with {@code -Dpineladder.meetings=100}. */
+  /** Each combination in two shapes; more seeds by hand with {@code -Dpineladder.combinations=100}. */
   static Stream<Arguments> alone() {
-    return Stream.of(Meeting.values())
+    return Stream.of(Combination.values())
         .flatMap(m -> Stream.of(Layout.ONE_ZONE, Layout.SHORT).map(of -> List.of(m, of)))
         .flatMap(cell -> seeds().mapToObj(s -> Arguments.of(cell.get(0), cell.get(1), s)));
   }
 
   private static IntStream seeds() {
     int first = Integer.getInteger("pineladder.first", 0);
-    return IntStream.range(first, first + Integer.getInteger("pineladder.meetings", 1));
+    return IntStream.range(first, first + Integer.getInteger("pineladder.combinations", 1));
   }
 
   @ParameterizedTest
   @MethodSource("alone")
-  void theRulesHoldWhereTroublesMeet(Meeting meeting, Layout of, int seed) {
-    day(of, 20_000 + 100L * seed + meeting.ordinal(), Set.of(meeting));
+  void theRulesHoldWhereTroublesMeet(Combination combination, Layout of, int seed) {
+    day(of, 20_000 + 100L * seed + combination.ordinal(), Set.of(combination));
   }
 
   /** Three at a time, each in its turn first, in all shapes; each seed takes three others. */
   static Stream<Arguments> together() {
     return seeds()
         .boxed()
-        .flatMap(s -> IntStream.range(0, Meeting.values().length).mapToObj(i -> Arguments.of(i, s)));
+        .flatMap(s -> IntStream.range(0, Combination.values().length).mapToObj(i -> Arguments.of(i, s)));
   }
 
   @ParameterizedTest
   @MethodSource("together")
   void theRulesHoldWhereThreeMeet(int first, int seed) {
-    Meeting[] all = Meeting.values();
-    Set<Meeting> met = new TreeSet<>();
+    Combination[] all = Combination.values();
+    Set<Combination> met = new TreeSet<>();
     met.add(all[first]);
     int others = all.length - 1;
     met.add(all[(first + 1 + (5 * seed + 2) % others) % all.length]);
