--- a/src/main/java/io/pineladder/fleet/Fleet.java
+++ b/src/main/java/io/pineladder/fleet/Fleet.java
@@ -400,7 +400,6 @@
    */
   private boolean drainsForLong(Machine machine, Instant now) {
     if (!machine.draining) {
-      machine.drainsSince = null;
       return false;
     }
     machine.drainsSince = machine.drainsSince == null ? now : machine.drainsSince;
--- a/src/main/java/io/pineladder/scheduling/Placer.java
+++ b/src/main/java/io/pineladder/scheduling/Placer.java
@@ -54,11 +54,6 @@
     }
   }
 
-  /** Decides for one task of an array or service, or for a gang as a whole. */
-  public Decision place(Job job, Instant now) {
-    return place(job, job.spec.shape() == Shape.GANG ? job.spec.tasks() : 1, now);
-  }
-
   /**
    * Decides for so many tasks in one look at the machines with room. A gang gets a place as a whole
    * or not at all; of other jobs the first tasks may be placed and the rest rejected.
@@ -154,9 +149,7 @@
 
   private boolean anyAllowed(JobSpec spec) {
     for (Cluster.Kind kind : cluster.kinds()) {
-      if (spec.allowsType(kind.type())
-          && spec.allowsZone(kind.zone())
-          && (spec.spotAllowed() || !kind.spot())) {
+      if (isLegal(spec, kind.type(), kind.zone(), kind.spot())) {
         return true;
       }
     }
@@ -164,10 +157,12 @@
   }
 
   /** Type, zone and kind. */
+  private static boolean isLegal(JobSpec spec, String type, String zone, boolean spot) {
+    return spec.allowsType(type) && spec.allowsZone(zone) && (spec.spotAllowed() || !spot);
+  }
+
   private static boolean isLegal(JobSpec spec, Machine machine) {
-    return spec.allowsType(machine.type.name())
-        && spec.allowsZone(machine.zone)
-        && (spec.spotAllowed() || !machine.spot);
+    return isLegal(spec, machine.type.name(), machine.zone, machine.spot);
   }
 
   /** Type, zone, kind, and no earlier failure of this job there. */
--- a/src/test/java/io/pineladder/scheduling/PlacerTest.java
+++ b/src/test/java/io/pineladder/scheduling/PlacerTest.java
@@ -187,12 +187,12 @@
         boolean possible = canPlace(cluster, job, wanted);
         if (policy) {
           job.avoid.add("m-" + random.nextInt(8));
-          boolean placedAllTheSame = placer.place(job, NOW).isPlaced();
+          boolean placedAllTheSame = placer.place(job, wanted, NOW).isPlaced();
           assertTrue(possible || !placedAllTheSame, spec.toString());
           kept += possible && !placedAllTheSame ? 1 : 0;
         }
         Placer.Decision decision =
-            policy ? placer.placeByRules(job, wanted, NOW) : placer.place(job, NOW);
+            policy ? placer.placeByRules(job, wanted, NOW) : placer.place(job, wanted, NOW);
         assertEquals(possible, decision.isPlaced(), spec + " " + decision.rejectedBy());
         if (!possible) {
           refused++;
@@ -224,7 +224,7 @@
             "req-1", "class", "blue", Shape.GANG, Rank.NORMAL, 9, Resources.of(1, 1, 1), null, null,
             false, false, true, "i", 1, Duration.ZERO, Duration.ZERO, Duration.ZERO, null);
     Placer.Decision decision =
-        new Placer(cluster, new FixedTime(NOW)).place(new Job(spec, NOW, Job.State.ACTIVE), NOW);
+        new Placer(cluster, new FixedTime(NOW)).place(new Job(spec, NOW, Job.State.ACTIVE), 9, NOW);
     assertEquals(Check.TEAM_LIMIT, decision.rejectedBy());
   }
 
--- a/src/test/java/io/pineladder/sim/ChecksTest.java
+++ b/src/test/java/io/pineladder/sim/ChecksTest.java
@@ -21,11 +21,17 @@
     return fleet.up().stream().filter(w -> !w.tasks.isEmpty()).findFirst().orElseThrow();
   }
 
-  @Test
-  void whatIsToldTooSoonOrStartedUnstoredIsSeen() {
-    begin(Layout.ONE_ZONE, 60);
+  /** A service whose one task runs. */
+  private Rules.Known serving(long seed) {
+    begin(Layout.ONE_ZONE, seed);
     Rules.Known job = submit(work("service", 1));
     world.runFor(Duration.ofSeconds(60));
+    return job;
+  }
+
+  @Test
+  void whatIsToldTooSoonOrStartedUnstoredIsSeen() {
+    Rules.Known job = serving(60);
     Worker on = holder();
     Task task = on.tasks.values().iterator().next();
     rules.commanded(task, on);
@@ -38,9 +44,7 @@
   /** A task that was fetching when its job was told cancelled, and one that goes on after its machine hung. */
   @Test
   void whatStartsOrGoesOnAfterItsUserWasToldIsSeen() {
-    begin(Layout.ONE_ZONE, 61);
-    Rules.Known job = submit(work("service", 1));
-    world.runFor(Duration.ofSeconds(60));
+    Rules.Known job = serving(61);
     Worker on = holder();
     Task task = on.tasks.values().iterator().next();
     world.freeze(World.host(on.address), 50_000);
--- a/src/test/java/io/pineladder/sim/FaultCombinationsTest.java
+++ b/src/test/java/io/pineladder/sim/FaultCombinationsTest.java
@@ -5,7 +5,6 @@
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -98,14 +97,8 @@
         refuseLeader(before + some(0, 30_000));
         // Some workers are left to the old leader: no other controller reaches them.
         for (String machine : someMachines(3)) {
-          IntStream.range(0, layout.nodes)
-              .mapToObj(LaidOutCluster::host)
-              .filter(h -> !h.equals(old))
-              .forEach(
-                  h -> {
-                    world.cut(h, machine);
-                    at(90_000, () -> world.heal(h, machine));
-                  });
+          cutFor(
+              List.of(machine), nodes().stream().filter(h -> !h.equals(old)).toList(), 90_000);
         }
         at(before, () -> outage(some(CANCEL.toMillis() / 2, 3 * CANCEL.toMillis())));
       }
@@ -161,13 +154,7 @@
         if (world.random.nextBoolean()) {
           deafen(away, millis);
         } else {
-          for (String machine : away) {
-            for (int i = 0; i < layout.nodes; i++) {
-              String node = host(i);
-              world.cut(node, machine);
-              at(millis, () -> world.heal(node, machine));
-            }
-          }
+          cutFor(away, nodes(), millis);
         }
         at(some(500, 15_000), () -> killLeader(some(0, 8_000)));
       }
@@ -341,14 +328,6 @@
     }
   }
 
-  private void cancelSome(double part) {
-    for (Rules.Known job : new ArrayList<>(rules.jobs.values())) {
-      if (job.accepted && !job.cancelAsked && !job.isOver() && world.random.nextDouble() < part) {
-        cancel(job);
-      }
-    }
-  }
-
   private void perhapsDies(FleetStandIn.Worker worker) {
     if (world.random.nextInt(6) == 0) {
       fleet.die(worker);
--- a/src/test/java/io/pineladder/sim/LaidOutCluster.java
+++ b/src/test/java/io/pineladder/sim/LaidOutCluster.java
@@ -112,12 +112,22 @@
   void aloneFor(long millis) {
     String alone = leading();
     List<String> others = new ArrayList<>(List.of("10.2.0.1"));
-    for (int i = 0; i < layout.nodes; i++) {
-      if (!host(i).equals(alone)) {
-        others.add(host(i));
+    nodes().stream().filter(node -> !node.equals(alone)).forEach(others::add);
+    cutFor(List.of(alone), others, millis);
+  }
+
+  /** Neither side reaches the other, in both directions. */
+  void cutFor(List<String> some, List<String> others, long millis) {
+    for (String one : some) {
+      for (String other : others) {
+        world.cut(one, other);
+        world.after(millis, () -> world.heal(one, other));
       }
     }
-    others.forEach(other -> world.cut(alone, other));
-    world.after(millis, () -> others.forEach(other -> world.heal(alone, other)));
+  }
+
+  /** The hosts of all controllers. */
+  List<String> nodes() {
+    return IntStream.range(0, layout.nodes).mapToObj(LaidOutCluster::host).toList();
   }
 }
--- a/src/test/java/io/pineladder/sim/SimulatedCluster.java
+++ b/src/test/java/io/pineladder/sim/SimulatedCluster.java
@@ -381,9 +381,7 @@
       case 7 -> {
         List<FleetStandIn.Worker> up = fleet.up();
         if (!up.isEmpty()) {
-          FleetStandIn.Worker taken = up.get(world.random.nextInt(up.size()));
-          fleet.machines.remove(taken.name);
-          taken.end();
+          fleet.die(up.get(world.random.nextInt(up.size())));
         }
       }
       case 8, 9 -> world.freeze(host, millis);
--- a/src/test/java/io/pineladder/sim/TroubledCluster.java
+++ b/src/test/java/io/pineladder/sim/TroubledCluster.java
@@ -5,7 +5,6 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.stream.IntStream;
 
 /** A laid out cluster with the troubles that are not one controller's, and users who go on meanwhile. */
 abstract class TroubledCluster extends LaidOutCluster {
@@ -72,9 +71,7 @@
     submit(spec);
     oddRequests();
     for (Rules.Known job : new ArrayList<>(rules.jobs.values())) {
-      if (job.accepted && !job.cancelAsked && !job.isOver() && world.random.nextDouble() < CANCELS) {
-        cancel(job);
-      }
+      perhapsCancel(job, CANCELS);
       if (world.random.nextInt(10) == 0) {
         ask(job);
       }
@@ -82,6 +79,17 @@
     world.runFor(Duration.ofMillis(2_000));
   }
 
+  /** So likely cancels a job whose user may think of it. */
+  private void perhapsCancel(Rules.Known job, double likely) {
+    if (job.accepted && !job.cancelAsked && !job.isOver() && world.random.nextDouble() < likely) {
+      cancel(job);
+    }
+  }
+
+  void cancelSome(double part) {
+    List.copyOf(rules.jobs.values()).forEach(job -> perhapsCancel(job, part));
+  }
+
   @Override
   void onNews(Rules.Known job) {
     if (looksClosely) {
@@ -151,21 +159,10 @@
     }
   }
 
-  /** Neither side reaches the other, in both directions. */
-  void cutFor(List<String> some, List<String> others, long millis) {
-    for (String one : some) {
-      for (String other : others) {
-        world.cut(one, other);
-        at(millis, () -> world.heal(one, other));
-      }
-    }
-  }
-
   /** These machines can open connections to no controller; direct commands reach them. */
   void muteFor(List<String> machines, long millis) {
     for (String machine : machines) {
-      for (int i = 0; i < layout.nodes; i++) {
-        String node = host(i);
+      for (String node : nodes()) {
         world.refuse(machine, node);
         at(millis, () -> world.heal(machine, node));
       }
@@ -185,7 +182,4 @@
     cutFor(inside, outside, millis);
   }
 
-  List<String> nodes() {
-    return IntStream.range(0, layout.nodes).mapToObj(LaidOutCluster::host).toList();
-  }
 }
