--- a/review/standins/Cluster.java
+++ b/review/standins/Cluster.java
@@ -9,8 +9,11 @@
 import java.net.http.HttpResponse;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.attribute.PosixFilePermissions;
+import java.security.SecureRandom;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Base64;
 import java.util.Comparator;
 import java.util.List;
 import java.util.concurrent.ExecutorService;
@@ -28,11 +31,13 @@
   private final List<Integer> users = new ArrayList<>();
   final List<Process> processes = new ArrayList<>();
   private final List<List<String>> commands = new ArrayList<>();
-  private final List<Integer> clusterPorts = new ArrayList<>();
+  final List<Integer> clusterPorts = new ArrayList<>();
   private final List<Integer> statePorts = new ArrayList<>();
   private int cloudPort;
   /** The links of each controller; empty unless they were asked for. */
   private final List<List<Silence>> links = new ArrayList<>();
+  private String deployFile = "deploy/service.toml";
+  private final Path key;
   private final Path folder;
   private final Record record;
   final HttpClient client =
@@ -41,6 +46,16 @@
   Cluster(Record record) throws IOException {
     this.record = record;
     this.folder = Files.createTempDirectory("case");
+    this.key = folder.resolve("delivery.key");
+  }
+
+  /** Starts the controllers with the command that also delivers final answers to subscribers. */
+  void deliver() throws IOException {
+    deployFile = "deploy/delivery.toml";
+    byte[] bytes = new byte[32];
+    new SecureRandom().nextBytes(bytes);
+    Files.writeString(key, Base64.getEncoder().encodeToString(bytes) + "\n");
+    Files.setPosixFilePermissions(key, PosixFilePermissions.fromString("rw-------"));
   }
 
   private static java.util.concurrent.ThreadFactory daemon() {
@@ -97,7 +112,7 @@
     if (links.isEmpty()) {
       return port;
     }
-    Silence link = new Silence(port, threads);
+    Silence link = new Silence(port);
     links.get(one).add(link);
     if (other != one) {
       links.get(other).add(link);
@@ -118,7 +133,7 @@
    */
   void start(List<String> zones, String deployment) throws IOException {
     String run = null;
-    for (String line : Files.readAllLines(Path.of("deploy/service.toml"))) {
+    for (String line : Files.readAllLines(Path.of(deployFile))) {
       if (line.startsWith("run = ")) {
         run = line.substring(line.indexOf('"') + 1, line.lastIndexOf('"'));
       }
@@ -138,7 +153,7 @@
       text.append("state = \"127.0.0.1:" + link(statePorts.get(i), i, i) + "\"\n\n").append(deployment);
       Path settings = folder.resolve("rung-" + i + ".toml");
       Files.writeString(settings, text.toString());
-      List<String> command = new ArrayList<>(List.of(run.split(" ")));
+      List<String> command = new ArrayList<>(List.of(run.replace("delivery.key", key.toString()).split(" ")));
       command.add(settings.toString());
       commands.add(command);
       processes.add(null);
--- a/review/standins/StateService.java
+++ b/review/standins/StateService.java
@@ -46,6 +46,11 @@
   private final boolean[] refused;
   private final ScheduledExecutorService timer;
 
+  private static final int LATE_SECONDS = 11;
+  private String heldPrefix;
+  /** The status of the transaction that was carried out late. */
+  volatile int lateStatus;
+
   long requests;
   long overLimit;
   long changes;
@@ -136,10 +141,42 @@
       follow(client, exchange);
       return;
     }
+    if (isHeld(path, body)) {
+      timer.schedule(() -> executeLate(client, exchange, path, body), LATE_SECONDS, TimeUnit.SECONDS);
+      return;
+    }
     Object[] answer = answer(client, exchange.getRequestMethod(), path, body);
     Http.answer(exchange, (int) answer[0], JSON.writeValueAsBytes((JsonNode) answer[1]));
   }
 
+  /** The next transaction that writes such a key gets no answer and is carried out late. */
+  synchronized void holdNext(String prefix) {
+    heldPrefix = prefix;
+  }
+
+  private synchronized boolean isHeld(String path, byte[] body) throws IOException {
+    if (heldPrefix == null || !path.equals("/multi")) {
+      return false;
+    }
+    for (JsonNode change : JSON.readTree(body).path("apply")) {
+      if (change.path("write").asText("").startsWith(heldPrefix)) {
+        heldPrefix = null;
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private void executeLate(int client, HttpExchange exchange, String path, byte[] body) {
+    try {
+      Object[] late = answer(client, "POST", path, body);
+      lateStatus = (int) late[0];
+      exchange.close();
+    } catch (IOException e) {
+      // The controller has given the connection up.
+    }
+  }
+
   private static Object[] answer(int status, JsonNode body) {
     return new Object[] {status, body};
   }
