Inbound requests leave the event thread time for the election

What callers saw: at production size no leader was elected or kept, and no task started.

Cause: XNIO's accept thread hands each connection to the I/O thread as an immediate task, and the I/O thread runs all immediate tasks before any timer and any read. Each task here also read and answered the connection's first request. Workers that find no leader open a new connection every second, so with enough of them the tasks never end: no lease is requested, renewed or read of, so there is no leader, so the workers keep connecting. On open connections the same happens for a pass of up to 1,024 ready ones.

Why this works: requests of users and workers have a time slice for each kind between two timers; what is ready after that waits in order, and is closed unread once its sender has given up. Timers, the store, the cloud, other controllers and replies of workers do not wait behind them. Below the slice nothing changes.

--- /dev/null
+++ b/src/main/java/io/pineladder/net/ScheduledSourceConduit.java
@@ -0,0 +1,133 @@
+package io.pineladder.net;
+
+import java.util.function.Supplier;
+import org.xnio.IoUtils;
+import org.xnio.StreamConnection;
+import org.xnio.conduits.AbstractStreamSourceConduit;
+import org.xnio.conduits.ConduitStreamSourceChannel;
+import org.xnio.conduits.ReadReadyHandler;
+import org.xnio.conduits.StreamSourceConduit;
+
+/**
+ * The reading side of an accepted connection, which is read only when the {@link InboundScheduler}
+ * has time for it. Event thread only.
+ */
+final class ScheduledSourceConduit extends AbstractStreamSourceConduit<StreamSourceConduit>
+    implements ReadReadyHandler, InboundScheduler.Connection {
+  private final StreamConnection connection;
+  private final Supplier<ConnectionLimiter.TrafficClass> trafficClass;
+  private final InboundScheduler scheduler;
+  private ReadReadyHandler handler;
+
+  /** Whether the connection's reader wants to be called when there is data. */
+  private boolean resumed;
+
+  private boolean paused;
+
+  private ScheduledSourceConduit(
+      StreamConnection connection,
+      StreamSourceConduit next,
+      Supplier<ConnectionLimiter.TrafficClass> trafficClass,
+      InboundScheduler scheduler) {
+    super(next);
+    this.connection = connection;
+    this.trafficClass = trafficClass;
+    this.scheduler = scheduler;
+  }
+
+  /** Lets the scheduler decide when a connection is read; called before its first read. */
+  static void install(
+      StreamConnection connection,
+      Supplier<ConnectionLimiter.TrafficClass> trafficClass,
+      InboundScheduler scheduler) {
+    ConduitStreamSourceChannel channel = connection.getSourceChannel();
+    ScheduledSourceConduit conduit =
+        new ScheduledSourceConduit(connection, channel.getConduit(), trafficClass, scheduler);
+    conduit.setReadReadyHandler(
+        new ReadReadyHandler.ChannelListenerHandler<ConduitStreamSourceChannel>(channel));
+    channel.setConduit(conduit);
+  }
+
+  // ---- called by the connection's reader
+
+  @Override
+  public void setReadReadyHandler(ReadReadyHandler next) {
+    handler = next;
+    this.next.setReadReadyHandler(this);
+  }
+
+  @Override
+  public void resumeReads() {
+    resumed = true;
+    if (!paused) {
+      next.resumeReads();
+    }
+  }
+
+  @Override
+  public void suspendReads() {
+    resumed = false;
+    next.suspendReads();
+  }
+
+  @Override
+  public void wakeupReads() {
+    resumed = true;
+    next.wakeupReads();
+  }
+
+  @Override
+  public boolean isReadResumed() {
+    return resumed;
+  }
+
+  // ---- called by the event loop
+
+  @Override
+  public void readReady() {
+    if (!paused) {
+      scheduler.onReady(this);
+    }
+  }
+
+  @Override
+  public void forceTermination() {
+    handler.forceTermination();
+  }
+
+  @Override
+  public void terminated() {
+    handler.terminated();
+  }
+
+  // ---- called by the scheduler
+
+  @Override
+  public ConnectionLimiter.TrafficClass trafficClass() {
+    return trafficClass.get();
+  }
+
+  @Override
+  public void pause() {
+    paused = true;
+    next.suspendReads();
+  }
+
+  @Override
+  public void serve() {
+    if (paused) {
+      paused = false;
+      if (!connection.isOpen() || !resumed) {
+        return;
+      }
+      next.resumeReads();
+    }
+    handler.readReady();
+  }
+
+  @Override
+  public void discard() {
+    paused = false;
+    IoUtils.safeClose(connection);
+  }
+}
