--- a/src/scale/java/io/pineladder/sim/RealTimeWorld.java
+++ b/src/scale/java/io/pineladder/sim/RealTimeWorld.java
@@ -131,7 +131,12 @@
   }
 
   @Override
-  public AsyncHttpClient httpClient() {
+  public AsyncHttpClient httpClient(String from) {
+    return httpClient();
+  }
+
+  /** The client of this process. */
+  AsyncHttpClient httpClient() {
     return (request, onReply) -> {
       if (closed) {
         return;
--- a/src/test/java/io/pineladder/sim/FakeFleet.java
+++ b/src/test/java/io/pineladder/sim/FakeFleet.java
@@ -17,6 +17,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.function.Consumer;
+import java.util.function.IntFunction;
 
 /**
  * A fake cloud provider and the workers on its machines. Task events go to a {@link TaskWatcher}.
@@ -102,6 +103,9 @@
   /** Runs the workers; null to run them in this process. */
   ExternalWorkers externalWorkers;
 
+  /** The address of the worker with a number that runs in this process. */
+  IntFunction<String> workerAddress = number -> "10.1.0." + number + ":9000";
+
   /** Whether half of the machines boot late or never. */
   boolean unreliableBoots;
 
@@ -204,7 +208,7 @@
 
   private String nextAddress() {
     return externalWorkers == null
-        ? "10.1.0." + lastMachineNumber + ":9000"
+        ? workerAddress.apply(lastMachineNumber)
         : externalWorkers.address(lastMachineNumber);
   }
 
--- a/src/test/java/io/pineladder/sim/ScaleRunTest.java
+++ b/src/test/java/io/pineladder/sim/ScaleRunTest.java
@@ -70,7 +70,7 @@
    * The first port of a free range, so that several runs can share a machine. The ranges are below
    * the ephemeral ports.
    */
-  private static int firstFreePort() {
+  static int firstFreePort() {
     int ranges = (LAST_PORT - FIRST_PORT) / PORTS_PER_RUN;
     int start = ThreadLocalRandom.current().nextInt(ranges);
     for (int i = 0; i < ranges; i++) {
--- a/src/test/java/io/pineladder/sim/SimulatedWorld.java
+++ b/src/test/java/io/pineladder/sim/SimulatedWorld.java
@@ -88,7 +88,8 @@
 
     void stop(String address);
 
-    AsyncHttpClient httpClient();
+    /** The client of a process on the host {@code from}. */
+    AsyncHttpClient httpClient(String from);
   }
 
   /** The real network in use; null in a simulation. */
@@ -214,7 +215,7 @@
     if (externalNetwork != null) {
       return (request, onReply) ->
           externalNetwork
-              .httpClient()
+              .httpClient(from)
               .call(
                   request,
                   reply -> {
