A late copy of an executed start command starts nothing

What callers would see: a task that ended, was moved or was cancelled runs again on the machine where it ran first, at once with another attempt of it, or after its cancellation was confirmed.

Cause: once the end of an attempt is stored, the worker is told to forget it. Until the worker has seen a higher token, a copy of the start that was sent by /do still matches token and session, and the worker no longer knows the attempt. The existing guard covers starts without an answer only.

Why this works: what was started by a request is forgotten no sooner than 20 s after it was sent, in every path that writes forget; copies are known to be 2 to 16 s late. While the worker lists the attempt a copy has no effect. At most 32 attempts of a machine are kept for it, since heartbeats carry them. Of earlier leaders' starts the copy is refused for its token, which the worker has by the time it forgets.

--- a/src/main/java/io/pineladder/model/Machine.java
+++ b/src/main/java/io/pineladder/model/Machine.java
@@ -103,6 +103,9 @@
   /** The attempts that heartbeats may list, by key, including exited ones. */
   public final Map<String, Attempt> attempts = new LinkedHashMap<>();
 
+  /** The attempts whose start may reach the machine a second time. */
+  public final DirectStarts directStarts = new DirectStarts();
+
   /** The resources held by all attempts that may be on the machine. */
   public Resources used = Resources.ZERO;
 
--- a/src/main/java/io/pineladder/workers/CommandWriter.java
+++ b/src/main/java/io/pineladder/workers/CommandWriter.java
@@ -57,7 +57,8 @@
         case EXITED -> {
           if (attempt.endProcessed
               && !attempt.startUnconfirmed
-              && channel == Channel.HEARTBEAT_RESPONSE) {
+              && channel == Channel.HEARTBEAT_RESPONSE
+              && machine.directStarts.mayForget(attempt.key, eventLoop.now())) {
             commands.forget(attempt.job.spec.id(), attempt.task, attempt.number);
           }
         }
@@ -89,6 +90,7 @@
     attempt.startHeartbeatSequence = byRequest ? -1 : machine.lastHeartbeatSequence;
     attempt.directStartPending = byRequest;
     if (byRequest) {
+      machine.directStarts.record(attempt.key, eventLoop.now());
       started.add(attempt);
     }
     if (!attempt.isWanted()) {
@@ -134,7 +136,9 @@
         continue;
       }
       if (task.state() == TaskState.EXITED) {
-        commands.forget(job, task.task().index(), task.attempt());
+        if (machine.directStarts.mayForget(task.attemptKey(), eventLoop.now())) {
+          commands.forget(job, task.task().index(), task.attempt());
+        }
       } else {
         commands.kill(job, task.task().index(), task.attempt(), Duration.ZERO);
       }
