--- a/src/scale/java/io/pineladder/sim/ScaleCluster.java
+++ b/src/scale/java/io/pineladder/sim/ScaleCluster.java
@@ -82,19 +82,7 @@
     store.pageSize = 1_000;
     store.retainedChanges = 10_000;
     this.cloud = new FakeFleet(world, rules, List.of());
-    FakeFleet.MachineType type = ScaleSettings.MACHINE_TYPE;
-    cloud.types =
-        List.of(
-            new FakeFleet.MachineType(
-                type.name(),
-                type.cpus(),
-                type.gpus(),
-                type.memoryGb(),
-                type.pullGbPerSecond(),
-                type.hourlyPrice(),
-                type.hourlySpotPrice(),
-                type.bootSeconds(),
-                ScaleSettings.zones(options.zones)));
+    cloud.types = ScaleSettings.machineTypes(options.zones);
     // All machines are up from the start, and no more can be created.
     cloud.zoneCapacity = 0;
     cloud.externalWorkers = this;
--- a/src/scale/java/io/pineladder/sim/ScaleSettings.java
+++ b/src/scale/java/io/pineladder/sim/ScaleSettings.java
@@ -36,6 +36,21 @@
     this.clusterAddresses = clusterAddresses;
   }
 
+  /** The only machine type, offered in as many zones. */
+  static List<FakeFleet.MachineType> machineTypes(int zones) {
+    return List.of(
+        new FakeFleet.MachineType(
+            MACHINE_TYPE.name(),
+            MACHINE_TYPE.cpus(),
+            MACHINE_TYPE.gpus(),
+            MACHINE_TYPE.memoryGb(),
+            MACHINE_TYPE.pullGbPerSecond(),
+            MACHINE_TYPE.hourlyPrice(),
+            MACHINE_TYPE.hourlySpotPrice(),
+            MACHINE_TYPE.bootSeconds(),
+            zones(zones)));
+  }
+
   static List<String> zones(int count) {
     return IntStream.range(0, count).mapToObj(i -> "z" + i).toList();
   }
--- a/src/scale/java/io/pineladder/sim/SoakCluster.java
+++ b/src/scale/java/io/pineladder/sim/SoakCluster.java
@@ -73,19 +73,7 @@
 
   private FakeFleet newFleet(SimulatedWorld world) {
     FakeFleet created = new FakeFleet(world, invariants, apiAddresses);
-    FakeFleet.MachineType type = ScaleSettings.MACHINE_TYPE;
-    created.types =
-        List.of(
-            new FakeFleet.MachineType(
-                type.name(),
-                type.cpus(),
-                type.gpus(),
-                type.memoryGb(),
-                type.pullGbPerSecond(),
-                type.hourlyPrice(),
-                type.hourlySpotPrice(),
-                type.bootSeconds(),
-                ScaleSettings.zones(options.zones)));
+    created.types = ScaleSettings.machineTypes(options.zones);
     created.zoneCapacity = options.workers / options.zones + 2;
     created.fastBoots = true;
     created.sendsHeartbeatOnTaskExit = true;
--- a/src/scale/java/io/pineladder/sim/SoakRun.java
+++ b/src/scale/java/io/pineladder/sim/SoakRun.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.BooleanSupplier;
 import java.util.random.RandomGeneratorFactory;
 import java.util.stream.Stream;
 import picocli.CommandLine;
@@ -164,8 +165,7 @@
         });
   }
 
-  private static boolean onEventThread(
-      RealTimeWorld realTimeWorld, java.util.function.BooleanSupplier action) {
+  private static boolean onEventThread(RealTimeWorld realTimeWorld, BooleanSupplier action) {
     CompletableFuture<Boolean> result = new CompletableFuture<>();
     realTimeWorld
         .eventLoop()
