--- a/src/main/java/io/pineladder/ControllerNode.java
+++ b/src/main/java/io/pineladder/ControllerNode.java
@@ -460,7 +460,7 @@
     boolean leaderKnown = election.knownLeader() != null;
     return new TaskStartMonitor.Observation(
         leaderKnown ? TaskStartMonitor.Reason.FOLLOWING : TaskStartMonitor.Reason.NO_LEADER,
-        "storeHealthy=" + storeClient.isHealthy());
+        () -> "storeHealthy=" + storeClient.isHealthy());
   }
 
   private void tick() {
--- a/src/main/java/io/pineladder/LeaderTerm.java
+++ b/src/main/java/io/pineladder/LeaderTerm.java
@@ -412,7 +412,7 @@
     placementsStored = 0;
     TaskStartMonitor.Reason reason =
         stored > 0 ? TaskStartMonitor.Reason.NONE : reasonForNoStart(leaseValid);
-    return new TaskStartMonitor.Observation(reason, reason.isBlocked() ? describeTaskStarts() : "");
+    return new TaskStartMonitor.Observation(reason, this::describeTaskStarts);
   }
 
   private TaskStartMonitor.Reason reasonForNoStart(boolean leaseValid) {
--- a/src/main/java/io/pineladder/TaskStartMonitor.java
+++ b/src/main/java/io/pineladder/TaskStartMonitor.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.Locale;
+import java.util.function.Supplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -54,9 +55,9 @@
   /**
    * A reason and what it was seen from.
    *
-   * @param detail counts for the log line
+   * @param detail supplies counts for the log line; called only if the line is logged
    */
-  record Observation(Reason reason, String detail) {}
+  record Observation(Reason reason, Supplier<String> detail) {}
 
   private Reason reason = Reason.NONE;
   private Instant since;
@@ -81,7 +82,7 @@
           "No task starts: reason={} blockedFor={} {}",
           label(reason),
           Duration.between(since, now),
-          observation.detail);
+          observation.detail.get());
     }
   }
 
--- a/src/scale/java/io/pineladder/sim/LoadGenerator.java
+++ b/src/scale/java/io/pineladder/sim/LoadGenerator.java
@@ -232,7 +232,7 @@
         });
   }
 
-  private static String state(byte[] body) {
+  static String state(byte[] body) {
     try {
       return Json.parseObject(body).get("status").asText();
     } catch (MalformedMessageException e) {
--- a/src/scale/java/io/pineladder/sim/ScaleRun.java
+++ b/src/scale/java/io/pineladder/sim/ScaleRun.java
@@ -135,7 +135,7 @@
     System.err.println(text);
   }
 
-  private static void deleteRecursively(Path directory) throws IOException {
+  static void deleteRecursively(Path directory) throws IOException {
     try (Stream<Path> all = Files.walk(directory)) {
       for (Path each : all.sorted(Comparator.reverseOrder()).toList()) {
         Files.delete(each);
@@ -195,7 +195,7 @@
     cluster.realTimeWorld().world().after(100, () -> applyHistory(cluster));
   }
 
-  private static void runOnEventThread(RealTimeWorld realTimeWorld, Runnable action)
+  static void runOnEventThread(RealTimeWorld realTimeWorld, Runnable action)
       throws InterruptedException, ExecutionException, TimeoutException {
     CompletableFuture<Void> done = new CompletableFuture<>();
     realTimeWorld
@@ -212,7 +212,7 @@
     done.get(60, TimeUnit.SECONDS);
   }
 
-  private static <T> T getOnEventThread(RealTimeWorld realTimeWorld, Supplier<T> supplier) {
+  static <T> T getOnEventThread(RealTimeWorld realTimeWorld, Supplier<T> supplier) {
     CompletableFuture<T> received = new CompletableFuture<>();
     realTimeWorld.eventLoop().execute(() -> received.complete(supplier.get()));
     return received.join();
--- a/src/scale/java/io/pineladder/sim/ScaleSettings.java
+++ b/src/scale/java/io/pineladder/sim/ScaleSettings.java
@@ -13,10 +13,6 @@
 
 /** Creates the settings files of the controllers of a scale run. */
 final class ScaleSettings {
-  /** The type of all machines. */
-  static final FakeFleet.MachineType MACHINE_TYPE =
-      new FakeFleet.MachineType("w16", 16, 2, 64, 1, 4, 1, 10, List.of("z0"));
-
   private final ScaleOptions options;
   private final String storeAddress;
   private final String cloudAddress;
@@ -38,17 +34,7 @@
 
   /** The only machine type, offered in as many zones. */
   static List<FakeFleet.MachineType> machineTypes(int zones) {
-    return List.of(
-        new FakeFleet.MachineType(
-            MACHINE_TYPE.name(),
-            MACHINE_TYPE.cpus(),
-            MACHINE_TYPE.gpus(),
-            MACHINE_TYPE.memoryGb(),
-            MACHINE_TYPE.pullGbPerSecond(),
-            MACHINE_TYPE.hourlyPrice(),
-            MACHINE_TYPE.hourlySpotPrice(),
-            MACHINE_TYPE.bootSeconds(),
-            zones(zones)));
+    return List.of(new FakeFleet.MachineType("w16", 16, 2, 64, 1, 4, 1, 10, zones(zones)));
   }
 
   static List<String> zones(int count) {
--- a/src/scale/java/io/pineladder/sim/SoakCluster.java
+++ b/src/scale/java/io/pineladder/sim/SoakCluster.java
@@ -2,7 +2,6 @@
 
 import com.fasterxml.jackson.dataformat.toml.TomlMapper;
 import io.pineladder.net.AsyncHttpClient;
-import io.pineladder.net.AsyncHttpHandler;
 import io.pineladder.net.HttpResponse;
 import io.pineladder.wire.Json;
 import io.pineladder.wire.MalformedMessageException;
@@ -130,8 +129,7 @@
       answer.accept(new HttpResponse(503, new byte[0]));
       return;
     }
-    AsyncHttpHandler handler = store;
-    handler.handle(
+    store.handle(
         method,
         path,
         body,
--- a/src/scale/java/io/pineladder/sim/SoakRun.java
+++ b/src/scale/java/io/pineladder/sim/SoakRun.java
@@ -5,13 +5,9 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.List;
 import java.util.concurrent.Callable;
-import java.util.concurrent.CompletableFuture;
-import java.util.function.BooleanSupplier;
 import java.util.random.RandomGeneratorFactory;
-import java.util.stream.Stream;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
@@ -118,20 +114,21 @@
             RandomGeneratorFactory.of("L64X128MixRandom").create(runSeed));
     SoakInvariants invariants = scenario.invariants();
     try (SoakCluster cluster = scenario.cluster()) {
-      onEventThread(realTimeWorld, cluster::start);
+      ScaleRun.runOnEventThread(realTimeWorld, cluster::start);
       Thread.sleep(START_TIME.toMillis());
-      onEventThread(realTimeWorld, () -> scenario.begin(jobMillis));
+      ScaleRun.runOnEventThread(realTimeWorld, () -> scenario.begin(jobMillis));
       Thread.sleep(Math.max(plan.end().toMillis(), 1_000L * faultSeconds));
-      onEventThread(realTimeWorld, scenario::onFaultsEnded);
+      ScaleRun.runOnEventThread(realTimeWorld, scenario::onFaultsEnded);
       long deadline = System.nanoTime() + MAX_SETTLE_TIME.toNanos();
-      while (!onEventThread(realTimeWorld, scenario::isSettled) && System.nanoTime() < deadline) {
+      while (!ScaleRun.getOnEventThread(realTimeWorld, scenario::isSettled)
+          && System.nanoTime() < deadline) {
         Thread.sleep(CHECK_INTERVAL.toMillis());
       }
-      onEventThread(realTimeWorld, invariants::onEnd);
+      ScaleRun.runOnEventThread(realTimeWorld, invariants::onEnd);
     }
     if (invariants.violations().isEmpty()) {
       System.out.println("seed " + runSeed + " passed: " + scenario.summary());
-      deleteRecursively(directory);
+      ScaleRun.deleteRecursively(directory);
     } else {
       reportFailure(runSeed, invariants, directory);
     }
@@ -155,36 +152,4 @@
             + jobMillis
             + "\"");
   }
-
-  private static void onEventThread(RealTimeWorld realTimeWorld, Runnable action) {
-    onEventThread(
-        realTimeWorld,
-        () -> {
-          action.run();
-          return true;
-        });
-  }
-
-  private static boolean onEventThread(RealTimeWorld realTimeWorld, BooleanSupplier action) {
-    CompletableFuture<Boolean> result = new CompletableFuture<>();
-    realTimeWorld
-        .eventLoop()
-        .execute(
-            () -> {
-              try {
-                result.complete(action.getAsBoolean());
-              } catch (RuntimeException e) {
-                result.completeExceptionally(e);
-              }
-            });
-    return result.join();
-  }
-
-  private static void deleteRecursively(Path directory) throws IOException {
-    try (Stream<Path> all = Files.walk(directory)) {
-      for (Path each : all.sorted(Comparator.reverseOrder()).toList()) {
-        Files.delete(each);
-      }
-    }
-  }
 }
--- a/src/scale/java/io/pineladder/sim/SoakUsers.java
+++ b/src/scale/java/io/pineladder/sim/SoakUsers.java
@@ -2,9 +2,7 @@
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.pineladder.net.AsyncHttpClient;
-import io.pineladder.net.AsyncHttpClient.Reply;
 import io.pineladder.wire.Json;
-import io.pineladder.wire.MalformedMessageException;
 import java.time.Duration;
 import java.util.List;
 import java.util.function.Consumer;
@@ -155,7 +153,8 @@
         reply -> {
           boolean success = reply.hasStatus(200) || reply.hasStatus(201);
           if (reply.isAnswered()) {
-            invariants.onAnswer(job, before, reply.status(), success ? stateIn(reply) : null);
+            invariants.onAnswer(
+                job, before, reply.status(), success ? LoadGenerator.state(reply.body()) : null);
           }
           onResult.accept(success);
         });
@@ -175,12 +174,4 @@
   private String anyController() {
     return controllers.get(random.nextInt(controllers.size()));
   }
-
-  private static String stateIn(Reply reply) {
-    try {
-      return Json.parseObject(reply.body()).get("status").asText();
-    } catch (MalformedMessageException e) {
-      throw new IllegalStateException(e);
-    }
-  }
 }
--- a/src/test/java/io/pineladder/TaskStartMonitorTest.java
+++ b/src/test/java/io/pineladder/TaskStartMonitorTest.java
@@ -14,7 +14,7 @@
   private final TaskStartMonitor monitor = new TaskStartMonitor();
 
   private void observe(Reason reason, int afterSeconds) {
-    monitor.observe(new Observation(reason, "term=1"), START.plusSeconds(afterSeconds));
+    monitor.observe(new Observation(reason, () -> "term=1"), START.plusSeconds(afterSeconds));
   }
 
   @Test
