A leader answers a submission as new only if it stored the job

What callers saw: a job that another controller had accepted (201) was submitted again at the leader within milliseconds and got 201 once more. A user could also be told 201 after another controller had told that the job is accepted, while the leader's own commit was still pending.

Cause: LeaderApi.accept answered 201 for whatever was pending. The handler of submissions told only the status, not whether this submission had stored the job, so a job found under its own key by the failed condition, and every repetition that waited for a pending commit, looked new.

Change: SubmissionResult says whether this submission stored the job. A conflict and a repetition that waits give a known job, with the counts of a poll.

--- a/src/main/java/io/pineladder/JobStatusReader.java
+++ b/src/main/java/io/pineladder/JobStatusReader.java
@@ -34,7 +34,7 @@
       return;
     }
     // The job may be stored already, and another node may have returned it to a user.
-    if (pendingSubmissions.await(id, onDone)) {
+    if (pendingSubmissions.await(id, result -> onDone.accept(result.view()))) {
       return;
     }
     lookUp(id, found -> answerAfterPendingCommit(found, onDone), onDone);
--- a/src/main/java/io/pineladder/LeaderTerm.java
+++ b/src/main/java/io/pineladder/LeaderTerm.java
@@ -358,15 +358,9 @@
     prerequisites.verify(spec.prerequisites(), onDone);
   }
 
-  /**
-   * Stores a new job.
-   *
-   * @param onStored receives the status after the commit; uncertain if the outcome is not known
-   * @param onAlreadyAccepted receives the status of a job that was accepted earlier
-   */
-  public void submit(
-      JobSpec spec, Consumer<JobView> onStored, Consumer<JobView> onAlreadyAccepted) {
-    submissions.submit(spec, onStored, onAlreadyAccepted);
+  /** Stores a job unless it was accepted before; {@code onDone} is called after the commit. */
+  public void submit(JobSpec spec, Consumer<SubmissionResult> onDone) {
+    submissions.submit(spec, onDone);
   }
 
   /** Reads a job's status from memory, or from the store if the job is not in memory. */
--- a/src/main/java/io/pineladder/PendingSubmissions.java
+++ b/src/main/java/io/pineladder/PendingSubmissions.java
@@ -11,7 +11,7 @@
  * original request, of repeated requests, and of status requests received meanwhile.
  */
 final class PendingSubmissions {
-  private final Map<String, List<Consumer<JobView>>> waitersByJob = new HashMap<>();
+  private final Map<String, List<Consumer<SubmissionResult>>> waitersByJob = new HashMap<>();
 
   /** Whether the job is being stored. */
   boolean contains(String job) {
@@ -19,28 +19,29 @@
   }
 
   /** Begins a submission; {@code waiter} is the first to receive its outcome. */
-  void begin(String job, Consumer<JobView> waiter) {
-    List<Consumer<JobView>> waiters = new ArrayList<>();
+  void begin(String job, Consumer<SubmissionResult> waiter) {
+    List<Consumer<SubmissionResult>> waiters = new ArrayList<>();
     waiters.add(waiter);
     waitersByJob.put(job, waiters);
   }
 
   /**
-   * Registers {@code waiter} for the outcome of a submission.
+   * Registers {@code waiter} for the outcome of a submission. It receives the result of a repeated
+   * submission, since another controller may have told the user meanwhile that the job is accepted.
    *
    * @return false if no submission of this job is pending
    */
-  boolean await(String job, Consumer<JobView> waiter) {
-    List<Consumer<JobView>> waiters = waitersByJob.get(job);
+  boolean await(String job, Consumer<SubmissionResult> waiter) {
+    List<Consumer<SubmissionResult>> waiters = waitersByJob.get(job);
     if (waiters == null) {
       return false;
     }
-    waiters.add(waiter);
+    waiters.add(result -> waiter.accept(result.forRepetition()));
     return true;
   }
 
   /** Ends a submission and returns its waiters in the order in which they must be called. */
-  List<Consumer<JobView>> complete(String job) {
+  List<Consumer<SubmissionResult>> complete(String job) {
     return waitersByJob.remove(job);
   }
 }
--- a/src/main/java/io/pineladder/SubmissionHandler.java
+++ b/src/main/java/io/pineladder/SubmissionHandler.java
@@ -65,36 +65,36 @@
     return cluster.jobs.containsKey(id) || pendingSubmissions.contains(id);
   }
 
-  /**
-   * Stores a new job.
-   *
-   * @param onStored receives the status after the commit; uncertain if the outcome is not known
-   * @param onAlreadyAccepted receives the status of a job that was accepted earlier
-   */
-  void submit(JobSpec spec, Consumer<JobView> onStored, Consumer<JobView> onAlreadyAccepted) {
+  /** Stores a job unless it was accepted before; {@code onDone} is called after the commit. */
+  void submit(JobSpec spec, Consumer<SubmissionResult> onDone) {
     String id = spec.id();
     Job accepted = cluster.jobs.get(id);
     if (accepted != null) {
-      statuses.answerAfterPendingCommit(accepted, onAlreadyAccepted);
+      answerAccepted(accepted, onDone);
       return;
     }
-    if (pendingSubmissions.await(id, onStored)) {
+    if (pendingSubmissions.await(id, onDone)) {
       return;
     }
     Job.State finalState = replica.finalState(id);
     if (finalState != null) {
       // Its record in the store may be lost, or archived with others by an earlier generation.
-      onAlreadyAccepted.accept(JobView.ended(finalState));
+      onDone.accept(SubmissionResult.ended(finalState));
       return;
     }
-    pendingSubmissions.begin(id, onStored);
+    pendingSubmissions.begin(id, onDone);
     Job job = new Job(spec, eventLoop.wallClock(), Job.State.ACTIVE);
     records.storeAcceptance(job, () -> onStored(job), () -> onStoredElsewhere(id));
   }
 
+  private void answerAccepted(Job job, Consumer<SubmissionResult> onDone) {
+    statuses.answerAfterPendingCommit(
+        job, view -> onDone.accept(SubmissionResult.alreadyAccepted(view)));
+  }
+
   private void onStored(Job job) {
     String id = job.spec.id();
-    List<Consumer<JobView>> waiters = pendingSubmissions.complete(id);
+    List<Consumer<SubmissionResult>> waiters = pendingSubmissions.complete(id);
     log.debug(
         "Job accepted: job={} tasks={} kind={} class={} team={}",
         id,
@@ -110,24 +110,24 @@
     listener.onAccepted(job);
     JobView view =
         JobView.of(job.cancelledByDependency ? JobWire.Status.CANCELLED : JobWire.Status.PENDING);
-    waiters.forEach(waiter -> waiter.accept(view));
+    waiters.forEach(waiter -> waiter.accept(SubmissionResult.stored(view)));
   }
 
   /** Another node stored the job first; responds with the status of that record. */
   private void onStoredElsewhere(String id) {
-    List<Consumer<JobView>> waiters = pendingSubmissions.complete(id);
+    List<Consumer<SubmissionResult>> waiters = pendingSubmissions.complete(id);
     reconciler.lookUp(
         id,
         lookup -> {
-          JobView view;
           if (lookup instanceof JobLookup.Found found) {
-            view = JobView.of(JobStatusReader.viewOf(found.job()).status());
-          } else if (lookup instanceof JobLookup.Ended ended) {
-            view = JobView.ended(ended.finalState());
-          } else {
-            view = JobView.UNCERTAIN;
+            waiters.forEach(waiter -> answerAccepted(found.job(), waiter));
+            return;
           }
-          waiters.forEach(waiter -> waiter.accept(view));
+          SubmissionResult result =
+              lookup instanceof JobLookup.Ended ended
+                  ? SubmissionResult.ended(ended.finalState())
+                  : SubmissionResult.alreadyAccepted(JobView.UNCERTAIN);
+          waiters.forEach(waiter -> waiter.accept(result));
         });
   }
 }
--- a/src/main/java/io/pineladder/api/LeaderApi.java
+++ b/src/main/java/io/pineladder/api/LeaderApi.java
@@ -8,6 +8,7 @@
 import io.pineladder.ControllerNode;
 import io.pineladder.JobView;
 import io.pineladder.LeaderTerm;
+import io.pineladder.SubmissionResult;
 import io.pineladder.admin.AdminApi;
 import io.pineladder.model.JobSpec;
 import io.pineladder.net.HttpResponse;
@@ -149,15 +150,13 @@
   }
 
   private static void accept(LeaderTerm leader, JobSpec spec, Consumer<HttpResponse> answer) {
-    leader.submit(
-        spec,
-        view ->
-            answer.accept(
-                view.isUncertain()
-                    ? unavailable("not certain yet")
-                    : new HttpResponse(
-                        view.status() == JobWire.Status.PENDING ? 201 : 200,
-                        JobWire.view(spec.id(), view.status()))),
-        view -> answer.accept(toResponse(spec.id(), view)));
+    leader.submit(spec, result -> answer.accept(toResponse(spec.id(), result)));
+  }
+
+  private static HttpResponse toResponse(String id, SubmissionResult result) {
+    boolean created = result.isNew() && result.view().status() == JobWire.Status.PENDING;
+    return created
+        ? new HttpResponse(201, JobWire.view(id, JobWire.Status.PENDING))
+        : toResponse(id, result.view());
   }
 }
--- a/src/test/java/io/pineladder/sim/RecoverySimulationTest.java
+++ b/src/test/java/io/pineladder/sim/RecoverySimulationTest.java
@@ -7,6 +7,8 @@
 import io.pineladder.net.AsyncHttpClient;
 import io.pineladder.wire.Json;
 import java.time.Duration;
+import java.util.Map;
+import java.util.TreeMap;
 import org.junit.jupiter.api.Test;
 
 /** Store load in bursts, outages and failovers, and the answers that users get during them. */
@@ -162,6 +164,31 @@
     assertEquals("aborted", status(request(alone, "GET", "/v1/jobs/" + job.id, null)));
   }
 
+  /** The leader learns of the job only when its own commit conflicts with the other's record. */
+  @Test
+  void neverAnswersSubmissionAsNewAtLeaderAfterAnotherNodeAcceptedJob() {
+    begin(17);
+    world.runFor(Duration.ofSeconds(5));
+    int leader = leaderIndex();
+    String alone = host((leader + 1) % 3);
+    world.cut(alone, host(leader));
+    world.cut(alone, host((leader + 2) % 3));
+    world.runFor(Duration.ofSeconds(6));
+    Map<Integer, Integer> statusCounts = new TreeMap<>();
+    for (int i = 0; i < 30; i++) {
+      SafetyRules.TrackedJob job = trackJob(jobSpec("array", 1, "blue"));
+      byte[] body = Json.bytes(job.spec);
+      assertEquals(201, request(alone, "POST", "/v1/jobs", body).status());
+      job.accepted = true;
+      int repeated = request(host(leader), "POST", "/v1/jobs", body).status();
+      statusCounts.merge(repeated, 1, Integer::sum);
+      poll(job);
+      world.runFor(Duration.ofSeconds(1));
+    }
+    assertEquals(Map.of(200, 30), statusCounts);
+    settle(Duration.ofSeconds(200));
+  }
+
   /** Guards against a leader that resigns because the store rejects an oversized job. */
   @Test
   void rejectsOversizedJobWithoutLosingTerm() throws Exception {
