A controller without a leader looks in the job pages before it accepts a job

Cause: LeaderlessApi.submit asked only for a final state and then stored the job under its own key, on the condition that it has neither that key nor a final state. A job that a leader accepted has its record in a page under accepted/, which only the path of polls read. The class: two paths decided separately whether a job is known, and one of them did not look everywhere.

Change: JobRecordReader is the one place that determines it without a leader: known final states, the pages (a read that begins after the request and is shared by all who wait), then the job's own keys. Submissions, polls, cancellations and the evaluation of dependencies use it. A submission reads the pages and leaves the job's own keys to the conditions of its transaction, which was created before the answer of that read was used, so that a change of generation fails it too. A failed condition without any record is now 503; it was 404.

Why it works: only leaders write pages, and no record moves from its own key into a page; a job accepted before the request is in a page, under its own key or has a final state when the page read runs or when the conditions are checked.

--- a/src/main/java/io/pineladder/api/DependencyChainReader.java
+++ b/src/main/java/io/pineladder/api/DependencyChainReader.java
@@ -1,13 +1,9 @@
 package io.pineladder.api;
 
-import com.fasterxml.jackson.databind.JsonNode;
 import io.pineladder.ControllerNode;
-import io.pineladder.JobView;
+import io.pineladder.api.JobRecordReader.Result;
 import io.pineladder.model.Job;
 import io.pineladder.store.AcceptedJobIndex;
-import io.pineladder.store.RecordKeys;
-import io.pineladder.wire.MalformedMessageException;
-import io.pineladder.wire.RecordWire;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashSet;
@@ -38,9 +34,11 @@
   }
 
   private final ControllerNode node;
+  private final JobRecordReader records;
 
-  DependencyChainReader(ControllerNode node) {
+  DependencyChainReader(ControllerNode node, JobRecordReader records) {
     this.node = node;
+    this.records = records;
   }
 
   /**
@@ -81,7 +79,7 @@
         if (!visitedJobs.add(id)) {
           continue;
         }
-        Job.State finalState = knownFinalState(id);
+        Job.State finalState = records.knownFinalState(id);
         AcceptedJobIndex.IndexedJob indexedJob = node.acceptedJobs().find(id);
         if (finalState == Job.State.CANCELLED) {
           onOutcome.accept(Outcome.CANCELLED);
@@ -110,66 +108,22 @@
       return true;
     }
 
-    private Job.State knownFinalState(String id) {
-      Job.State known = node.finalStates().stateOf(id);
-      return known != null ? known : node.replicaManager().replica().finalState(id);
-    }
-
-    /**
-     * Reads a job's own record, then its final state. One transaction replaces the former by the
-     * latter, so reads in this order cannot miss a job.
-     */
     private void readJobRecord(String id) {
       if (++storeReads > MAX_STORE_READS) {
         onOutcome.accept(Outcome.UNCERTAIN);
         return;
       }
-      node.storeClient()
-          .readForUser(
-              RecordKeys.UNPAGED_JOB + id,
-              read -> {
-                if (!read.succeeded()) {
-                  onOutcome.accept(Outcome.UNCERTAIN);
-                } else if (!read.found()) {
-                  readFinalState(id);
-                } else {
-                  try {
-                    RecordWire.StoredJob job = RecordWire.parseJob(read.entry().value());
-                    if (expand(job.state(), job.spec().prerequisites())) {
-                      evaluateNext();
-                    }
-                  } catch (MalformedMessageException e) {
-                    onOutcome.accept(Outcome.UNCERTAIN);
-                  }
-                }
-              });
+      records.readOwnRecords(id, this::onRecordRead);
     }
 
-    private void readFinalState(String id) {
-      node.storeClient()
-          .readForUser(
-              RecordKeys.FINAL_STATE + id,
-              read -> {
-                if (!read.succeeded()
-                    || (!read.found() && node.replicaManager().jobMayBeMissing(id))) {
-                  onOutcome.accept(Outcome.UNCERTAIN);
-                } else if (!read.found()) {
-                  onOutcome.accept(Outcome.UNKNOWN_JOB);
-                } else {
-                  applyFinalState(id, read.entry().value());
-                }
-              });
-    }
-
-    private void applyFinalState(String id, JsonNode record) {
-      try {
-        Job.State finalState = RecordWire.parseFinalState(record);
-        node.finalStates().put(id, JobView.toStatus(finalState));
-        if (expand(finalState, List.of())) {
+    private void onRecordRead(Result result) {
+      if (result instanceof Result.Accepted job) {
+        if (expand(job.state(), job.prerequisites())) {
           evaluateNext();
         }
-      } catch (MalformedMessageException e) {
-        onOutcome.accept(Outcome.UNCERTAIN);
+      } else {
+        onOutcome.accept(
+            result instanceof Result.NotFound ? Outcome.UNKNOWN_JOB : Outcome.UNCERTAIN);
       }
     }
   }
--- a/src/main/java/io/pineladder/api/LeaderlessApi.java
+++ b/src/main/java/io/pineladder/api/LeaderlessApi.java
@@ -7,15 +7,14 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import io.pineladder.ControllerNode;
 import io.pineladder.JobView;
+import io.pineladder.api.JobRecordReader.Result;
 import io.pineladder.model.Job;
 import io.pineladder.model.JobSpec;
 import io.pineladder.net.HttpResponse;
 import io.pineladder.replica.RecordReplica;
-import io.pineladder.store.AcceptedJobIndex;
 import io.pineladder.store.RecordKeys;
 import io.pineladder.wire.JobWire;
 import io.pineladder.wire.Json;
-import io.pineladder.wire.MalformedMessageException;
 import io.pineladder.wire.RecordWire;
 import io.pineladder.wire.StoreWire;
 import java.util.Optional;
@@ -32,44 +31,60 @@
 
   private final ControllerNode node;
   private final AdmissionPolicy admission;
+  private final JobRecordReader records;
   private final DependencyChainReader dependencyChains;
 
   LeaderlessApi(ControllerNode node, AdmissionPolicy admission) {
     this.node = node;
     this.admission = admission;
-    this.dependencyChains = new DependencyChainReader(node);
+    this.records = new JobRecordReader(node);
+    this.dependencyChains = new DependencyChainReader(node, records);
   }
 
   /**
-   * Accepts a job without a leader. It writes the record that a leader would write, under the same
-   * compare-and-swap conditions, and an inbox entry that notifies the next leader.
+   * Accepts a job without a leader, unless it is known. The pages, which only leaders write, are
+   * read first; the job's own records are conditions of the compare-and-swap that stores it.
    */
   void submit(JobSpec spec, Consumer<HttpResponse> answer) {
     if (node.machineTypes().isEmpty() || !node.storeClient().isHealthy()) {
       answer.accept(unavailable("no leader"));
       return;
     }
-    if (!node.replicaManager().generations().isTrusted()
-        || (node.storeClient().generation().base() != 0
-            && (!node.replicaManager().replica().hasAllFinalStates()
-                || node.replicaManager().replica().base()
-                    != node.storeClient().generation().base()))) {
+    if (!knowsAllGenerations()) {
       // A job that ended before the data loss could not be distinguished from a new one.
       answer.accept(unavailable("the records are rebuilt"));
       return;
     }
+    records.readPages(
+        spec.id(),
+        result -> {
+          if (result instanceof Result.NotFound) {
+            submitUnlessInOwnRecord(spec, answer);
+          } else {
+            answer(spec.id(), false, result, answer);
+          }
+        });
+  }
+
+  /** Whether the final states of all earlier generations of the records are known. */
+  private boolean knowsAllGenerations() {
+    RecordReplica replica = node.replicaManager().replica();
+    long base = node.storeClient().generation().base();
+    return node.replicaManager().generations().isTrusted()
+        && (base == 0 || (replica.hasAllFinalStates() && replica.base() == base));
+  }
+
+  /** Stores or rejects a job that is in no page; it may have a record under its own keys. */
+  private void submitUnlessInOwnRecord(JobSpec spec, Consumer<HttpResponse> answer) {
     Optional<String> rejection = admission.rejectionReason(spec);
-    String id = spec.id();
-    if (node.replicaManager().replica().finalState(id) != null) {
-      read(id, false, answer);
-      return;
-    }
     if (rejection.isPresent()) {
-      reject(id, rejection.get(), answer);
+      reject(spec.id(), rejection.get(), answer);
       return;
     }
+    // Fails if another generation, with other pages, becomes active before the job is stored.
+    StoreWire.Transaction transaction = node.storeClient().transaction();
     if (spec.prerequisites().isEmpty()) {
-      storeJob(spec, JobWire.Status.PENDING, answer);
+      storeJob(spec, JobWire.Status.PENDING, transaction, answer);
       return;
     }
     if (!node.clusterVersion().allowsChainedJobs()) {
@@ -80,10 +95,10 @@
         spec.prerequisites(),
         outcome -> {
           switch (outcome) {
-            case UNKNOWN_JOB -> reject(id, AdmissionPolicy.UNKNOWN_PREREQUISITE, answer);
+            case UNKNOWN_JOB -> reject(spec.id(), AdmissionPolicy.UNKNOWN_PREREQUISITE, answer);
             case UNCERTAIN -> answer.accept(unavailable("no leader"));
-            case NONE_CANCELLED -> storeJob(spec, JobWire.Status.PENDING, answer);
-            case CANCELLED -> storeJob(spec, JobWire.Status.CANCELLED, answer);
+            case NONE_CANCELLED -> storeJob(spec, JobWire.Status.PENDING, transaction, answer);
+            case CANCELLED -> storeJob(spec, JobWire.Status.CANCELLED, transaction, answer);
             default -> throw new IllegalStateException("unknown outcome " + outcome);
           }
         });
@@ -98,18 +113,22 @@
   }
 
   /**
-   * Stores a job.
+   * Stores a job that is in no page.
    *
    * @param status the status in the response; {@code CANCELLED} for a job with a cancelled
    *     prerequisite
+   * @param transaction an empty transaction, created after the pages were read
    */
-  private void storeJob(JobSpec spec, JobWire.Status status, Consumer<HttpResponse> answer) {
+  private void storeJob(
+      JobSpec spec,
+      JobWire.Status status,
+      StoreWire.Transaction transaction,
+      Consumer<HttpResponse> answer) {
     String id = spec.id();
     JsonNode record = RecordWire.job(spec, node.eventLoop().wallClock(), Job.State.ACTIVE);
     JsonNode inboxEntry = Json.object().put("by", node.settings().controllerName());
     byte[] body =
-        node.storeClient()
-            .transaction()
+        transaction
             .require(RecordKeys.UNPAGED_JOB + id, 0)
             .require(RecordKeys.FINAL_STATE + id, 0)
             .put(RecordKeys.UNPAGED_JOB + id, record)
@@ -128,13 +147,23 @@
                 node.replicaManager().onAcceptedWithoutLeader(() -> submit(spec, ignored -> {}));
                 answer.accept(new HttpResponse(201, JobWire.view(id, status)));
               } else if (reply.hasStatus(409)) {
-                read(id, false, answer);
+                log.debug("Job not accepted again without a leader: job={}", id);
+                records.readOwnRecords(id, result -> answerAfterConflict(id, result, answer));
               } else {
                 answer.accept(unavailable("no leader"));
               }
             });
   }
 
+  /** Answers a submission that was not stored; without a record, the generation has changed. */
+  private void answerAfterConflict(String id, Result result, Consumer<HttpResponse> answer) {
+    if (result instanceof Result.NotFound) {
+      answer.accept(unavailable("not certain yet"));
+    } else {
+      answer(id, false, result, answer);
+    }
+  }
+
   /**
    * Answers with a job's status from a fresh read of the store.
    *
@@ -146,78 +175,22 @@
       answer.accept(unavailable("the records are rebuilt"));
       return;
     }
-    Job.State finalState = node.replicaManager().replica().finalState(id);
-    if (finalState != null) {
-      answerWithState(id, cancel, finalState, answer);
-      return;
-    }
-    // One transaction replaces a job's record, under its own key or in a page, by its final state,
-    // so reads in this order cannot miss a job.
-    node.storeClient()
-        .readForUser(
-            RecordKeys.UNPAGED_JOB + id,
-            read -> {
-              if (!read.succeeded()) {
-                answer.accept(unavailable("no leader"));
-              } else if (read.found()) {
-                answerFromRecord(id, cancel, read.entry(), answer);
-              } else {
-                readIndexedJob(id, cancel, answer);
-              }
-            });
+    records.read(id, result -> answer(id, cancel, result, answer));
   }
 
-  private void readIndexedJob(String id, boolean cancel, Consumer<HttpResponse> answer) {
-    node.acceptedJobs()
-        .refresh(
-            refreshed -> {
-              if (!refreshed) {
-                answer.accept(unavailable("no leader"));
-                return;
-              }
-              AcceptedJobIndex.IndexedJob indexedJob = node.acceptedJobs().find(id);
-              if (indexedJob != null) {
-                answerFromIndexedJob(id, cancel, indexedJob, answer);
-              } else {
-                readFinalState(id, answer);
-              }
-            });
-  }
-
-  private void readFinalState(String id, Consumer<HttpResponse> answer) {
-    node.storeClient()
-        .readForUser(
-            RecordKeys.FINAL_STATE + id,
-            read -> {
-              if (!read.succeeded()) {
-                answer.accept(unavailable("no leader"));
-              } else if (!read.found() && node.replicaManager().jobMayBeMissing(id)) {
-                answer.accept(unavailable("not certain yet"));
-              } else if (!read.found()) {
-                answer.accept(error(404, "no such job"));
-              } else {
-                answerFromFinalState(id, read.entry(), answer);
-              }
-            });
-  }
-
-  private void answerFromRecord(
-      String id, boolean cancel, StoreWire.Entry entry, Consumer<HttpResponse> answer) {
-    try {
-      RecordWire.StoredJob job = RecordWire.parseJob(entry.value());
-      answerFromIndexedJob(
-          id,
-          cancel,
-          new AcceptedJobIndex.IndexedJob(job.state(), job.spec().prerequisites()),
-          answer);
-    } catch (MalformedMessageException e) {
-      answer.accept(unavailable("the stored job cannot be read"));
+  private void answer(String id, boolean cancel, Result result, Consumer<HttpResponse> answer) {
+    if (result instanceof Result.Accepted job) {
+      answerAccepted(id, cancel, job, answer);
+    } else if (result instanceof Result.Uncertain uncertain) {
+      answer.accept(unavailable(uncertain.reason()));
+    } else {
+      answer.accept(error(404, "no such job"));
     }
   }
 
   /** Answers for an accepted job; an active one may be cancelled through its dependencies. */
-  private void answerFromIndexedJob(
-      String id, boolean cancel, AcceptedJobIndex.IndexedJob job, Consumer<HttpResponse> answer) {
+  private void answerAccepted(
+      String id, boolean cancel, Result.Accepted job, Consumer<HttpResponse> answer) {
     if (job.state() != Job.State.ACTIVE || job.prerequisites().isEmpty()) {
       answerWithState(id, cancel, job.state(), answer);
       return;
@@ -246,15 +219,4 @@
       answer.accept(ok(JobWire.view(id, status, 0, 0)));
     }
   }
-
-  private void answerFromFinalState(
-      String id, StoreWire.Entry entry, Consumer<HttpResponse> answer) {
-    try {
-      JobWire.Status status = JobView.toStatus(RecordWire.parseFinalState(entry.value()));
-      node.finalStates().put(id, status);
-      answer.accept(ok(JobWire.view(id, status)));
-    } catch (MalformedMessageException e) {
-      answer.accept(unavailable("the stored job cannot be read"));
-    }
-  }
 }
--- /dev/null
+++ b/src/test/java/io/pineladder/sim/RepeatedSubmissionTest.java
@@ -0,0 +1,106 @@
+package io.pineladder.sim;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.pineladder.wire.Json;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/** Users repeat the submissions of accepted jobs at every controller while leaders are killed. */
+class RepeatedSubmissionTest extends FaultInjectionCluster {
+  private static final int JOBS = 12;
+  private static final int FAILOVERS = 3;
+  private static final Duration REPEAT_PERIOD = Duration.ofSeconds(8);
+
+  /** What happens to the store's transactions until the first leader is killed. */
+  enum StoreFault {
+    NONE,
+    LOST_ANSWERS,
+    LATE_TRANSACTIONS,
+    REPEATED_TRANSACTIONS
+  }
+
+  private int submissionsKnownWithoutLeader;
+
+  /** Each fault with two seeds; more with {@code -Dpineladder.unlisted=100}. */
+  static Stream<Arguments> faultsAndSeeds() {
+    int seeds = Integer.getInteger("pineladder.unlisted", 2);
+    return Stream.of(StoreFault.values())
+        .flatMap(
+            fault -> IntStream.range(0, seeds).mapToObj(seed -> Arguments.of(fault, 700 + seed)));
+  }
+
+  @ParameterizedTest
+  @MethodSource("faultsAndSeeds")
+  void neverAnswersSubmissionOfAcceptedJobAsNewAfterLeaderIsKilled(StoreFault fault, int seed) {
+    begin(seed % 2 == 0 ? Layout.FLEET : Layout.SHORT, seed);
+    setStoreFault(fault);
+    submitJobs();
+    world.runFor(Duration.ofSeconds(25));
+    cancelRandomJobs(0.3);
+    world.runFor(Duration.ofMillis(randomBetween(0, 2_000)));
+    setStoreFault(StoreFault.NONE);
+    for (int failover = 0; failover < FAILOVERS; failover++) {
+      submitJobs();
+      world.runFor(Duration.ofMillis(randomBetween(500, 4_000)));
+      killLeader(6_000);
+      repeatSubmissions(REPEAT_PERIOD);
+    }
+    rules.faultsEndedAt = world.now();
+    settle(Duration.ofSeconds(200));
+    assertTrue(submissionsKnownWithoutLeader > 0, "no submission was repeated without a leader");
+  }
+
+  private void setStoreFault(StoreFault fault) {
+    store.lostAnswerRate = fault == StoreFault.LOST_ANSWERS ? 0.3 : 0;
+    store.delayedTransactionRate = fault == StoreFault.LATE_TRANSACTIONS ? 0.2 : 0;
+    store.replaysTransactions = fault == StoreFault.REPEATED_TRANSACTIONS;
+  }
+
+  private void submitJobs() {
+    for (int i = 0; i < JOBS; i++) {
+      String shape = i % 6 == 0 ? "service" : i % 6 == 3 ? "group" : "array";
+      submit(
+          simpleJobSpec(shape, 1 + world.random.nextInt(3))
+              .put("owner", i % 2 == 0 ? "red" : "blue")
+              .put("guess_s", shape.equals("service") ? 0 : randomBetween(2, 40)));
+    }
+  }
+
+  /** Submits every accepted job again and asks about it, at a random controller each time. */
+  private void repeatSubmissions(Duration period) {
+    long rounds = period.toMillis() / 500;
+    for (long round = 0; round < rounds; round++) {
+      for (SafetyRules.TrackedJob job : acceptedJobs()) {
+        schedule(randomBetween(0, 500), () -> repeatSubmission(job));
+        schedule(randomBetween(0, 500), () -> queryStatus(job));
+      }
+      world.runFor(Duration.ofMillis(500));
+    }
+  }
+
+  private List<SafetyRules.TrackedJob> acceptedJobs() {
+    List<SafetyRules.TrackedJob> accepted = new ArrayList<>(rules.jobs.values());
+    accepted.removeIf(job -> !job.accepted);
+    return accepted;
+  }
+
+  private void repeatSubmission(SafetyRules.TrackedJob job) {
+    boolean leaderless =
+        store.value("lead/holder") == null || !controllers.get(leaderIndex()).alive[0];
+    String controller = apiAddresses.get(world.random.nextInt(apiAddresses.size()));
+    send(
+        job,
+        controller,
+        "POST",
+        "/v1/jobs",
+        Json.bytes(job.spec),
+        succeeded -> submissionsKnownWithoutLeader += succeeded && leaderless ? 1 : 0);
+  }
+}
--- a/src/test/java/io/pineladder/sim/SimulationChecksTest.java
+++ b/src/test/java/io/pineladder/sim/SimulationChecksTest.java
@@ -73,6 +73,11 @@
           "forgotten",
           () -> rules.checkAnswer(job, SafetyRules.ReportedState.ACCEPTED, status, null));
     }
+    // A repeated submission that was sent before any answer may be accepted as new as well.
+    rules.checkAnswer(job, SafetyRules.ReportedState.UNKNOWN, 201, "pending");
+    assertViolation(
+        "forgotten",
+        () -> rules.checkAnswer(job, SafetyRules.ReportedState.ACCEPTED, 201, "pending"));
     job.cancelRequested = true;
     rules.checkAnswer(job, SafetyRules.ReportedState.ACCEPTED, 200, "aborted");
     rules.checkAnswer(job, SafetyRules.ReportedState.ACCEPTED, 200, "running");
