Reads that users share wait for the budget instead of failing

Cause: with the pages read for each submission without a leader, thousands of users who repeat would spend the controller's share of the store's rate on single reads, and the shared read of the pages failed whenever that share was empty.

Change: the read of the job pages waits until the budget of user reads allows it and then serves all who arrived until then; reads of single keys leave one request for it. The share of the store's rates for users is the same, so leases, the election and the leader's transactions are not touched.

--- a/src/main/java/io/pineladder/store/AcceptedJobIndex.java
+++ b/src/main/java/io/pineladder/store/AcceptedJobIndex.java
@@ -19,7 +19,8 @@
 /**
  * Index of the jobs in the job pages, for a controller that serves users while there is no leader.
  * The first refresh reads all pages; later ones read only the changes since. Callers that arrive
- * while a read is in flight share the next one.
+ * while a read is in flight share the next one, which waits until the budget of user reads allows
+ * it.
  */
 public final class AcceptedJobIndex {
   private static final Logger log = LoggerFactory.getLogger(AcceptedJobIndex.class);
@@ -46,6 +47,9 @@
   /** Incremented when the generation changes, so that replies from an earlier one are ignored. */
   private int generationEpoch;
 
+  /** Whether a read is due once the budget allows; it serves all callers until then. */
+  private boolean readScheduled;
+
   /** Whether the expiry timer is set; at most one is. */
   private boolean expiryScheduled;
 
@@ -67,7 +71,7 @@
     lastUsedAt = eventLoop.now();
     waitingCallers.add(onDone);
     if (state != State.READING) {
-      read();
+      scheduleRead();
     }
   }
 
@@ -101,6 +105,19 @@
     state = to;
   }
 
+  private void scheduleRead() {
+    if (!readScheduled) {
+      readScheduled = true;
+      storeClient.runWhenUserReadAllowed(
+          () -> {
+            readScheduled = false;
+            if (state != State.READING && !waitingCallers.isEmpty()) {
+              read();
+            }
+          });
+    }
+  }
+
   private void read() {
     List<Consumer<Boolean>> callers = waitingCallers;
     waitingCallers = new ArrayList<>();
@@ -115,7 +132,7 @@
 
   private void readAll(List<Consumer<Boolean>> callers) {
     int readEpoch = generationEpoch;
-    storeClient.listForUser(
+    storeClient.listForUsers(
         RecordKeys.JOB_PAGES,
         listing -> {
           if (readEpoch != generationEpoch) {
@@ -140,7 +157,7 @@
 
   private void readChanges(List<Consumer<Boolean>> callers) {
     int readEpoch = generationEpoch;
-    storeClient.readChangesForUser(
+    storeClient.readChangesForUsers(
         RecordKeys.JOB_PAGES,
         revision,
         response -> {
@@ -167,7 +184,7 @@
     transitionTo(to);
     callers.forEach(caller -> caller.accept(fresh));
     if (!waitingCallers.isEmpty() && state != State.READING) {
-      read();
+      scheduleRead();
     } else if (state == State.LOADED && !expiryScheduled) {
       expiryScheduled = true;
       eventLoop.schedule(IDLE_EXPIRY, this::expire);
--- a/src/main/java/io/pineladder/store/StoreClient.java
+++ b/src/main/java/io/pineladder/store/StoreClient.java
@@ -295,13 +295,21 @@
         });
   }
 
-  /** Reads all keys with a prefix on behalf of users; passes null if a read fails. */
-  void listForUser(String prefix, Consumer<Listing> onDone) {
-    listNextPageForUser(new PrefixScan(revisions, prefix), onDone);
+  /** Runs the action as soon as the budget allows a read that many users share. */
+  void runWhenUserReadAllowed(Runnable action) {
+    sender.runWhenUserReadAllowed(action);
   }
 
-  private void listNextPageForUser(PrefixScan scan, Consumer<Listing> onDone) {
-    sender.readForUser(
+  /**
+   * Reads all keys with a prefix on behalf of many users, each page when the budget allows; passes
+   * null if a read fails.
+   */
+  void listForUsers(String prefix, Consumer<Listing> onDone) {
+    listNextPageForUsers(new PrefixScan(revisions, prefix), onDone);
+  }
+
+  private void listNextPageForUsers(PrefixScan scan, Consumer<Listing> onDone) {
+    sender.readForUsers(
         get(scan.nextPath()),
         reply -> {
           if (!scan.addPage(reply)) {
@@ -309,7 +317,7 @@
           } else if (scan.isComplete()) {
             onDone.accept(scan.listing());
           } else {
-            listNextPageForUser(scan, onDone);
+            listNextPageForUsers(scan, onDone);
           }
         });
   }
@@ -391,10 +399,13 @@
         reply -> onReply.accept(toChangesReply(reply, context)));
   }
 
-  /** Reads the changes under a prefix after a revision, on behalf of users. */
-  void readChangesForUser(String prefix, long after, Consumer<ChangesReply> onReply) {
+  /**
+   * Reads the changes under a prefix after a revision, on behalf of many users, when the budget
+   * allows.
+   */
+  void readChangesForUsers(String prefix, long after, Consumer<ChangesReply> onReply) {
     RequestContext context = revisions.requestContext();
-    sender.readForUser(
+    sender.readForUsers(
         get(StoreWire.watchPath(context.keyspace() + prefix, after, Duration.ZERO)),
         reply -> onReply.accept(toChangesReply(reply, context)));
   }
--- a/src/main/java/io/pineladder/store/StoreRequestSender.java
+++ b/src/main/java/io/pineladder/store/StoreRequestSender.java
@@ -38,6 +38,9 @@
   /** Share of reads in the user requests; the rest is for submissions. */
   private static final double USER_READ_SHARE = 0.7;
 
+  /** Requests of the budget of user reads that are left for shared reads. */
+  private static final int RESERVED_SHARED_READS = 1;
+
   private record QueuedRequest(Request request, Consumer<Reply> onReply) {}
 
   private final AsyncHttpClient httpClient;
@@ -139,11 +142,33 @@
     httpClient.call(request, onReply);
   }
 
-  /** Sends a user's read, or passes {@link Reply#NOT_SENT} if the budget is exhausted. */
+  /**
+   * Sends the read of one user, or passes {@link Reply#NOT_SENT} if the budget is exhausted. One
+   * request of the budget is left for reads that many users share.
+   */
   void readForUser(Request request, Consumer<Reply> onReply) {
+    if (userReadBudget.available(eventLoop.now()) <= RESERVED_SHARED_READS) {
+      onReply.accept(Reply.NOT_SENT);
+      return;
+    }
     sendForUser(userReadBudget, 1, request, onReply);
   }
 
+  /** Sends a read that many users share, as soon as the budget of user reads allows. */
+  void readForUsers(Request request, Consumer<Reply> onReply) {
+    runWhenUserReadAllowed(() -> sendForUser(userReadBudget, 1, request, onReply));
+  }
+
+  /** Runs the action as soon as the budget of user reads allows a shared read; perhaps at once. */
+  void runWhenUserReadAllowed(Runnable action) {
+    Duration delay = userReadBudget.delayUntilAvailable(1, eventLoop.now());
+    if (delay.isZero()) {
+      action.run();
+    } else {
+      eventLoop.schedule(delay.plusMillis(1), () -> runWhenUserReadAllowed(action));
+    }
+  }
+
   /** Sends a user's write, or passes {@link Reply#NOT_SENT} if the budget is exhausted. */
   void writeForUser(Request request, int changes, Consumer<Reply> onReply) {
     sendForUser(userWriteBudget, changes, request, onReply);
