Any spelling of the same values gives the same job and the same heartbeat

What callers saw: a sound submission was refused with 400 ("not JSON") because of an unknown field that was nested over 1,000 deep, had a name over 50,000 characters or a number over 1,000 digits, and because of a number in a known field written with many zeros; a count written as 3.0 was refused as well.

Cause: the JSON library's default limits on depth, names and numbers, and a check of the token's form in place of the value.

Change: the limits are off, since the size of the body bounds all of them; the library's parsers for long numbers, which are not quadratic, are on; names are not interned, since clients choose them. A count is whole if its value is. 1.5 and 1e6 tasks stay refused.

--- a/src/main/java/io/pineladder/wire/Fields.java
+++ b/src/main/java/io/pineladder/wire/Fields.java
@@ -13,6 +13,9 @@
 final class Fields {
   private static final double MAX_SECONDS = 1e9;
 
+  /** Up to this value, every whole number has a double of its own. */
+  private static final double MAX_EXACT_DOUBLE = 0x1p53;
+
   private final ObjectNode object;
 
   Fields(ObjectNode object) {
@@ -65,7 +68,7 @@
 
   long integer(String name, long min, long max) throws MalformedMessageException {
     JsonNode node = requiredNode(name);
-    if (!node.isIntegralNumber() || !node.canConvertToLong()) {
+    if (!isWholeNumber(node)) {
       throw new MalformedMessageException(name + " is not a whole number");
     }
     long value = node.longValue();
@@ -75,6 +78,15 @@
     return value;
   }
 
+  /** Whether the value is whole, also if it is written with a fraction of zero or an exponent. */
+  private static boolean isWholeNumber(JsonNode node) {
+    if (node.isIntegralNumber()) {
+      return node.canConvertToLong();
+    }
+    double value = node.isNumber() ? node.doubleValue() : Double.NaN;
+    return value == Math.rint(value) && Math.abs(value) <= MAX_EXACT_DOUBLE;
+  }
+
   double number(String name, double min, double max) throws MalformedMessageException {
     JsonNode node = requiredNode(name);
     if (!node.isNumber()) {
@@ -84,7 +96,8 @@
     if (!(value >= min && value <= max)) {
       throw new MalformedMessageException(name + " is out of range");
     }
-    return value;
+    // Turns -0.0 into 0.0.
+    return value + 0.0;
   }
 
   Duration seconds(String name) throws MalformedMessageException {
--- a/src/main/java/io/pineladder/wire/Json.java
+++ b/src/main/java/io/pineladder/wire/Json.java
@@ -1,6 +1,10 @@
 package io.pineladder.wire;
 
+import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.StreamReadConstraints;
+import com.fasterxml.jackson.core.StreamReadFeature;
+import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
@@ -10,9 +14,28 @@
 
 /** Reads and writes JSON as trees; reflective data binding would slow down the start-up. */
 public final class Json {
+  /**
+   * Valid JSON of any depth and with names and numbers of any length is accepted, since unknown
+   * fields may hold anything; the size of the body bounds them all.
+   */
+  private static final StreamReadConstraints NO_LIMITS =
+      StreamReadConstraints.builder()
+          .maxNestingDepth(Integer.MAX_VALUE)
+          .maxNameLength(Integer.MAX_VALUE)
+          .maxNumberLength(Integer.MAX_VALUE)
+          .build();
+
   private static final ObjectMapper MAPPER =
-      new ObjectMapper()
-          .enable(com.fasterxml.jackson.databind.DeserializationFeature.FAIL_ON_TRAILING_TOKENS);
+      new ObjectMapper(
+              JsonFactory.builder()
+                  .streamReadConstraints(NO_LIMITS)
+                  // The parsers of the JDK take time quadratic in the number of digits.
+                  .enable(StreamReadFeature.USE_FAST_BIG_NUMBER_PARSER)
+                  .enable(StreamReadFeature.USE_FAST_DOUBLE_PARSER)
+                  // Names are chosen by clients, so interning them would let memory grow.
+                  .disable(JsonFactory.Feature.INTERN_FIELD_NAMES)
+                  .build())
+          .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS);
 
   private Json() {}
 
--- a/src/test/java/io/pineladder/sim/RecoverySimulationTest.java
+++ b/src/test/java/io/pineladder/sim/RecoverySimulationTest.java
@@ -19,18 +19,8 @@
     return "10.0.0." + (index + 1);
   }
 
-  /** Sends a request to a node and runs the simulation until it has answered. */
   private AsyncHttpClient.Reply request(String host, String method, String path, byte[] body) {
-    AsyncHttpClient.Reply[] got = new AsyncHttpClient.Reply[1];
-    world
-        .httpClient("user", () -> true)
-        .call(
-            new AsyncHttpClient.Request(host + ":8080", method, path, body, Duration.ofSeconds(5)),
-            reply -> got[0] = reply);
-    for (int i = 0; i < 600 && got[0] == null; i++) {
-      world.runFor(Duration.ofMillis(10));
-    }
-    return got[0];
+    return sendAndAwait(host + ":8080", method, path, body);
   }
 
   private static String status(AsyncHttpClient.Reply reply) throws Exception {
--- a/src/test/java/io/pineladder/sim/RepeatedSubmissionTest.java
+++ b/src/test/java/io/pineladder/sim/RepeatedSubmissionTest.java
@@ -1,13 +1,17 @@
 package io.pineladder.sim;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.pineladder.wire.Json;
+import io.pineladder.wire.JsonSpellings;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
@@ -57,6 +61,40 @@
     assertTrue(submissionsKnownWithoutLeader > 0, "no submission was repeated without a leader");
   }
 
+  @Test
+  void neverTakesAnotherSpellingForAnotherJobAtAnyController() {
+    begin(Layout.FLEET, 57);
+    String leader = leaderHost();
+    List<String> others = controllerHosts().stream().filter(h -> !h.equals(leader)).toList();
+    String leaderless = others.get(0);
+    world.cut(leaderless, leader);
+    world.cut(leaderless, others.get(1));
+    world.runFor(Duration.ofSeconds(6));
+    List<String> nodes = List.of(leader + ":8080", others.get(1) + ":8080", leaderless + ":8080");
+    JsonSpellings spellings = new JsonSpellings(57);
+    for (int i = 0; i < 30; i++) {
+      SafetyRules.TrackedJob job = trackJob(simpleJobSpec("array", 1).put("owner", "blue"));
+      assertEquals(201, submitSpelled(nodes.get(i % 3), job, spellings));
+      job.accepted = true;
+      for (String node : nodes) {
+        assertEquals(200, submitSpelled(node, job, spellings), job.id + " again at " + node);
+      }
+      poll(job);
+    }
+    settle(Duration.ofSeconds(200));
+  }
+
+  /** Submits the job in another spelling, as a user does: again a second after each 503. */
+  private int submitSpelled(String node, SafetyRules.TrackedJob job, JsonSpellings spellings) {
+    int status = 503;
+    for (int attempt = 0; attempt < 10 && status == 503; attempt++) {
+      byte[] body = spellings.respell(job.spec, 20_000).getBytes(StandardCharsets.UTF_8);
+      status = sendAndAwait(node, "POST", "/v1/jobs", body).status();
+      world.runFor(Duration.ofSeconds(1));
+    }
+    return status;
+  }
+
   private void setStoreFault(StoreFault fault) {
     store.lostAnswerRate = fault == StoreFault.LOST_ANSWERS ? 0.3 : 0;
     store.delayedTransactionRate = fault == StoreFault.LATE_TRANSACTIONS ? 0.2 : 0;
--- a/src/test/java/io/pineladder/sim/SimulatedCluster.java
+++ b/src/test/java/io/pineladder/sim/SimulatedCluster.java
@@ -330,6 +330,20 @@
             });
   }
 
+  /** Sends a request to a node and runs the simulation until it has answered. */
+  AsyncHttpClient.Reply sendAndAwait(String node, String method, String path, byte[] body) {
+    AsyncHttpClient.Reply[] got = new AsyncHttpClient.Reply[1];
+    world
+        .httpClient("user", () -> true)
+        .call(
+            new AsyncHttpClient.Request(node, method, path, body, Duration.ofSeconds(5)),
+            reply -> got[0] = reply);
+    for (int i = 0; i < 600 && got[0] == null; i++) {
+      world.runFor(Duration.ofMillis(10));
+    }
+    return got[0];
+  }
+
   void poll(SafetyRules.TrackedJob job) {
     send(job, "GET", "/v1/jobs/" + job.id, null);
     world.after(job.isFinished() ? 20_000 : 5_000, () -> poll(job));
