--- a/src/main/java/io/pineladder/LeaderTerm.java
+++ b/src/main/java/io/pineladder/LeaderTerm.java
@@ -267,10 +267,11 @@
     loadedRecordVerifier.rewriteRepaired(committer, records);
     taskStartHold.startIfNeeded(autoscaler::isInventoryConfirmed, scheduler::requestRun);
     log.info(
-        "Term started: term={} jobs={} machines={}",
+        "Term started: term={} jobs={} machines={} revision={}",
         elected.term(),
         cluster.jobs.size(),
-        cluster.machines().size());
+        cluster.machines().size(),
+        storeClient.highestRevision());
     reconciler.start(inbox);
     new VersionRaiser(
             context.configuration().clusterVersion(),
--- a/src/main/java/io/pineladder/admin/Metrics.java
+++ b/src/main/java/io/pineladder/admin/Metrics.java
@@ -50,6 +50,16 @@
     }
   }
 
+  /** How a submission that is not malformed or refused was decided. */
+  public enum SubmissionDecision {
+    NEW_AT_LEADER,
+    KNOWN_AT_LEADER,
+    UNCERTAIN_AT_LEADER,
+    NEW_WITHOUT_LEADER,
+    KNOWN_WITHOUT_LEADER,
+    UNCERTAIN_WITHOUT_LEADER
+  }
+
   private MeterRegistry registry;
 
   /** The process's sockets, or null where no network is used, as in simulations. */
@@ -59,6 +69,8 @@
   private InboundScheduler inboundScheduler;
 
   private final Map<Operation, Map<Integer, Counter>> counters = new EnumMap<>(Operation.class);
+  private final Map<SubmissionDecision, Counter> submissions =
+      new EnumMap<>(SubmissionDecision.class);
   private final Map<Operation, Histogram> latencies = new EnumMap<>(Operation.class);
 
   /** Creates the registry on first use, so that it does not delay the start of the process. */
@@ -149,6 +161,18 @@
         .recordValue(Math.min(MAX_LATENCY_MICROS, Math.max(0, latency.toNanos() / 1000)));
   }
 
+  /** Counts a submission by how it was decided. */
+  public void recordSubmission(SubmissionDecision decision) {
+    submissions
+        .computeIfAbsent(
+            decision,
+            d ->
+                registry()
+                    .counter(
+                        "pineladder.submissions", "decision", d.name().toLowerCase(Locale.ROOT)))
+        .increment();
+  }
+
   /** All counters by name and tags, and percentiles of the latencies in seconds. */
   ObjectNode toJson() {
     ObjectNode out = Json.object();
--- a/src/main/java/io/pineladder/api/JobRecordReader.java
+++ b/src/main/java/io/pineladder/api/JobRecordReader.java
@@ -21,14 +21,28 @@
  * key, then its final state can therefore not miss a job.
  */
 final class JobRecordReader {
+  /** Where a job was found. */
+  enum Source {
+    /** A final state that was known without a read. */
+    KNOWN_FINAL_STATE,
+    /** A page of jobs that leaders accepted. */
+    JOB_PAGE,
+    /** The record of a job that a controller accepted without a leader. */
+    OWN_RECORD,
+    /** The record of its final state. */
+    FINAL_STATE
+  }
+
   /** What the store shows about a job. */
   sealed interface Result {
     /**
      * The job was accepted.
      *
      * @param prerequisites the IDs of the jobs that it depends on; empty if the job has ended
+     * @param revision the revision of the record, or of the read of all pages; 0 without a read
      */
-    record Accepted(Job.State state, List<String> prerequisites) implements Result {}
+    record Accepted(Job.State state, List<String> prerequisites, Source source, long revision)
+        implements Result {}
 
     /** The job was never accepted. */
     record NotFound() implements Result {}
@@ -68,7 +82,7 @@
   void readPages(String id, Consumer<Result> onRead) {
     Job.State finalState = knownFinalState(id);
     if (finalState != null) {
-      onRead.accept(new Result.Accepted(finalState, List.of()));
+      onRead.accept(new Result.Accepted(finalState, List.of(), Source.KNOWN_FINAL_STATE, 0));
       return;
     }
     node.acceptedJobs()
@@ -80,7 +94,13 @@
               }
               IndexedJob job = node.acceptedJobs().find(id);
               onRead.accept(
-                  job == null ? NOT_FOUND : new Result.Accepted(job.state(), job.prerequisites()));
+                  job == null
+                      ? NOT_FOUND
+                      : new Result.Accepted(
+                          job.state(),
+                          job.prerequisites(),
+                          Source.JOB_PAGE,
+                          node.acceptedJobs().revision()));
             });
   }
 
@@ -109,7 +129,8 @@
   private static Result toAccepted(StoreClient.ReadResult read) {
     try {
       RecordWire.StoredJob job = RecordWire.parseJob(read.entry().value());
-      return new Result.Accepted(job.state(), job.spec().prerequisites());
+      return new Result.Accepted(
+          job.state(), job.spec().prerequisites(), Source.OWN_RECORD, read.revision());
     } catch (MalformedMessageException e) {
       return UNREADABLE;
     }
@@ -134,7 +155,7 @@
     try {
       Job.State finalState = RecordWire.parseFinalState(read.entry().value());
       node.finalStates().put(id, JobView.toStatus(finalState));
-      return new Result.Accepted(finalState, List.of());
+      return new Result.Accepted(finalState, List.of(), Source.FINAL_STATE, read.revision());
     } catch (MalformedMessageException e) {
       return UNREADABLE;
     }
--- a/src/main/java/io/pineladder/api/LeaderApi.java
+++ b/src/main/java/io/pineladder/api/LeaderApi.java
@@ -10,6 +10,7 @@
 import io.pineladder.LeaderTerm;
 import io.pineladder.SubmissionResult;
 import io.pineladder.admin.AdminApi;
+import io.pineladder.admin.Metrics;
 import io.pineladder.model.JobSpec;
 import io.pineladder.net.HttpResponse;
 import io.pineladder.wire.JobWire;
@@ -33,16 +34,19 @@
   private final AdminApi adminApi;
   private final HeartbeatHandler heartbeats;
   private final AdmissionPolicy admission;
+  private final Metrics metrics;
 
   LeaderApi(
       ControllerNode node,
       AdminApi adminApi,
       HeartbeatHandler heartbeats,
-      AdmissionPolicy admission) {
+      AdmissionPolicy admission,
+      Metrics metrics) {
     this.node = node;
     this.adminApi = adminApi;
     this.heartbeats = heartbeats;
     this.admission = admission;
+    this.metrics = metrics;
   }
 
   /** Serves a request in the given term of this controller. */
@@ -149,8 +153,22 @@
         view -> answer.accept(view.exists() ? toResponse(spec.id(), view) : error(422, reason)));
   }
 
-  private static void accept(LeaderTerm leader, JobSpec spec, Consumer<HttpResponse> answer) {
-    leader.submit(spec, result -> answer.accept(toResponse(spec.id(), result)));
+  private void accept(LeaderTerm leader, JobSpec spec, Consumer<HttpResponse> answer) {
+    leader.submit(
+        spec,
+        result -> {
+          metrics.recordSubmission(decision(result));
+          answer.accept(toResponse(spec.id(), result));
+        });
+  }
+
+  private static Metrics.SubmissionDecision decision(SubmissionResult result) {
+    if (result.view().isUncertain()) {
+      return Metrics.SubmissionDecision.UNCERTAIN_AT_LEADER;
+    }
+    return result.isNew()
+        ? Metrics.SubmissionDecision.NEW_AT_LEADER
+        : Metrics.SubmissionDecision.KNOWN_AT_LEADER;
   }
 
   private static HttpResponse toResponse(String id, SubmissionResult result) {
--- a/src/main/java/io/pineladder/api/LeaderlessApi.java
+++ b/src/main/java/io/pineladder/api/LeaderlessApi.java
@@ -7,6 +7,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import io.pineladder.ControllerNode;
 import io.pineladder.JobView;
+import io.pineladder.admin.Metrics;
 import io.pineladder.api.JobRecordReader.Result;
 import io.pineladder.model.Job;
 import io.pineladder.model.JobSpec;
@@ -33,10 +34,12 @@
   private final AdmissionPolicy admission;
   private final JobRecordReader records;
   private final DependencyChainReader dependencyChains;
+  private final Metrics metrics;
 
-  LeaderlessApi(ControllerNode node, AdmissionPolicy admission) {
+  LeaderlessApi(ControllerNode node, AdmissionPolicy admission, Metrics metrics) {
     this.node = node;
     this.admission = admission;
+    this.metrics = metrics;
     this.records = new JobRecordReader(node);
     this.dependencyChains = new DependencyChainReader(node, records);
   }
@@ -61,11 +64,26 @@
           if (result instanceof Result.NotFound) {
             submitUnlessInOwnRecord(spec, answer);
           } else {
-            answer(spec.id(), false, result, answer);
+            answerRepetition(spec.id(), result, answer);
           }
         });
   }
 
+  /** Answers a submission of a job that is known or may be. */
+  private void answerRepetition(String id, Result result, Consumer<HttpResponse> answer) {
+    if (result instanceof Result.Accepted job) {
+      metrics.recordSubmission(Metrics.SubmissionDecision.KNOWN_WITHOUT_LEADER);
+      log.debug(
+          "Submission of a known job without a leader: job={} source={} revision={}",
+          id,
+          job.source(),
+          job.revision());
+    } else {
+      metrics.recordSubmission(Metrics.SubmissionDecision.UNCERTAIN_WITHOUT_LEADER);
+    }
+    answer(id, false, result, answer);
+  }
+
   /** Whether the final states of all earlier generations of the records are known. */
   private boolean knowsAllGenerations() {
     RecordReplica replica = node.replicaManager().replica();
@@ -141,13 +159,16 @@
             2,
             reply -> {
               if (reply.hasStatus(200)) {
-                log.debug("Job accepted without a leader: job={}", id);
+                metrics.recordSubmission(Metrics.SubmissionDecision.NEW_WITHOUT_LEADER);
+                log.info(
+                    "Job accepted without a leader: job={} pagesRevision={}",
+                    id,
+                    node.acceptedJobs().revision());
                 replica.put(RecordKeys.UNPAGED_JOB + id, record, 0, true);
                 replica.put(RecordKeys.INBOX + id, inboxEntry, 0, true);
                 node.replicaManager().onAcceptedWithoutLeader(() -> submit(spec, ignored -> {}));
                 answer.accept(new HttpResponse(201, JobWire.view(id, status)));
               } else if (reply.hasStatus(409)) {
-                log.debug("Job not accepted again without a leader: job={}", id);
                 records.readOwnRecords(id, result -> answerAfterConflict(id, result, answer));
               } else {
                 answer.accept(unavailable("no leader"));
@@ -158,9 +179,10 @@
   /** Answers a submission that was not stored; without a record, the generation has changed. */
   private void answerAfterConflict(String id, Result result, Consumer<HttpResponse> answer) {
     if (result instanceof Result.NotFound) {
+      metrics.recordSubmission(Metrics.SubmissionDecision.UNCERTAIN_WITHOUT_LEADER);
       answer.accept(unavailable("not certain yet"));
     } else {
-      answer(id, false, result, answer);
+      answerRepetition(id, result, answer);
     }
   }
 
--- a/src/main/java/io/pineladder/api/RequestRouter.java
+++ b/src/main/java/io/pineladder/api/RequestRouter.java
@@ -46,10 +46,10 @@
     this.metrics = metrics;
     AdmissionPolicy admission = new AdmissionPolicy(node);
     this.adminApi = new AdminApi(node, metrics);
-    this.leaderlessApi = new LeaderlessApi(node, admission);
+    this.leaderlessApi = new LeaderlessApi(node, admission, metrics);
     this.forwarder = new PeerForwarder(node);
     this.heartbeats = new HeartbeatHandler(node, forwarder);
-    this.leaderApi = new LeaderApi(node, adminApi, heartbeats, admission);
+    this.leaderApi = new LeaderApi(node, adminApi, heartbeats, admission, metrics);
     this.peerRequests = new PeerRequestHandler(node, leaderApi, leaderlessApi, forwarder);
     this.readiness = new ReadinessCheck(node);
   }
--- a/src/main/java/io/pineladder/leadership/Election.java
+++ b/src/main/java/io/pineladder/leadership/Election.java
@@ -299,7 +299,15 @@
 
   private void setKnownLeader(StoreWire.Entry entry) throws MalformedMessageException {
     knownLeader = entry == null ? null : RecordWire.parseLeader(entry.value());
-    knownLeaderTerm = entry == null ? 0 : storeClient.generation().token(entry.revision());
+    long term = entry == null ? 0 : storeClient.generation().token(entry.revision());
+    if (term != knownLeaderTerm) {
+      log.info(
+          "Known leader changed: leader={} term={} previousTerm={}",
+          knownLeader == null ? "none" : knownLeader.controllerName(),
+          term,
+          knownLeaderTerm);
+    }
+    knownLeaderTerm = term;
     listener.onLeaderRead(knownLeader);
   }
 
--- a/src/main/java/io/pineladder/store/AcceptedJobIndex.java
+++ b/src/main/java/io/pineladder/store/AcceptedJobIndex.java
@@ -78,6 +78,11 @@
   /** A job in a page, with the IDs of the jobs that it depends on. */
   public record IndexedJob(Job.State state, List<String> prerequisites) {}
 
+  /** The revision that the index reflects. */
+  public long revision() {
+    return revision;
+  }
+
   /** Returns the job as of the last refresh, or null when no page contains it. */
   public IndexedJob find(String id) {
     for (Map<String, IndexedJob> page : pages.values()) {
@@ -148,6 +153,11 @@
             finish(State.EMPTY, callers);
             return;
           }
+          log.info(
+              "Job pages read without a leader: pages={} jobs={} revision={}",
+              pages.size(),
+              pages.values().stream().mapToInt(Map::size).sum(),
+              revision);
           // The pages are not read atomically: a job may have moved between two reads.
           transitionTo(State.LOADED);
           waitingCallers.addAll(0, callers);
--- a/src/main/java/io/pineladder/store/Committer.java
+++ b/src/main/java/io/pineladder/store/Committer.java
@@ -329,6 +329,13 @@
       boolean exists = mutation.mustNotExist().stream().anyMatch(failed::contains);
       (exists ? alreadyExisting : retried).add(mutation);
     }
+    if (!alreadyExisting.isEmpty()) {
+      log.info(
+          "Transaction refused, records of other controllers exist: keys={} expectedRevision=0"
+              + " highestRevision={}",
+          failed,
+          storeClient.highestRevision());
+    }
     queue.requeue(retried);
     transitionTo(State.WAITING);
     alreadyExisting.forEach(mutation -> mutation.onAlreadyExists().run());
@@ -466,6 +473,12 @@
       return;
     }
     List<String> differing = step.differing(failed);
+    if (!failed.isEmpty() && differing.isEmpty()) {
+      log.debug(
+          "Records were written during the audit: keys={} knownRevisions={}",
+          failed,
+          failed.stream().map(revisions::get).toList());
+    }
     if (impliesDataLoss(differing)) {
       dataLost("records missing or older than stored: keys=" + differing);
     }
