Test: machines of late rentals and deletions run no unknown tasks

The question was whether a rental that got no answer and is carried out minutes later under another leader, a deletion carried out late, or a worker that starts anew under its name with session 1, leaves tasks that no controller knows of for longer than a lease, tasks on two machines, a quota exceeded, or machines that are neither used nor returned. It can't in what was tried: unexpected machines are adopted from their heartbeats, tasks without a placement are killed, and a machine whose heartbeats are older than what was seen of it counts as silent and is released.

--- a/src/test/java/io/pineladder/sim/FakeFleet.java
+++ b/src/test/java/io/pineladder/sim/FakeFleet.java
@@ -79,6 +79,9 @@
   /** Whether copies of heartbeats are held back until {@link #deliverRetainedHeartbeats}. */
   boolean retainsHeartbeatCopies;
 
+  /** The sequence number with which workers boot, as if they had run for long; 0 for new ones. */
+  long firstHeartbeatSequence;
+
   private final List<byte[]> retainedHeartbeats = new ArrayList<>();
 
   /** Whether machines boot within two seconds. */
@@ -321,6 +324,7 @@
         return;
       }
       world.serve(address, this);
+      heartbeatSequence = firstHeartbeatSequence;
       leaseRenewedAtMillis = world.now().toEpochMilli();
       controllerIndex = world.random.nextInt(controllers.size());
       sendHeartbeat();
@@ -340,6 +344,17 @@
       tasks.clear();
     }
 
+    /** Starts the worker's process anew, without its tasks and with the first agent epoch. */
+    void restart() {
+      List.copyOf(tasks.values()).forEach(this::notifyLeft);
+      tasks.clear();
+      epoch = 1;
+      heartbeatSequence = 0;
+      fencingToken = 0;
+      leaseRenewedAtMillis = world.now().toEpochMilli();
+      sendHeartbeat();
+    }
+
     private void notifyLeft(Task task) {
       if (task.onMachine) {
         task.onMachine = false;
