Soak run: users submit accepted jobs again and again, requests that never end

Half of the soak's users repeat their submission every few seconds, also without a leader and after the job's end; before, a fifth did so once. A planted 201 for an accepted job is detected (SoakRunTest).

--- a/src/scale/java/io/pineladder/sim/SoakCluster.java
+++ b/src/scale/java/io/pineladder/sim/SoakCluster.java
@@ -3,11 +3,13 @@
 import com.fasterxml.jackson.dataformat.toml.TomlMapper;
 import io.pineladder.net.AsyncHttpClient;
 import io.pineladder.net.HttpResponse;
+import io.pineladder.net.UnfinishedRequests;
 import io.pineladder.wire.Json;
 import io.pineladder.wire.MalformedMessageException;
 import java.io.File;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
@@ -23,6 +25,7 @@
  * #close} ends the processes. Event thread only, but for the constructor and {@link #close}.
  */
 final class SoakCluster implements AutoCloseable {
+  private static final int MAX_UNFINISHED_REQUESTS = 1_000;
   private static final Path DEPLOY_FILE = Path.of("deploy", "service.toml");
   private static final Duration REQUEST_TIMEOUT = Duration.ofSeconds(2);
   private static final int WORKER_PORT_OFFSET = 1_000;
@@ -327,9 +330,23 @@
           fleet.runningWorkers().stream()
               .filter(worker -> random.nextDouble() < fault.share() / 3)
               .forEach(fleet::failMachine);
+      case UNFINISHED_REQUESTS -> {
+        UnfinishedRequests requests = openUnfinishedRequests(controller, fault.share());
+        after(millis, requests::close);
+      }
     }
   }
 
+  private UnfinishedRequests openUnfinishedRequests(int controller, double share) {
+    String address = apiAddresses.get(controller);
+    int port = Integer.parseInt(address.substring(address.indexOf(':') + 1));
+    UnfinishedRequests.Kind[] kinds = UnfinishedRequests.Kind.values();
+    return new UnfinishedRequests(
+        new InetSocketAddress(SimulatedWorld.host(address), port),
+        kinds[random.nextInt(kinds.length)],
+        (int) (share * MAX_UNFINISHED_REQUESTS));
+  }
+
   private void after(long millis, Runnable action) {
     realTimeWorld.world().after(millis, action);
   }
--- a/src/scale/java/io/pineladder/sim/SoakPlan.java
+++ b/src/scale/java/io/pineladder/sim/SoakPlan.java
@@ -48,7 +48,9 @@
     /** A part of the commands gets no answer and is executed once, seconds later. */
     LATE_COMMANDS,
     /** A part of the machines ends. */
-    MACHINES_DIE
+    MACHINES_DIE,
+    /** Hundreds of connections to one controller send requests that never end. */
+    UNFINISHED_REQUESTS
   }
 
   /**
--- a/src/scale/java/io/pineladder/sim/SoakUsers.java
+++ b/src/scale/java/io/pineladder/sim/SoakUsers.java
@@ -16,7 +16,8 @@
   private static final int POLL_MILLIS = 3_000;
   private static final int RETRY_MILLIS = 1_000;
   private static final double CANCEL_SHARE = 0.2;
-  private static final double REPEAT_SHARE = 0.2;
+  private static final double REPEAT_SHARE = 0.5;
+  private static final int MAX_REPEAT_MILLIS = 4_000;
   private static final int MAX_TASKS = 6;
   private static final int MAX_RUN_SECONDS = 12;
 
@@ -103,13 +104,22 @@
       world.after(random.nextInt(1_000 * MAX_RUN_SECONDS), () -> cancel(job));
     }
     if (random.nextDouble() < REPEAT_SHARE) {
-      world.after(
-          random.nextInt(1_000 * MAX_RUN_SECONDS),
-          () ->
-              call(job, "POST", "/v1/jobs", Json.bytes(job.spec), Duration.ofSeconds(5), s -> {}));
+      repeatSubmission(job);
     }
   }
 
+  /** Submits the job again from time to time, also after its end. */
+  private void repeatSubmission(SafetyRules.TrackedJob job) {
+    world.after(
+        1 + random.nextInt(MAX_REPEAT_MILLIS),
+        () -> {
+          call(job, "POST", "/v1/jobs", Json.bytes(job.spec), Duration.ofSeconds(5), s -> {});
+          if (submitting) {
+            repeatSubmission(job);
+          }
+        });
+  }
+
   private void cancel(SafetyRules.TrackedJob job) {
     if (!job.isFinished()) {
       job.cancelRequested = true;
--- a/src/test/java/io/pineladder/net/UnfinishedRequests.java
+++ b/src/test/java/io/pineladder/net/UnfinishedRequests.java
@@ -11,12 +11,12 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /** Many connections on loopback, each with a request that never ends or a response never read. */
-final class UnfinishedRequests implements AutoCloseable {
+public final class UnfinishedRequests implements AutoCloseable {
   private static final long STEP_MILLIS = 100;
   private static final int STEPS_BEFORE_RECONNECT = 50;
 
   /** What each connection sends. */
-  enum Kind {
+  public enum Kind {
     NOTHING("", ""),
     HALF_HEAD(head("/v1/jobs", "X-Half"), ""),
     SLOW_HEAD(head("/v1/jobs", "X-Slow: "), "a"),
@@ -52,7 +52,8 @@
   private volatile boolean stopped;
   private final AtomicInteger opened = new AtomicInteger();
 
-  UnfinishedRequests(InetSocketAddress address, Kind kind, int count) {
+  /** Opens the connections, and opens those again that the other side has closed, 5 s later. */
+  public UnfinishedRequests(InetSocketAddress address, Kind kind, int count) {
     this.address = address;
     this.kind = kind;
     this.stepsClosed = new int[count];
--- a/src/test/java/io/pineladder/sim/SoakRunTest.java
+++ b/src/test/java/io/pineladder/sim/SoakRunTest.java
@@ -103,6 +103,11 @@
             "forgotten",
             test ->
                 test.invariants.onAnswer(test.job, SafetyRules.ReportedState.ACCEPTED, 404, null)),
+        new Planted(
+            "accepted_again",
+            test ->
+                test.invariants.onAnswer(
+                    test.job, SafetyRules.ReportedState.ACCEPTED, 201, "pending")),
         new Planted(
             "unanswered",
             test -> {
