--- a/src/test/java/io/pineladder/sim/FakeFleet.java
+++ b/src/test/java/io/pineladder/sim/FakeFleet.java
@@ -620,6 +620,20 @@
     retainedHeartbeats.clear();
   }
 
+  /** Whether a request with commands holds a start. */
+  static boolean hasStartCommand(byte[] body) {
+    try {
+      for (JsonNode command : Json.parseObject(body).get("orders")) {
+        if (command.get("verb").asText().equals("start")) {
+          return true;
+        }
+      }
+      return false;
+    } catch (MalformedMessageException e) {
+      throw new AssertionError(e);
+    }
+  }
+
   /** Terminates the machine without notifying any controller. */
   void failMachine(Worker worker) {
     machines.remove(worker.name);
--- a/src/test/java/io/pineladder/sim/LateStartCommandTest.java
+++ b/src/test/java/io/pineladder/sim/LateStartCommandTest.java
@@ -2,11 +2,8 @@
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import com.fasterxml.jackson.databind.JsonNode;
 import io.pineladder.net.AsyncHttpHandler;
 import io.pineladder.net.HttpResponse;
-import io.pineladder.wire.Json;
-import io.pineladder.wire.MalformedMessageException;
 import java.time.Duration;
 import java.util.HashSet;
 import java.util.Set;
@@ -106,7 +103,7 @@
       Consumer<HttpResponse> answer) {
     AsyncHttpHandler original = worker;
     if (rules.faultsEndedAt != null
-        || !hasStart(body)
+        || !FakeFleet.hasStartCommand(body)
         || world.random.nextDouble() >= HELD_UP_SHARE) {
       original.handle(method, path, body, answer);
       return;
@@ -122,17 +119,4 @@
           }
         });
   }
-
-  private static boolean hasStart(byte[] body) {
-    try {
-      for (JsonNode command : Json.parseObject(body).get("orders")) {
-        if (command.get("verb").asText().equals("start")) {
-          return true;
-        }
-      }
-      return false;
-    } catch (MalformedMessageException e) {
-      throw new AssertionError(e);
-    }
-  }
 }
--- a/src/test/java/io/pineladder/sim/LateStartCopyTest.java
+++ b/src/test/java/io/pineladder/sim/LateStartCopyTest.java
@@ -2,12 +2,9 @@
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.pineladder.net.AsyncHttpHandler;
 import io.pineladder.net.HttpResponse;
-import io.pineladder.wire.Json;
-import io.pineladder.wire.MalformedMessageException;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -53,7 +50,7 @@
       byte[] body,
       Consumer<HttpResponse> answer) {
     original.handle(method, path, body, answer);
-    if (hasStart(body)) {
+    if (FakeFleet.hasStartCommand(body)) {
       startCopies++;
       world.after(
           randomBetween(MIN_COPY_MILLIS, MAX_COPY_MILLIS),
@@ -65,19 +62,6 @@
     }
   }
 
-  private static boolean hasStart(byte[] body) {
-    try {
-      for (JsonNode command : Json.parseObject(body).get("orders")) {
-        if (command.get("verb").asText().equals("start")) {
-          return true;
-        }
-      }
-      return false;
-    } catch (MalformedMessageException e) {
-      throw new AssertionError(e);
-    }
-  }
-
   /** Guards against a task that runs again after it ended, was moved or was cancelled. */
   @ParameterizedTest
   @EnumSource(Change.class)
--- a/src/test/java/io/pineladder/sim/RecoverySimulationTest.java
+++ b/src/test/java/io/pineladder/sim/RecoverySimulationTest.java
@@ -19,6 +19,15 @@
     return "10.0.0." + (index + 1);
   }
 
+  /** Cuts a node from the others until they count as unreachable; returns its host. */
+  private String cutFromOtherNodes(int index) {
+    for (int other = 1; other <= 2; other++) {
+      world.cut(host(index), host((index + other) % 3));
+    }
+    world.runFor(Duration.ofSeconds(6));
+    return host(index);
+  }
+
   private AsyncHttpClient.Reply request(String host, String method, String path, byte[] body) {
     return sendAndAwait(host + ":8080", method, path, body);
   }
@@ -131,10 +140,7 @@
     begin(14);
     world.runFor(Duration.ofSeconds(5));
     int leader = leaderIndex();
-    String alone = host((leader + 1) % 3);
-    world.cut(alone, host(leader));
-    world.cut(alone, host((leader + 2) % 3));
-    world.runFor(Duration.ofSeconds(6));
+    String alone = cutFromOtherNodes((leader + 1) % 3);
     SafetyRules.TrackedJob job = submitAtBothUntilBothStoreIt(host(leader), alone);
     world.runFor(Duration.ofSeconds(3));
     job.cancelRequested = true;
@@ -175,10 +181,7 @@
     begin(17);
     world.runFor(Duration.ofSeconds(5));
     int leader = leaderIndex();
-    String alone = host((leader + 1) % 3);
-    world.cut(alone, host(leader));
-    world.cut(alone, host((leader + 2) % 3));
-    world.runFor(Duration.ofSeconds(6));
+    String alone = cutFromOtherNodes((leader + 1) % 3);
     Map<Integer, Integer> statusCounts = new TreeMap<>();
     for (int i = 0; i < 30; i++) {
       SafetyRules.TrackedJob job = trackJob(jobSpec("array", 1, "blue"));
