A forwarded request with a path that no user may ask for is answered with 404

What callers saw: a forwarded request with such a path, which only another controller can send, ended the leader's process with exit code 70.

Cause: LeaderApi cut the job's id out of the path without a check; the router of users' requests checks the same path in a place of its own.

Change: ApiPaths.jobPath reads the path for both.

BadInputTest, RequestRouterHttpTest, RecoverySimulationTest and ArchitectureTest pass.

--- a/src/main/java/io/pineladder/api/LeaderApi.java
+++ b/src/main/java/io/pineladder/api/LeaderApi.java
@@ -78,9 +78,15 @@
       }
       return;
     }
-    String jobPath = path.substring(ApiPaths.JOB_PREFIX.length());
-    if (method.equals("POST")) {
-      String id = jobPath.substring(0, jobPath.length() - ApiPaths.CANCEL_SUFFIX.length());
+    Optional<ApiPaths.JobPath> jobPath = ApiPaths.jobPath(path);
+    if (jobPath.isEmpty()
+        || !jobPath.get().method().equals(method)
+        || !JobWire.isJobId(jobPath.get().id())) {
+      answer.accept(error(404, "no such job"));
+      return;
+    }
+    String id = jobPath.get().id();
+    if (jobPath.get().isCancellation()) {
       if (!node.storeClient().isHealthy()) {
         answer.accept(unavailable("the state service is not available"));
         return;
@@ -91,7 +97,7 @@
     } else {
       Consumer<HttpResponse> timedAnswer =
           withTimeout(node.eventLoop(), countingAnswer, READ_TIMEOUT);
-      leader.readStatus(jobPath, view -> timedAnswer.accept(toResponse(jobPath, view)));
+      leader.readStatus(id, view -> timedAnswer.accept(toResponse(id, view)));
     }
   }
 
--- a/src/main/java/io/pineladder/api/RequestRouter.java
+++ b/src/main/java/io/pineladder/api/RequestRouter.java
@@ -17,6 +17,7 @@
 import io.pineladder.wire.PeerWire;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.Optional;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -93,19 +94,13 @@
 
   /** Reads or cancels one job. */
   private void handleJob(String method, String path, Consumer<HttpResponse> answer) {
-    if (!path.startsWith(ApiPaths.JOB_PREFIX)) {
+    Optional<ApiPaths.JobPath> jobPath = ApiPaths.jobPath(path);
+    if (jobPath.isEmpty()) {
       answer.accept(error(404, "no such path"));
       return;
     }
-    String jobPath = path.substring(ApiPaths.JOB_PREFIX.length());
-    boolean cancel = jobPath.endsWith(ApiPaths.CANCEL_SUFFIX);
-    String id =
-        cancel ? jobPath.substring(0, jobPath.length() - ApiPaths.CANCEL_SUFFIX.length()) : jobPath;
-    if (id.indexOf('/') >= 0) {
-      answer.accept(error(404, "no such path"));
-      return;
-    }
-    if (!checkMethod(cancel ? "POST" : "GET", method, answer)) {
+    String id = jobPath.get().id();
+    if (!checkMethod(jobPath.get().method(), method, answer)) {
       return;
     }
     if (!JobWire.isJobId(id)) {
@@ -118,7 +113,12 @@
       answer.accept(new HttpResponse(200, JobWire.view(id, finalStatus)));
       return;
     }
-    serve(method, path, EMPTY_BODY, answer, () -> readWithoutLeader(id, cancel, answer));
+    serve(
+        method,
+        path,
+        EMPTY_BODY,
+        answer,
+        () -> readWithoutLeader(id, jobPath.get().isCancellation(), answer));
   }
 
   /** Whether the method is the allowed one; otherwise answers with status 405. */
--- a/src/test/java/io/pineladder/sim/BadInputTest.java
+++ b/src/test/java/io/pineladder/sim/BadInputTest.java
@@ -7,6 +7,7 @@
 import io.pineladder.net.AsyncHttpClient;
 import io.pineladder.wire.Json;
 import io.pineladder.wire.MalformedMessageException;
+import io.pineladder.wire.PeerWire;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -73,6 +74,20 @@
     return Json.bytes(out);
   }
 
+  /** Guards against a forwarded request that ends the process of the leader. */
+  @Test
+  void answersForwardedRequestWithPathThatNoUserMayAskFor() throws Exception {
+    begin(Layout.FLEET, 53);
+    for (String path : List.of("", "/", "/v1/jobs/", "/v1/job", "/v1/jobs/req-1/x", "/v1/jobs//")) {
+      for (String method : List.of("GET", "POST", "PUT")) {
+        byte[] body = PeerWire.write(new PeerWire.ForwardedRequest(method, path, new byte[0], 0));
+        AsyncHttpClient.Reply reply =
+            sendAndAwait(leaderHost() + ":8081", "POST", PeerWire.PATH, body);
+        assertEquals(404, PeerWire.parseResponse(reply.body()).response().status(), path);
+      }
+    }
+  }
+
   @Test
   void ignoresInvalidAndRepeatedRequests() {
     begin(Layout.FLEET, 41);
