Comments of the connection limiter say what the timeout and the order are

Comments only: the time for a request to arrive, and which socket gives way (the one that waits longest, which need not have been accepted first).

--- a/src/main/java/io/pineladder/net/ConnectionLimiter.java
+++ b/src/main/java/io/pineladder/net/ConnectionLimiter.java
@@ -22,10 +22,10 @@
  *
  * <p>A class without capacity closes its longest idle socket if that socket is stale, which means
  * that the peer has probably disappeared without closing the connection. If none is stale, it
- * closes a socket whose peer has not sent its request completely, the one that was accepted first.
- * If there is none either, an accepted connection is closed after one response, and an outgoing
- * call waits for a socket of its class. A request that does not arrive in time, and a response that
- * is not taken in time, end their socket in any case. Event thread only.
+ * closes the socket that waits longest for its peer to send the rest of a request. If there is none
+ * either, an accepted connection is closed after one response, and an outgoing call waits for a
+ * socket of its class. A request that does not arrive in time, and a response that is not taken in
+ * time, end their socket in any case. Event thread only.
  */
 public final class ConnectionLimiter {
   private static final Logger log = LoggerFactory.getLogger(ConnectionLimiter.class);
@@ -35,7 +35,7 @@
    */
   private static final int RUNTIME_FILE_DESCRIPTORS = 16;
 
-  /** A user waits this long for the answer to a request that has been sent completely. */
+  /** How long a request may take to arrive; its user waits no longer for the answer. */
   private static final Duration RECEIVE_TIMEOUT = Duration.ofSeconds(5);
 
   /** How long a request may be incomplete while its class has capacity for no other socket. */
