A worker forgets an attempt only with a token above those of all requests before

Cause: DirectStarts kept an attempt listed for 20 s, and only the latest 32 of a machine; what was older or displaced could be forgotten although the token and agent epoch of its request were still accepted. A guard for safety, bounded by time and by count, that gave way at its bounds.

Now the response that says forget carries a token above those of all requests sent to that machine, so the worker refuses each of them from then on, of whatever age and number. The higher tokens are the revisions of the term's own commits: each requires the leader key of the term, so its revision lies between this leader key and the next one, and no other term uses it. Without a commit since the latest raise, attempts stay listed and wait: a full guard costs time.

A follower extends a lease for a token that its replica has reached; before, it compared with the leader key alone. Whether a worker follows a later leader is decided by the highest token in use.

The fake workers draw copies of any executed request; SafetyRules names a copy that starts a task beside its next attempt ran_twice.

--- a/src/main/java/io/pineladder/HeartbeatResponder.java
+++ b/src/main/java/io/pineladder/HeartbeatResponder.java
@@ -57,8 +57,8 @@
       // No orders may be sent now, so only the expiry of the worker's lease ends these tasks.
       return null;
     }
-    WorkerWire.Orders orders = workers.onHeartbeat(heartbeat, relayed);
-    if (orders == null) {
+    WorkerManager.Response response = workers.onHeartbeat(heartbeat, relayed);
+    if (response == null) {
       return null;
     }
     failover.recordPhase(FailoverTimings.Phase.FIRST_REPORT);
@@ -66,7 +66,7 @@
     if (failover.expectsMoreHeartbeats() && machine != null && machine.knownFromPlacements) {
       countConfirmedMachine(machine);
     }
-    return WorkerWire.heartbeatResponse(lifecycle.term(), orders);
+    return WorkerWire.heartbeatResponse(response.token(), response.commands());
   }
 
   /** While the term is loading, a response only extends the lease and carries the fencing token. */
--- a/src/main/java/io/pineladder/LeaderTerm.java
+++ b/src/main/java/io/pineladder/LeaderTerm.java
@@ -15,6 +15,7 @@
 import io.pineladder.model.MachineType;
 import io.pineladder.model.OperatorSettings;
 import io.pineladder.model.Settings;
+import io.pineladder.model.TermTokens;
 import io.pineladder.net.EventLoop;
 import io.pineladder.reconciliation.JobReconciler;
 import io.pineladder.reconciliation.PrerequisiteReader;
@@ -59,6 +60,7 @@
   private final RecordLossReporter recordLoss;
 
   private final TermLifecycle lifecycle;
+  private final TermTokens tokens;
   private final ClusterState cluster;
   private final Committer committer;
   private final NotificationOutbox outbox;
@@ -107,6 +109,7 @@
     this.storeClient = context.storeClient();
     Settings settings = context.settings();
     this.lifecycle = new TermLifecycle(elected.term(), eventLoop.now(), leadership);
+    this.tokens = new TermTokens(elected.term());
     this.cluster = new ClusterState(settings);
     cluster.setTypes(context.configuration().machineTypes());
     this.committer =
@@ -207,7 +210,7 @@
         scheduler,
         context.httpClient(),
         eventLoop,
-        elected.term(),
+        tokens,
         lifecycle::isLeadingWithValidLease,
         new WorkerEvents());
   }
@@ -454,11 +457,16 @@
         .count();
   }
 
-  /** The term number, which is also the fencing token for workers. */
+  /** The term number, which is also the lowest fencing token of the term. */
   public long term() {
     return elected.term();
   }
 
+  /** Whether a machine that has seen this fencing token follows a later leader. */
+  public boolean isOfLaterTerm(long token) {
+    return tokens.isOfLaterTerm(token);
+  }
+
   /** The jobs and machines in memory. */
   public ClusterState cluster() {
     return cluster;
@@ -548,6 +556,11 @@
       divideOversizedPages();
     }
 
+    @Override
+    public void onCommitted(long revision) {
+      tokens.onCommitted(elected.token(revision));
+    }
+
     @Override
     public void onStored(String key, JsonNode value, long revision) {
       replica.put(key, value, revision, false);
--- a/src/main/java/io/pineladder/api/HeartbeatHandler.java
+++ b/src/main/java/io/pineladder/api/HeartbeatHandler.java
@@ -88,7 +88,7 @@
     if (heldTerm != null) {
       byte[] response = heldTerm.onHeartbeat(heartbeat, forwarded);
       // A worker that has seen a newer fencing token rejects orders of this term.
-      if (response != null && heartbeat.token() <= heldTerm.term()) {
+      if (response != null && !heldTerm.isOfLaterTerm(heartbeat.token())) {
         answer.accept(ok(response));
         return;
       }
--- a/src/main/java/io/pineladder/api/LeaseExtensionPolicy.java
+++ b/src/main/java/io/pineladder/api/LeaseExtensionPolicy.java
@@ -55,8 +55,7 @@
         return 0;
       }
       boolean replicaUpToDate =
-          heartbeat.token() <= election.knownLeaderTerm()
-              && node.replicaManager().follower().isFresh();
+          isTokenKnown(heartbeat.token()) && node.replicaManager().follower().isFresh();
       return replicaUpToDate || mayExtendForUnreachableLeader(knownLeader, heartbeat)
           ? newestToken
           : 0;
@@ -74,6 +73,15 @@
     return noLeaderKnown && mayExtendWhileIsolated(heartbeat, startedAt) ? heartbeat.token() : 0;
   }
 
+  /**
+   * Whether no leader is newer than what this controller knows of: the token is at most that of the
+   * known leader key, or at most the revision up to which the replica has all changes.
+   */
+  private boolean isTokenKnown(long token) {
+    return token <= node.election().knownLeaderTerm()
+        || token <= node.replicaManager().follower().followedToken();
+  }
+
   /**
    * Whether this controller extends a lease on behalf of a leader that it cannot reach.
    *
@@ -88,7 +96,7 @@
     Instant leaderHeartbeatAt =
         node.membership().answeredHeartbeatSentAt(knownLeader.controllerName());
     if (node.storeClient().isHealthy()) {
-      return heartbeat.token() <= node.election().knownLeaderTerm()
+      return isTokenKnown(heartbeat.token())
           && leaderHeartbeatAt != null
           && node.eventLoop().now().isBefore(leaderHeartbeatAt.plus(maxExtension));
     }
--- a/src/main/java/io/pineladder/model/Machine.java
+++ b/src/main/java/io/pineladder/model/Machine.java
@@ -103,8 +103,8 @@
   /** The attempts that heartbeats may list, by key, including exited ones. */
   public final Map<String, Attempt> attempts = new LinkedHashMap<>();
 
-  /** The attempts whose start may reach the machine a second time. */
-  public final DirectStarts directStarts = new DirectStarts();
+  /** Makes the worker refuse copies of requests whose attempts it has forgotten. */
+  public final CommandFence commandFence = new CommandFence();
 
   /** The resources held by all attempts that may be on the machine. */
   public Resources used = Resources.ZERO;
--- a/src/main/java/io/pineladder/replica/ReplicaFollower.java
+++ b/src/main/java/io/pineladder/replica/ReplicaFollower.java
@@ -116,6 +116,13 @@
         && upToDateAt.plus(MAX_STALENESS).isAfter(eventLoop.now());
   }
 
+  /** The token of the revision up to which the replica has all changes; 0 if it is incomplete. */
+  public long followedToken() {
+    boolean complete =
+        state == State.FOLLOWING && replica.base() == storeClient.generation().base();
+    return complete ? storeClient.generation().token(revision) : 0;
+  }
+
   /** Reads all records into a new replica, then follows the changes; for a non-leader. */
   public void follow() {
     transitionTo(State.LISTING);
--- a/src/main/java/io/pineladder/store/Committer.java
+++ b/src/main/java/io/pineladder/store/Committer.java
@@ -85,6 +85,9 @@
      */
     void onLimitsLowered();
 
+    /** A transaction of the term was committed; the leader key still existed at this revision. */
+    void onCommitted(long revision);
+
     /** The value is committed; it is null for a deleted key. */
     void onStored(String key, JsonNode value, long revision);
   }
@@ -286,6 +289,7 @@
     PendingTransaction committed = pending;
     pending = null;
     backoff.reset();
+    listener.onCommitted(revision);
     committed
         .values()
         .forEach(
--- a/src/main/java/io/pineladder/workers/CommandReplyHandler.java
+++ b/src/main/java/io/pineladder/workers/CommandReplyHandler.java
@@ -2,6 +2,7 @@
 
 import io.pineladder.model.Attempt;
 import io.pineladder.model.Machine;
+import io.pineladder.model.TermTokens;
 import io.pineladder.net.AsyncHttpClient.Outcome;
 import io.pineladder.net.AsyncHttpClient.Reply;
 import io.pineladder.scheduling.Scheduler;
@@ -20,19 +21,19 @@
   private static final Logger log = LoggerFactory.getLogger(CommandReplyHandler.class);
 
   private final Scheduler scheduler;
-  private final long term;
+  private final TermTokens tokens;
   private final WorkerManager.Listener listener;
   private final HeartbeatProcessor heartbeats;
   private final ReachabilityTracker reachability;
 
   CommandReplyHandler(
       Scheduler scheduler,
-      long term,
+      TermTokens tokens,
       WorkerManager.Listener listener,
       HeartbeatProcessor heartbeats,
       ReachabilityTracker reachability) {
     this.scheduler = scheduler;
-    this.term = term;
+    this.tokens = tokens;
     this.listener = listener;
     this.heartbeats = heartbeats;
     this.reachability = reachability;
@@ -66,7 +67,7 @@
     if (executed || reply.status() == 409) {
       try {
         Heartbeat status = WorkerWire.parseHeartbeat(reply.body());
-        if (status.token() > term) {
+        if (tokens.isOfLaterTerm(status.token())) {
           listener.onNewerFencingToken(status.token());
           return false;
         }
--- a/src/main/java/io/pineladder/workers/CommandSender.java
+++ b/src/main/java/io/pineladder/workers/CommandSender.java
@@ -2,6 +2,7 @@
 
 import io.pineladder.model.Attempt;
 import io.pineladder.model.Machine;
+import io.pineladder.model.TermTokens;
 import io.pineladder.net.AsyncHttpClient;
 import io.pineladder.net.AsyncHttpClient.Request;
 import io.pineladder.net.EventLoop;
@@ -35,7 +36,7 @@
 
   private final AsyncHttpClient httpClient;
   private final EventLoop eventLoop;
-  private final long term;
+  private final TermTokens tokens;
   private final BooleanSupplier isLeadingWithValidLease;
   private final CommandWriter writer;
   private final CommandReplyHandler replies;
@@ -48,13 +49,13 @@
   CommandSender(
       AsyncHttpClient httpClient,
       EventLoop eventLoop,
-      long term,
+      TermTokens tokens,
       BooleanSupplier isLeadingWithValidLease,
       CommandWriter writer,
       CommandReplyHandler replies) {
     this.httpClient = httpClient;
     this.eventLoop = eventLoop;
-    this.term = term;
+    this.tokens = tokens;
     this.isLeadingWithValidLease = isLeadingWithValidLease;
     this.writer = writer;
     this.replies = replies;
@@ -95,6 +96,7 @@
       return;
     }
     machine.commandInFlight = true;
+    machine.commandFence.onRequestSent();
     httpClient.call(
         request(machine, machine.agentEpoch, commands),
         reply -> {
@@ -108,13 +110,13 @@
     return Request.post(
         machine.address,
         COMMAND_PATH,
-        WorkerWire.command(term, agentEpoch, commands),
+        WorkerWire.command(machine.commandFence.token(tokens), agentEpoch, commands),
         COMMAND_TIMEOUT);
   }
 
   /**
    * Probes a machine whose heartbeat is overdue. The reply proves as much as a heartbeat does,
-   * since it carries this term's fencing token. The worker may be alive although no heartbeat
+   * since it carries a fencing token of this term. The worker may be alive although no heartbeat
    * arrives: a controller that cannot reach this one may renew its lease, or the worker may be
    * trying the controllers in turn.
    */
--- a/src/main/java/io/pineladder/workers/CommandWriter.java
+++ b/src/main/java/io/pineladder/workers/CommandWriter.java
@@ -2,6 +2,7 @@
 
 import io.pineladder.model.Attempt;
 import io.pineladder.model.Machine;
+import io.pineladder.model.TermTokens;
 import io.pineladder.net.EventLoop;
 import io.pineladder.scheduling.ClusterState;
 import io.pineladder.wire.WorkerWire.Heartbeat;
@@ -11,14 +12,19 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Writes the start, kill and forget commands for a machine's attempts, and records on each attempt
  * what was sent and over which channel.
  */
 final class CommandWriter {
+  private static final Logger log = LoggerFactory.getLogger(CommandWriter.class);
+
   private final ClusterState cluster;
   private final EventLoop eventLoop;
+  private final TermTokens tokens;
   private final WorkerManager.Listener listener;
 
   /** How commands are sent. */
@@ -32,9 +38,14 @@
     HEARTBEAT_RESPONSE
   }
 
-  CommandWriter(ClusterState cluster, EventLoop eventLoop, WorkerManager.Listener listener) {
+  CommandWriter(
+      ClusterState cluster,
+      EventLoop eventLoop,
+      TermTokens tokens,
+      WorkerManager.Listener listener) {
     this.cluster = cluster;
     this.eventLoop = eventLoop;
+    this.tokens = tokens;
     this.listener = listener;
   }
 
@@ -57,9 +68,8 @@
         case EXITED -> {
           if (attempt.endProcessed
               && !attempt.startUnconfirmed
-              && channel == Channel.HEARTBEAT_RESPONSE
-              && machine.directStarts.mayForget(attempt.key, eventLoop.now())) {
-            commands.forget(attempt.job.spec.id(), attempt.task, attempt.number);
+              && channel == Channel.HEARTBEAT_RESPONSE) {
+            writeForget(machine, attempt.job.spec.id(), attempt.task, attempt.number, commands);
           }
         }
         default -> {}
@@ -90,7 +100,6 @@
     attempt.startHeartbeatSequence = byRequest ? -1 : machine.lastHeartbeatSequence;
     attempt.directStartPending = byRequest;
     if (byRequest) {
-      machine.directStarts.record(attempt.key, eventLoop.now());
       started.add(attempt);
     }
     if (!attempt.isWanted()) {
@@ -110,6 +119,19 @@
     attempt.setKillSent(true);
   }
 
+  /** Writes a forget command, unless a copy of an earlier request may still be executed. */
+  private void writeForget(Machine machine, String job, int task, long number, Orders commands) {
+    if (machine.commandFence.fenceRequests(tokens)) {
+      log.debug(
+          "Attempt will be forgotten: machine={} attempt={} token={} agentEpoch={}",
+          machine,
+          Machine.attemptKey(job, task, number),
+          machine.commandFence.token(tokens),
+          machine.agentEpoch);
+      commands.forget(job, task, number);
+    }
+  }
+
   /** Whether half of the time limit for ending a cancelled job's tasks has passed. */
   private boolean isCancellationBoundNear(Attempt attempt) {
     Duration halfBound = cluster.settings.workerTimes().cancellationBound().dividedBy(2);
@@ -136,9 +158,7 @@
         continue;
       }
       if (task.state() == TaskState.EXITED) {
-        if (machine.directStarts.mayForget(task.attemptKey(), eventLoop.now())) {
-          commands.forget(job, task.task().index(), task.attempt());
-        }
+        writeForget(machine, job, task.task().index(), task.attempt(), commands);
       } else {
         commands.kill(job, task.task().index(), task.attempt(), Duration.ZERO);
       }
--- a/src/main/java/io/pineladder/workers/HeartbeatProcessor.java
+++ b/src/main/java/io/pineladder/workers/HeartbeatProcessor.java
@@ -4,6 +4,7 @@
 import io.pineladder.model.JobKind;
 import io.pineladder.model.Machine;
 import io.pineladder.model.MachineType;
+import io.pineladder.model.TermTokens;
 import io.pineladder.net.EventLoop;
 import io.pineladder.scheduling.ClusterState;
 import io.pineladder.scheduling.Scheduler;
@@ -33,7 +34,7 @@
   private final ClusterState cluster;
   private final Scheduler scheduler;
   private final EventLoop eventLoop;
-  private final long term;
+  private final TermTokens tokens;
   private final WorkerManager.Listener listener;
   private final ReachabilityTracker reachability;
   private final AttemptReconciler reconciler;
@@ -42,13 +43,13 @@
       ClusterState cluster,
       Scheduler scheduler,
       EventLoop eventLoop,
-      long term,
+      TermTokens tokens,
       WorkerManager.Listener listener,
       ReachabilityTracker reachability) {
     this.cluster = cluster;
     this.scheduler = scheduler;
     this.eventLoop = eventLoop;
-    this.term = term;
+    this.tokens = tokens;
     this.listener = listener;
     this.reachability = reachability;
     this.reconciler = new AttemptReconciler(cluster, scheduler, eventLoop, listener, reachability);
@@ -69,7 +70,7 @@
    *     released or has an unknown type
    */
   Machine apply(Heartbeat status, boolean viaPeer, Source source) {
-    if (status.token() > term) {
+    if (tokens.isOfLaterTerm(status.token())) {
       return null;
     }
     Machine machine = cluster.machine(status.machine());
@@ -90,7 +91,7 @@
     }
     machine.lastHeartbeatSequence = status.sequence();
     updateReclaim(machine, status.reclaimNotice());
-    if (status.token() < term) {
+    if (status.token() < tokens.first()) {
       // Commands of an earlier leader may still take effect, so the task list proves nothing yet.
       if (machine.state() == Machine.State.EXPECTED) {
         machine.transitionTo(Machine.State.HEARD);
--- a/src/main/java/io/pineladder/workers/WorkerManager.java
+++ b/src/main/java/io/pineladder/workers/WorkerManager.java
@@ -1,6 +1,7 @@
 package io.pineladder.workers;
 
 import io.pineladder.model.Machine;
+import io.pineladder.model.TermTokens;
 import io.pineladder.net.AsyncHttpClient;
 import io.pineladder.net.EventLoop;
 import io.pineladder.scheduling.ClusterState;
@@ -16,13 +17,20 @@
 public final class WorkerManager {
   private final ClusterState cluster;
   private final EventLoop eventLoop;
-  private final long term;
+  private final TermTokens tokens;
   private final BooleanSupplier isLeadingWithValidLease;
   private final Listener listener;
   private final HeartbeatProcessor heartbeats;
   private final CommandWriter commandWriter;
   private final CommandSender commandSender;
 
+  /**
+   * The response to a heartbeat.
+   *
+   * @param token the fencing token, which is not lower than any that this term has sent the worker
+   */
+  public record Response(long token, Orders commands) {}
+
   /** Queries and events that the worker manager passes to the rest of the leader. */
   public interface Listener {
     /** A worker has a newer fencing token than this term's. */
@@ -53,7 +61,7 @@
   /**
    * Creates the manager of one term.
    *
-   * @param term the term's fencing token
+   * @param tokens the fencing tokens of the term
    * @param isLeadingWithValidLease checked before commands are sent, since the process may have
    *     been paused
    */
@@ -62,30 +70,30 @@
       Scheduler scheduler,
       AsyncHttpClient httpClient,
       EventLoop eventLoop,
-      long term,
+      TermTokens tokens,
       BooleanSupplier isLeadingWithValidLease,
       Listener listener) {
     this.cluster = cluster;
     this.eventLoop = eventLoop;
-    this.term = term;
+    this.tokens = tokens;
     this.isLeadingWithValidLease = isLeadingWithValidLease;
     this.listener = listener;
     ReachabilityTracker reachability = new ReachabilityTracker(cluster, scheduler);
     this.heartbeats =
-        new HeartbeatProcessor(cluster, scheduler, eventLoop, term, listener, reachability);
-    this.commandWriter = new CommandWriter(cluster, eventLoop, listener);
+        new HeartbeatProcessor(cluster, scheduler, eventLoop, tokens, listener, reachability);
+    this.commandWriter = new CommandWriter(cluster, eventLoop, tokens, listener);
     this.commandSender =
         new CommandSender(
             httpClient,
             eventLoop,
-            term,
+            tokens,
             isLeadingWithValidLease,
             commandWriter,
-            new CommandReplyHandler(scheduler, term, listener, heartbeats, reachability));
+            new CommandReplyHandler(scheduler, tokens, listener, heartbeats, reachability));
   }
 
   /** Applies a heartbeat that this controller received directly from the worker. */
-  public Orders onHeartbeat(Heartbeat heartbeat) {
+  public Response onHeartbeat(Heartbeat heartbeat) {
     return onHeartbeat(heartbeat, false);
   }
 
@@ -93,21 +101,21 @@
    * Applies a heartbeat.
    *
    * @param viaPeer whether another controller forwarded it
-   * @return the commands for the response, or null if the worker follows a later leader and its
-   *     lease must not be renewed by this one
+   * @return the response, or null if the worker follows a later leader and its lease must not be
+   *     renewed by this one
    */
-  public Orders onHeartbeat(Heartbeat heartbeat, boolean viaPeer) {
+  public Response onHeartbeat(Heartbeat heartbeat, boolean viaPeer) {
     Machine known = cluster.machine(heartbeat.machine());
     // The response to a delayed duplicate is not read by the worker, so it carries no commands.
     boolean isNewest = known == null || HeartbeatProcessor.isNewer(heartbeat, known);
     Machine machine = heartbeats.apply(heartbeat, viaPeer, HeartbeatProcessor.Source.HEARTBEAT);
-    if (heartbeat.token() > term) {
+    if (tokens.isOfLaterTerm(heartbeat.token())) {
       listener.onNewerFencingToken(heartbeat.token());
       return null;
     }
     Orders commands = new Orders();
     if (machine != null && isNewest) {
-      if (heartbeat.token() == term && isLeadingWithValidLease.getAsBoolean()) {
+      if (heartbeat.token() >= tokens.first() && isLeadingWithValidLease.getAsBoolean()) {
         commandWriter.write(machine, commands, CommandWriter.Channel.HEARTBEAT_RESPONSE);
         commandWriter.writeForUnknownTasks(heartbeat, machine, commands);
       }
@@ -117,7 +125,9 @@
         probe(machine);
       }
     }
-    return commands;
+    // A worker drops a response with a lower token than it has seen, and its lease runs on.
+    long token = machine == null ? tokens.highestUsed() : machine.commandFence.token(tokens);
+    return new Response(token, commands);
   }
 
   /** Whether the machine holds tasks of jobs whose final state is being or was stored. */
--- a/src/test/java/io/pineladder/sim/CommitterTest.java
+++ b/src/test/java/io/pineladder/sim/CommitterTest.java
@@ -69,6 +69,9 @@
       terminations.add("limits lowered");
     }
 
+    @Override
+    public void onCommitted(long revision) {}
+
     @Override
     public void onStored(String key, JsonNode value, long revision) {}
   }
--- a/src/test/java/io/pineladder/sim/FakeFleet.java
+++ b/src/test/java/io/pineladder/sim/FakeFleet.java
@@ -84,6 +84,20 @@
 
   private final List<byte[]> retainedHeartbeats = new ArrayList<>();
 
+  /** The fraction of executed command requests of which a copy arrives once more. */
+  double copiedCommandRate;
+
+  /** The least and the greatest time from the execution of a command request to its copy. */
+  Duration minCommandCopyDelay = Duration.ofMillis(300);
+
+  Duration maxCommandCopyDelay = Duration.ofMinutes(4);
+
+  /** Whether workers refuse requests with a lower token or another agent epoch. */
+  boolean refusesFencedRequests = true;
+
+  /** How many copies of command requests have arrived at a running machine. */
+  int commandCopies;
+
   /** Whether machines boot within two seconds. */
   boolean fastBoots;
 
@@ -576,18 +590,49 @@
 
     @Override
     public void handle(String method, String path, byte[] body, Consumer<HttpResponse> answer) {
-      try {
-        ObjectNode request = Json.parseObject(body);
-        long receivedToken = request.get("baton").asLong();
-        boolean accepted = receivedToken >= fencingToken && request.get("shift").asLong() == epoch;
-        if (accepted) {
-          fencingToken = receivedToken;
-          execute(request.get("orders"));
-        }
-        answer.accept(new HttpResponse(accepted ? 200 : 409, Json.bytes(buildHeartbeat())));
-      } catch (MalformedMessageException e) {
-        throw new AssertionError(e);
+      ObjectNode request = parse(body);
+      boolean accepted = executeRequest(request);
+      if (accepted
+          && !request.get("orders").isEmpty()
+          && copiedCommandRate > 0
+          && world.random.nextDouble() < copiedCommandRate) {
+        world.after(randomCopyDelayMillis(), () -> receiveCopy(request));
       }
+      answer.accept(new HttpResponse(accepted ? 200 : 409, Json.bytes(buildHeartbeat())));
+    }
+
+    /** Executes the commands of a request if its token and agent epoch match. */
+    private boolean executeRequest(ObjectNode request) {
+      long receivedToken = request.get("baton").asLong();
+      boolean fenced = receivedToken < fencingToken || request.get("shift").asLong() != epoch;
+      boolean accepted = !fenced || !refusesFencedRequests;
+      if (accepted) {
+        fencingToken = Math.max(fencingToken, receivedToken);
+        execute(request.get("orders"));
+      }
+      return accepted;
+    }
+
+    private void receiveCopy(ObjectNode request) {
+      if (!ended) {
+        commandCopies++;
+        executeRequest(request);
+      }
+    }
+  }
+
+  /** A delay between the bounds; each order of magnitude is equally likely. */
+  private long randomCopyDelayMillis() {
+    double min = minCommandCopyDelay.toMillis();
+    double max = maxCommandCopyDelay.toMillis();
+    return (long) (min * Math.pow(max / min, world.random.nextDouble()));
+  }
+
+  private static ObjectNode parse(byte[] body) {
+    try {
+      return Json.parseObject(body);
+    } catch (MalformedMessageException e) {
+      throw new AssertionError(e);
     }
   }
 
@@ -622,16 +667,12 @@
 
   /** Whether a request with commands holds a start. */
   static boolean hasStartCommand(byte[] body) {
-    try {
-      for (JsonNode command : Json.parseObject(body).get("orders")) {
-        if (command.get("verb").asText().equals("start")) {
-          return true;
-        }
+    for (JsonNode command : parse(body).get("orders")) {
+      if (command.get("verb").asText().equals("start")) {
+        return true;
       }
-      return false;
-    } catch (MalformedMessageException e) {
-      throw new AssertionError(e);
     }
+    return false;
   }
 
   /** Terminates the machine without notifying any controller. */
--- a/src/test/java/io/pineladder/sim/LateStartCopyTest.java
+++ b/src/test/java/io/pineladder/sim/LateStartCopyTest.java
@@ -2,22 +2,23 @@
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import com.fasterxml.jackson.databind.node.ObjectNode;
-import io.pineladder.net.AsyncHttpHandler;
-import io.pineladder.net.HttpResponse;
 import java.time.Duration;
-import java.util.ArrayList;
-import java.util.List;
-import java.util.function.Consumer;
+import java.util.Arrays;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
-import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
-/** Copies of start commands that were executed and answered, and reach the machine once more. */
+/** Copies of commands that were executed and answered, and reach the machine once more. */
 class LateStartCopyTest extends FaultInjectionCluster {
-  private static final long MIN_COPY_MILLIS = 300;
-  private static final long MAX_COPY_MILLIS = 16_000;
+  /** Enough rounds that some copies arrive minutes late while jobs still start. */
+  private static final int ROUNDS = 60;
 
-  /** What happens to the cluster between a start and its copy. */
+  private static final Duration ROUND_INTERVAL = Duration.ofSeconds(3);
+
+  /** What happens to the cluster between a command and its copy. */
   enum Change {
     /** The same leader goes on. */
     NONE,
@@ -29,64 +30,78 @@
     MACHINES_BACK
   }
 
-  private int startCopies;
-
-  /** Delivers a copy of each start command that a machine executes. */
-  private void copyStartCommands() {
-    for (FakeFleet.Worker worker : fleet.runningWorkers()) {
-      AsyncHttpHandler original = worker;
-      world.serve(
-          worker.address,
-          (method, path, body, answer) ->
-              executeWithCopy(worker, original, method, path, body, answer));
-    }
-  }
-
-  private void executeWithCopy(
-      FakeFleet.Worker worker,
-      AsyncHttpHandler original,
-      String method,
-      String path,
-      byte[] body,
-      Consumer<HttpResponse> answer) {
-    original.handle(method, path, body, answer);
-    if (FakeFleet.hasStartCommand(body)) {
-      startCopies++;
-      world.after(
-          randomBetween(MIN_COPY_MILLIS, MAX_COPY_MILLIS),
-          () -> {
-            if (!worker.ended) {
-              original.handle(method, path, body, ignored -> {});
-            }
-          });
-    }
+  static Stream<Arguments> layoutsAndChanges() {
+    return Stream.of(Layout.FLEET, Layout.SHORT)
+        .flatMap(each -> Arrays.stream(Change.values()).map(change -> Arguments.of(each, change)));
   }
 
   /** Guards against a task that runs again after it ended, was moved or was cancelled. */
   @ParameterizedTest
-  @EnumSource(Change.class)
-  void copyOfExecutedStartHasNoEffect(Change change) {
-    begin(Layout.FLEET, 91);
-    fleet.failsOneIn = 0;
+  @MethodSource("layoutsAndChanges")
+  void copyOfExecutedStartHasNoEffectAtAnyAge(Layout selected, Change change) {
+    begin(selected, 91);
     submit(simpleJobSpec("service", 4));
     world.runFor(Duration.ofSeconds(60));
-    copyStartCommands();
-    List<SafetyRules.TrackedJob> jobs = new ArrayList<>();
-    for (int round = 0; round < 40; round++) {
-      ObjectNode spec = simpleJobSpec("array", 2).put("guess_s", 1.0 + round % 12);
-      jobs.add(submit(spec));
+    fleet.failsOneIn = 4;
+    fleet.copiedCommandRate = 1;
+    for (int round = 0; round < ROUNDS; round++) {
+      submit(simpleJobSpec("array", 2).put("guess_s", 1.0 + round % 12));
+      if (round % 4 == 1) {
+        submit(simpleJobSpec("group", 2).put("guess_s", 2.0));
+      }
       if (round % 3 == 2) {
-        cancel(jobs.get(round - 1));
+        cancelRandomJobs(0.3);
       }
       if (round % 10 == 9) {
         apply(change);
       }
-      copyStartCommands();
-      world.runFor(Duration.ofSeconds(3));
+      world.runFor(ROUND_INTERVAL);
     }
+    world.runFor(fleet.maxCommandCopyDelay);
+    settle(Duration.ofSeconds(200));
+    assertTrue(fleet.commandCopies > ROUNDS, "copies: " + fleet.commandCopies);
+  }
+
+  /** Guards against a copy that runs a task again since many others started after it. */
+  @ParameterizedTest
+  @ValueSource(ints = {0, 5})
+  void copyHasNoEffectAfterManyLaterStartsOnTheMachine(int failsOneIn) {
+    beginWithCopiesAfterEightSeconds(failsOneIn);
+    runManySmallTasks();
+  }
+
+  /** Guards against a failed task that a copy runs again while its next attempt runs elsewhere. */
+  @Test
+  void copyNeverRunsFailedTaskBesideItsNextAttempt() {
+    beginWithCopiesAfterEightSeconds(5);
+    rules.placementLookup = null;
+    runManySmallTasks();
+  }
+
+  private void beginWithCopiesAfterEightSeconds(int failsOneIn) {
+    begin(Layout.FLEET, 92);
+    fleet.sendsHeartbeatOnTaskExit = true;
+    submit(simpleJobSpec("service", 1));
     world.runFor(Duration.ofSeconds(60));
-    assertTrue(startCopies > 20, "copies: " + startCopies);
+    fleet.failsOneIn = failsOneIn;
+    fleet.copiedCommandRate = 1;
+    fleet.minCommandCopyDelay = Duration.ofSeconds(8);
+    fleet.maxCommandCopyDelay = Duration.ofSeconds(9);
+  }
+
+  private void runManySmallTasks() {
+    for (int round = 0; round < ROUNDS; round++) {
+      for (int job = 0; job < 3; job++) {
+        submit(
+            simpleJobSpec("array", 24)
+                .put("vcpus", 0.05)
+                .put("cards", 0.0)
+                .put("guess_s", 1 + round % 6));
+      }
+      world.runFor(ROUND_INTERVAL);
+    }
     settle(Duration.ofSeconds(200));
+    assertTrue(fleet.commandCopies > ROUNDS, "copies: " + fleet.commandCopies);
   }
 
   private void apply(Change change) {
--- a/src/test/java/io/pineladder/sim/SafetyRules.java
+++ b/src/test/java/io/pineladder/sim/SafetyRules.java
@@ -181,7 +181,11 @@
       throw violation("unknown job started", task.id);
     }
     if (placementLookup != null && !placementLookup.isStored(worker.name, task.id, task.attempt)) {
-      throw violation("not_stored", task.id + "#" + task.attempt + " starts on " + worker.name);
+      Worker other = workerByTask.get(task.id);
+      boolean runsElsewhere = other != null && other != worker;
+      throw violation(
+          runsElsewhere ? "ran_twice" : "not_stored",
+          task.id + "#" + task.attempt + " starts on " + worker.name);
     }
     if (machinesHolding != null && job.cancelledAt != null) {
       throw violation(
--- a/src/test/java/io/pineladder/workers/LeaderHarness.java
+++ b/src/test/java/io/pineladder/workers/LeaderHarness.java
@@ -13,6 +13,7 @@
 import io.pineladder.model.PriorityClass;
 import io.pineladder.model.Resources;
 import io.pineladder.model.Settings;
+import io.pineladder.model.TermTokens;
 import io.pineladder.net.AsyncHttpClient;
 import io.pineladder.net.EventLoop;
 import io.pineladder.scheduling.ClusterState;
@@ -60,6 +61,9 @@
   private Instant now = Instant.EPOCH.plusSeconds(100);
   private long nextTimerSequence;
 
+  private final TermTokens tokens = new TermTokens(TERM);
+  private long lastRevision = TERM;
+
   /** Whether the lease is certain and heartbeats are accepted. */
   boolean leaseCertain = true;
 
@@ -212,7 +216,12 @@
                 // Like the store, serializes each value when it is written.
                 var unused = write.value().get();
               }
-              schedule(Duration.ZERO, mutation.onCommitted());
+              schedule(
+                  Duration.ZERO,
+                  () -> {
+                    tokens.onCommitted(++lastRevision);
+                    mutation.onCommitted().run();
+                  });
             },
             new RecordsListener(),
             NotificationLog.DISABLED);
@@ -229,7 +238,7 @@
             new AutoscalerCallbacks());
     workerManager =
         new WorkerManager(
-            cluster, scheduler, httpClient, this, TERM, () -> true, new WorkersListener());
+            cluster, scheduler, httpClient, this, tokens, () -> true, new WorkersListener());
   }
 
   @Override
@@ -308,7 +317,7 @@
   }
 
   byte[] heartbeat(String zone, String machine, long sequence, TaskStatus... tasks) {
-    WorkerWire.Orders orders =
+    WorkerManager.Response response =
         workerManager.onHeartbeat(
             new Heartbeat(
                 machine,
@@ -322,12 +331,12 @@
                 null,
                 List.of(tasks)));
     runFor(Duration.ofMillis(60));
-    return WorkerWire.heartbeatResponse(TERM, orders);
+    return WorkerWire.heartbeatResponse(response.token(), response.commands());
   }
 
   /** The response to a heartbeat of m-1 without tasks; does not advance the time. */
   String heartbeatResponse(long agentEpoch, long sequence, long token) {
-    WorkerWire.Orders orders =
+    WorkerManager.Response response =
         workerManager.onHeartbeat(
             new Heartbeat(
                 "m-1",
@@ -340,7 +349,7 @@
                 token,
                 null,
                 List.of()));
-    return bodyText(WorkerWire.heartbeatResponse(TERM, orders));
+    return bodyText(WorkerWire.heartbeatResponse(response.token(), response.commands()));
   }
 
   /** Removes and returns the next command request; cloud requests are discarded. */
