--- a/src/scale/java/io/pineladder/sim/SoakCluster.java
+++ b/src/scale/java/io/pineladder/sim/SoakCluster.java
@@ -326,6 +326,10 @@
         network.lateCommandRate = fault.share() / 2;
         after(millis, () -> network.lateCommandRate = 0);
       }
+      case COPIED_COMMANDS -> {
+        fleet.copiedCommandRate = fault.share();
+        after(millis, () -> fleet.copiedCommandRate = 0);
+      }
       case MACHINES_DIE ->
           fleet.runningWorkers().stream()
               .filter(worker -> random.nextDouble() < fault.share() / 3)
--- a/src/scale/java/io/pineladder/sim/SoakPlan.java
+++ b/src/scale/java/io/pineladder/sim/SoakPlan.java
@@ -47,6 +47,8 @@
     LATE_REPORTS,
     /** A part of the commands gets no answer and is executed once, seconds later. */
     LATE_COMMANDS,
+    /** A part of the commands is executed and answered, and a copy of it arrives later. */
+    COPIED_COMMANDS,
     /** A part of the machines ends. */
     MACHINES_DIE,
     /** Hundreds of connections to one controller send requests that never end. */
--- a/src/test/java/io/pineladder/sim/FaultCombinationsTest.java
+++ b/src/test/java/io/pineladder/sim/FaultCombinationsTest.java
@@ -80,7 +80,12 @@
     /** A zone is partitioned for longer than a worker lease. */
     ZONE_PARTITION,
     /** Workers can't connect to any controller, but receive commands. */
-    NO_HEARTBEATS
+    NO_HEARTBEATS,
+    /**
+     * Copies of executed commands arrive up to minutes later, across failovers, a restart of all
+     * controllers within a second, and machines that are cut off.
+     */
+    COPIED_COMMANDS
   }
 
   /** Machines per zone, enough for all work that is submitted at once. */
@@ -376,6 +381,23 @@
         schedule(randomBetween(1_000, 15_000), () -> cancelRandomJobs(0.3));
         schedule(randomBetween(5_000, 40_000), () -> killLeader(randomBetween(0, 6_000)));
       }
+      case COPIED_COMMANDS -> {
+        fleet.copiedCommandRate = 1;
+        for (int i = 0; i < 40; i++) {
+          schedule(
+              randomBetween(0, 50_000),
+              () -> submit(simpleJobSpec("array", 3).put("guess_s", randomBetween(1, 9))));
+        }
+        for (int i = 0; i < 3; i++) {
+          schedule(randomBetween(2_000, 60_000), () -> killLeader(randomBetween(0, 4_000)));
+        }
+        schedule(
+            randomBetween(10_000, 60_000),
+            () -> controllers.forEach(each -> kill(each, randomBetween(100, 1_000))));
+        schedule(
+            randomBetween(2_000, 60_000),
+            () -> makeUnreachable(randomMachines(3), randomBetween(1_000, 25_000)));
+      }
       default -> throw new AssertionError(combination);
     }
   }
--- a/src/test/java/io/pineladder/sim/RandomFaultsTest.java
+++ b/src/test/java/io/pineladder/sim/RandomFaultsTest.java
@@ -16,8 +16,8 @@
 
 /**
  * Pairs of faults in several layouts. The first is one of: machines that send heartbeats but
- * receive nothing, duplicated heartbeats, an isolated leader, or controllers that are killed and
- * restart within half a second.
+ * receive nothing, duplicated heartbeats, an isolated leader, controllers that are killed and
+ * restart within half a second, or commands that are executed and of which a copy arrives later.
  */
 class RandomFaultsTest extends ConfigurableCluster {
   private static final Duration FAULT_DURATION = Duration.ofSeconds(40);
@@ -27,7 +27,8 @@
     THIRD_OF_MACHINES_RECEIVES_NOTHING,
     DUPLICATED_HEARTBEATS,
     ISOLATED_LEADER,
-    RAPID_RESTARTS
+    RAPID_RESTARTS,
+    COPIED_COMMANDS
   }
 
   enum SecondFault {
@@ -83,6 +84,10 @@
               });
         }
       }
+      case COPIED_COMMANDS -> {
+        fleet.copiedCommandRate = 0.5;
+        world.after(millis, () -> fleet.copiedCommandRate = 0);
+      }
       default -> throw new AssertionError(fault);
     }
   }
--- a/src/test/java/io/pineladder/sim/SimulationChecksTest.java
+++ b/src/test/java/io/pineladder/sim/SimulationChecksTest.java
@@ -44,6 +44,21 @@
     assertViolation("told_too_soon", () -> rules.onStartCommand(task, on));
   }
 
+  /** A copy of a command runs a task again on workers that do not refuse lower tokens. */
+  @Test
+  void detectsTaskStartedAgainByCopiedCommand() {
+    beginWithService(63);
+    fleet.refusesFencedRequests = false;
+    fleet.failsOneIn = 4;
+    fleet.copiedCommandRate = 1;
+    fleet.maxCommandCopyDelay = Duration.ofSeconds(10);
+    rules.placementLookup = null;
+    for (int i = 0; i < 20; i++) {
+      submit(simpleJobSpec("array", 4).put("guess_s", 2 + i % 4));
+    }
+    assertViolation("ran_twice", () -> world.runFor(Duration.ofMinutes(2)));
+  }
+
   /** A task starts, and a task keeps running, after its job was reported as cancelled. */
   @Test
   void detectsTasksRunningAfterReportedCancellation() {
