Log lines and fields that tell why an attempt was forgotten and whether it came back

"Forgotten attempt listed again" (warn) names machine, attempt, state, the worker's token, the token of its commands and the agent epoch; the attempt's number tells that this term had decided on it, so nothing is remembered for it. "Forget allowed" (debug) names the token. GET /admin/v1/machines has ended_attempts for each machine and GET /admin/v1/metrics their sum: ended attempts that the worker still lists.

How numbers of attempts are made stands in model/AttemptNumbers, since two packages need it.

--- a/src/main/java/io/pineladder/admin/AdminApi.java
+++ b/src/main/java/io/pineladder/admin/AdminApi.java
@@ -167,6 +167,9 @@
     LeaderTerm leader = node.leadingTerm();
     if (leader != null) {
       out.set("notices", leader.subscriptions().statistics());
+      out.put(
+          "ended_attempts",
+          leader.cluster().machines().stream().mapToLong(Machine::countEndedAttempts).sum());
     }
     return out;
   }
@@ -260,6 +263,7 @@
           .put("used_cpus", machine.used.cpus())
           .put("used_gpus", machine.used.gpus())
           .put("attempts", machine.attempts.size())
+          .put("ended_attempts", machine.countEndedAttempts())
           .put("suspect", machine.quarantined)
           .put("draining", machine.draining)
           .put("images", machine.images.size());
--- a/src/main/java/io/pineladder/model/Machine.java
+++ b/src/main/java/io/pineladder/model/Machine.java
@@ -309,6 +309,13 @@
     }
   }
 
+  /** The number of ended attempts that the worker has not been told to forget, or still lists. */
+  public long countEndedAttempts() {
+    return attempts.values().stream()
+        .filter(attempt -> attempt.state() == Attempt.State.EXITED)
+        .count();
+  }
+
   /** The key of an attempt within its machine. */
   public static String attemptKey(String job, int task, long number) {
     return job + "/" + task + "#" + number;
--- a/src/main/java/io/pineladder/scheduling/TaskStarter.java
+++ b/src/main/java/io/pineladder/scheduling/TaskStarter.java
@@ -1,6 +1,7 @@
 package io.pineladder.scheduling;
 
 import io.pineladder.model.Attempt;
+import io.pineladder.model.AttemptNumbers;
 import io.pineladder.model.Job;
 import io.pineladder.model.Machine;
 import java.time.Instant;
@@ -14,9 +15,6 @@
 final class TaskStarter {
   private static final Logger log = LoggerFactory.getLogger(TaskStarter.class);
 
-  /** The number of low-order bits of an attempt number that count the attempts of its term. */
-  private static final int ATTEMPT_NUMBER_BITS = 20;
-
   private final SchedulerContext context;
   private final StarvationBound starvationBound;
   private final long term;
@@ -30,10 +28,10 @@
 
   /** Returns a new attempt number; the leader resigns if the term has none left. */
   long nextAttemptNumber() {
-    if (++attemptCount >= 1L << ATTEMPT_NUMBER_BITS) {
+    if (!AttemptNumbers.isCountValid(++attemptCount)) {
       context.callbacks.resign("the attempt numbers of the term are exhausted");
     }
-    return (term << ATTEMPT_NUMBER_BITS) + attemptCount;
+    return AttemptNumbers.of(term, attemptCount);
   }
 
   /** Creates an attempt of the task on the machine; it is started once its placement is stored. */
--- a/src/main/java/io/pineladder/workers/AttemptReconciler.java
+++ b/src/main/java/io/pineladder/workers/AttemptReconciler.java
@@ -1,8 +1,10 @@
 package io.pineladder.workers;
 
 import io.pineladder.model.Attempt;
+import io.pineladder.model.AttemptNumbers;
 import io.pineladder.model.Job;
 import io.pineladder.model.Machine;
+import io.pineladder.model.TermTokens;
 import io.pineladder.net.EventLoop;
 import io.pineladder.scheduling.ClusterState;
 import io.pineladder.scheduling.Scheduler;
@@ -28,6 +30,7 @@
   private final ClusterState cluster;
   private final Scheduler scheduler;
   private final EventLoop eventLoop;
+  private final TermTokens tokens;
   private final WorkerManager.Listener listener;
   private final ReachabilityTracker reachability;
 
@@ -38,11 +41,13 @@
       ClusterState cluster,
       Scheduler scheduler,
       EventLoop eventLoop,
+      TermTokens tokens,
       WorkerManager.Listener listener,
       ReachabilityTracker reachability) {
     this.cluster = cluster;
     this.scheduler = scheduler;
     this.eventLoop = eventLoop;
+    this.tokens = tokens;
     this.listener = listener;
     this.reachability = reachability;
   }
@@ -59,6 +64,7 @@
     for (TaskStatus task : status.tasks()) {
       Attempt attempt = machine.attempts.get(task.attemptKey());
       if (attempt == null) {
+        reportIfForgotten(machine, status, task);
         attempt = addUnrecordedAttempt(machine, task);
       }
       if (attempt == null) {
@@ -98,6 +104,21 @@
     };
   }
 
+  /** Logs an attempt of this term without a record: it ended, and its start was executed again. */
+  private void reportIfForgotten(Machine machine, Heartbeat status, TaskStatus task) {
+    if (AttemptNumbers.termOf(task.attempt()) == tokens.first()) {
+      log.warn(
+          "Forgotten attempt listed again: machine={} attempt={} state={} token={} commandToken={}"
+              + " agentEpoch={}",
+          machine,
+          task.attemptKey(),
+          task.state(),
+          status.token(),
+          machine.commandFence.token(tokens),
+          status.agentEpoch());
+    }
+  }
+
   /**
    * Adds an attempt for a listed task that has no stored placement. The attempt holds capacity
    * while it is listed. It is killed, unless stored records may be missing and the scheduler can
--- a/src/main/java/io/pineladder/workers/CommandWriter.java
+++ b/src/main/java/io/pineladder/workers/CommandWriter.java
@@ -123,7 +123,7 @@
   private void writeForget(Machine machine, String job, int task, long number, Orders commands) {
     if (machine.commandFence.fenceRequests(tokens)) {
       log.debug(
-          "Attempt will be forgotten: machine={} attempt={} token={} agentEpoch={}",
+          "Forget allowed: machine={} attempt={} token={} agentEpoch={}",
           machine,
           Machine.attemptKey(job, task, number),
           machine.commandFence.token(tokens),
--- a/src/main/java/io/pineladder/workers/HeartbeatProcessor.java
+++ b/src/main/java/io/pineladder/workers/HeartbeatProcessor.java
@@ -52,7 +52,8 @@
     this.tokens = tokens;
     this.listener = listener;
     this.reachability = reachability;
-    this.reconciler = new AttemptReconciler(cluster, scheduler, eventLoop, listener, reachability);
+    this.reconciler =
+        new AttemptReconciler(cluster, scheduler, eventLoop, tokens, listener, reachability);
   }
 
   /** Whether the status is newer than the last one applied to the machine. */
