Silence ends the unreachable period of a machine that never was confirmed

Then it is silent for 78 s. Silence ended that period only in the transition from CONFIRMED to SILENT, and a machine that is HEARD has no such transition. At 20:15 the partition heals, the next heartbeat confirms the machine, and before the answer to the first probe the period, silence included, exceeds the limit: "Machine unreachable for too long, releasing".

Now an overdue heartbeat ends the period in whatever state the machine is. Silence itself is the failure detector's matter, whose limits are as they were.

--- a/src/main/java/io/pineladder/autoscaling/FailureDetector.java
+++ b/src/main/java/io/pineladder/autoscaling/FailureDetector.java
@@ -182,8 +182,9 @@
   }
 
   private void markSilent(Machine machine) {
-    if (machine.state() == Machine.State.CONFIRMED) {
-      machine.transitionTo(Machine.State.SILENT);
+    boolean wasConfirmed = machine.state() == Machine.State.CONFIRMED;
+    machine.onHeartbeatTimeout();
+    if (wasConfirmed) {
       cluster.updateIndexes(machine);
       log.debug("Heartbeat timeout: machine={}", machine);
     }
--- a/src/main/java/io/pineladder/model/Machine.java
+++ b/src/main/java/io/pineladder/model/Machine.java
@@ -174,10 +174,6 @@
     if (state == State.RELEASING && next != State.GONE) {
       return;
     }
-    if (next == State.SILENT) {
-      // Heartbeats before the silence must not count toward the unreachable period.
-      unreachableSince = null;
-    }
     state = next;
   }
 
@@ -206,6 +202,14 @@
     return Duration.between(unreachableSince, now);
   }
 
+  /** Heartbeats are overdue, so those before must not count toward the unreachable period. */
+  public void onHeartbeatTimeout() {
+    unreachableSince = null;
+    if (state == State.CONFIRMED) {
+      transitionTo(State.SILENT);
+    }
+  }
+
   /**
    * Whether commands may reach the machine. If another controller forwards its heartbeats, commands
    * are sent with the responses, so the failure of a direct command is not conclusive.
