Test: leases are extended for workers whose token is above that of the leader key

A follower that keeps leases alive compared the worker's token with the leader key; since tokens rise with the commits of a term it compares with what its replica has followed.

--- a/src/test/java/io/pineladder/sim/FakeFleet.java
+++ b/src/test/java/io/pineladder/sim/FakeFleet.java
@@ -345,6 +345,11 @@
       checkLease();
     }
 
+    /** The highest fencing token that the worker has seen. */
+    long fencingToken() {
+      return fencingToken;
+    }
+
     /** Terminates the machine and all tasks on it. */
     void end() {
       ended = true;
--- a/src/test/java/io/pineladder/sim/ZoneSimulationTest.java
+++ b/src/test/java/io/pineladder/sim/ZoneSimulationTest.java
@@ -103,6 +103,10 @@
     return LongStream.range(0, Long.getLong("pineladder.cuts", 6));
   }
 
+  private long leaderTerm() {
+    return controllers.get(leaderIndex()).node.election().term();
+  }
+
   private void moveLeadershipTo(int node) {
     for (int attempt = 0; attempt < 20 && leaderIndex() != node; attempt++) {
       kill(controllers.get(leaderIndex()), 4_000);
@@ -151,6 +155,32 @@
     settle(Duration.ofSeconds(60));
   }
 
+  /** Guards against leases that end since the worker's token is above that of the leader key. */
+  @ParameterizedTest
+  @MethodSource("seeds")
+  void keepsTasksOfMachinesWithRaisedTokensWhenZonesCannotReachEachOther(long seed) {
+    begin(900 + seed);
+    fillZones();
+    moveLeadershipTo((int) seed % 3);
+    Map<String, String> before = placementsIn("b");
+    for (int i = 0; i < 6; i++) {
+      submit(jobSpec("array", 12, "red").put("vcpus", 0.1).put("cards", 0.0).put("guess_s", 4));
+    }
+    world.runFor(Duration.ofSeconds(60));
+    long raised =
+        fleet.runningWorkers().stream()
+            .filter(w -> w.zone.equals("b") && w.fencingToken() > leaderTerm())
+            .count();
+    assertTrue(raised > 0, "machines with raised tokens in the second zone");
+    Runnable heal = partition(false);
+    world.runFor(Duration.ofSeconds(100));
+    heal.run();
+    world.runFor(Duration.ofSeconds(40));
+    Map<String, String> after = placementsIn("b");
+    before.forEach((task, machine) -> assertEquals(machine, after.get(task), task));
+    settle(Duration.ofSeconds(60));
+  }
+
   /** Guards against a job reported as cancelled while tasks of it run in a partitioned zone. */
   @Test
   void reportsCancellationOnceZoneIsReachable() {
