Work for the dependencies of a job grows with the edges of its pipeline

Each new leader adds all loaded jobs in one event; the work was cubic in the width of a pipeline and took longer than the lease. The submission of one urgent job that needs hundreds did the same.

Cause: a new dependent raised its prerequisites, and for each of their own prerequisites the urgency was computed anew from all dependents. A new dependent can only raise it, so now it is raised along the edges, each level once. Where urgency may fall (a removal, a cancellation with all dependents) it is recomputed once for each job that lost dependents, not once for each loss.

JobDependenciesTest fails before and passes now; its comparison with the reference model passes unchanged, ChainedJobsTest too.

--- a/src/main/java/io/pineladder/scheduling/JobDependencies.java
+++ b/src/main/java/io/pineladder/scheduling/JobDependencies.java
@@ -7,9 +7,11 @@
 import java.time.Instant;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -33,7 +35,8 @@
  * is accepted before the jobs that name it, hence there are no cycles.
  *
  * <p>Urgency propagates from dependents to prerequisites: the priority class of a job is the
- * highest of its own and its dependents', and the job should be done in time for all of them.
+ * highest of its own and its dependents', and the job should be done in time for all of them. The
+ * work of one event is bounded by the edges of the graph, for each level of jobs that change.
  */
 public final class JobDependencies {
   /** Receives the changes of jobs in the graph. */
@@ -153,8 +156,9 @@
     if (job.isActive() && !job.spec.prerequisites().isEmpty()) {
       addWaiting(job);
     }
-    if (dependentsById.containsKey(job.spec.id())) {
-      recomputeUrgency(job);
+    if (job.isActive()) {
+      recomputeFromDependents(job);
+      raisePrerequisites(job);
     }
   }
 
@@ -175,10 +179,6 @@
         onPrerequisiteFound(prerequisite);
       }
     }
-    ChainDeadlines deadlines = prerequisiteDeadlines(job);
-    for (String id : unmetPrerequisites.getOrDefault(job, Set.of())) {
-      raiseUrgency(jobsInMemory.apply(id), job.priorityClass(), deadlines);
-    }
   }
 
   private void startLookup(String id) {
@@ -209,11 +209,17 @@
 
   /** Removes a cancelled job from the graph if it is waiting. */
   void remove(Job job) {
+    recomputeUrgency(detach(job));
+  }
+
+  /** Removes a job from the graph and returns the prerequisites whose urgency may fall. */
+  private List<Job> detach(Job job) {
     Set<String> unmet = unmetPrerequisites.remove(job);
     if (unmet == null) {
-      return;
+      return List.of();
     }
     job.blockedByDependencies = false;
+    List<Job> prerequisites = new ArrayList<>();
     for (String id : unmet) {
       Set<Job> dependents = dependentsById.get(id);
       if (dependents != null && dependents.remove(job) && dependents.isEmpty()) {
@@ -221,9 +227,10 @@
       }
       Job prerequisite = jobsInMemory.apply(id);
       if (prerequisite != null) {
-        recomputeUrgency(prerequisite);
+        prerequisites.add(prerequisite);
       }
     }
+    return prerequisites;
   }
 
   // ---- final states of prerequisites
@@ -263,6 +270,7 @@
    * Cancels jobs and all their dependents. Iterative, since long chains would overflow the stack.
    */
   private void cancelWithDependents(Set<Job> jobs) {
+    Set<Job> affected = new LinkedHashSet<>();
     Deque<Job> stack = new ArrayDeque<>(jobs);
     while (!stack.isEmpty()) {
       Job job = stack.pop();
@@ -271,13 +279,14 @@
       }
       job.cancelledByDependency = true;
       job.transitionTo(Job.State.CANCELLED);
-      remove(job);
+      affected.addAll(detach(job));
       Set<Job> dependents = dependentsById.remove(job.spec.id());
       if (dependents != null) {
         stack.addAll(dependents);
       }
       listener.onCancelled(job);
     }
+    recomputeUrgency(affected);
   }
 
   /**
@@ -313,48 +322,58 @@
   }
 
   /**
-   * Raises the urgency of a prerequisite that has a new dependent, and of its own prerequisites.
+   * Raises the urgency of all direct and indirect prerequisites to at least what the job needs. A
+   * new dependent can only raise it, so the other dependents need not be looked at.
    */
-  private void raiseUrgency(
-      Job prerequisite, PriorityClass priorityClass, ChainDeadlines deadlines) {
-    if (prerequisite == null || !prerequisite.isActive()) {
-      return;
+  private void raisePrerequisites(Job dependent) {
+    Set<Job> risen = new LinkedHashSet<>(List.of(dependent));
+    while (!risen.isEmpty()) {
+      Job job = removeFirst(risen);
+      ChainDeadlines deadlines = prerequisiteDeadlines(job);
+      for (String id : unmetPrerequisites.getOrDefault(job, Set.of())) {
+        Job prerequisite = jobsInMemory.apply(id);
+        if (prerequisite != null
+            && prerequisite.isActive()
+            && raiseUrgency(prerequisite, job.priorityClass(), deadlines)) {
+          risen.add(prerequisite);
+        }
+      }
     }
+  }
+
+  private boolean raiseUrgency(Job job, PriorityClass priorityClass, ChainDeadlines deadlines) {
     PriorityClass highest =
-        priorityClass.isAbove(prerequisite.priorityClass())
-            ? priorityClass
-            : prerequisite.priorityClass();
-    if (setUrgency(
-        prerequisite, highest, ChainDeadlines.earlier(prerequisite.chainDeadlines, deadlines))) {
-      recomputePrerequisites(prerequisite);
-    }
+        priorityClass.isAbove(job.priorityClass()) ? priorityClass : job.priorityClass();
+    return setUrgency(job, highest, ChainDeadlines.earlier(job.chainDeadlines, deadlines));
   }
 
   /**
-   * Recomputes the urgency of a job from its dependents, and that of its prerequisites if it
+   * Recomputes the urgency of jobs that lost dependents, and of their prerequisites where it
    * changed.
    */
-  private void recomputeUrgency(Job job) {
-    if (job.isActive() && recomputeFromDependents(job)) {
-      recomputePrerequisites(job);
-    }
-  }
-
-  private void recomputePrerequisites(Job changedJob) {
-    Deque<Job> changed = new ArrayDeque<>(List.of(changedJob));
-    while (!changed.isEmpty()) {
-      Job job = changed.poll();
-      for (String id : new ArrayList<>(unmetPrerequisites.getOrDefault(job, Set.of()))) {
+  private void recomputeUrgency(Collection<Job> jobs) {
+    Set<Job> pending = new LinkedHashSet<>(jobs);
+    while (!pending.isEmpty()) {
+      Job job = removeFirst(pending);
+      if (!job.isActive() || !recomputeFromDependents(job)) {
+        continue;
+      }
+      for (String id : unmetPrerequisites.getOrDefault(job, Set.of())) {
         Job prerequisite = jobsInMemory.apply(id);
-        if (prerequisite != null
-            && prerequisite.isActive()
-            && recomputeFromDependents(prerequisite)) {
-          changed.add(prerequisite);
+        if (prerequisite != null) {
+          pending.add(prerequisite);
         }
       }
     }
   }
 
+  private static Job removeFirst(Set<Job> jobs) {
+    Iterator<Job> iterator = jobs.iterator();
+    Job first = iterator.next();
+    iterator.remove();
+    return first;
+  }
+
   private boolean recomputeFromDependents(Job job) {
     PriorityClass highest = job.spec.priorityClass();
     ChainDeadlines earliest = null;
--- a/src/test/java/io/pineladder/scheduling/JobDependenciesTest.java
+++ b/src/test/java/io/pineladder/scheduling/JobDependenciesTest.java
@@ -20,6 +20,7 @@
 import java.util.Set;
 import java.util.random.RandomGenerator;
 import java.util.random.RandomGeneratorFactory;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -38,7 +39,7 @@
       new JobDependencies(
           jobsInMemory::get,
           () -> now,
-          JobDependenciesTest::ownDeadlines,
+          this::countedDeadlines,
           new JobDependencies.Listener() {
             @Override
             public void onReady(Job job) {
@@ -62,6 +63,14 @@
             public void lookUpJob(String id) {}
           });
 
+  /** How often the deadlines of a job were computed, which is done for each edge looked at. */
+  private int evaluations;
+
+  private ChainDeadlines countedDeadlines(Job job) {
+    evaluations++;
+    return ownDeadlines(job);
+  }
+
   private static ChainDeadlines ownDeadlines(Job job) {
     Duration deadline = job.spec.deadline();
     Instant end = deadline == null ? null : job.acceptedAt.plus(deadline);
@@ -153,6 +162,11 @@
     return earliest;
   }
 
+  private void assertMatchesModelOf(Job job) {
+    assertEquals(expectedPriorityClass(job), job.priorityClass(), job.spec.id());
+    assertEquals(expectedChainDeadlines(job), job.chainDeadlines, job.spec.id());
+  }
+
   private void assertMatchesModel() {
     for (Job job : allJobs.values()) {
       String id = job.spec.id();
@@ -163,8 +177,7 @@
           id);
       if (job.isActive() && !cancelledByDependency) {
         assertEquals(!mayStart(job), job.blockedByDependencies, id);
-        assertEquals(expectedPriorityClass(job), job.priorityClass(), id);
-        assertEquals(expectedChainDeadlines(job), job.chainDeadlines, id);
+        assertMatchesModelOf(job);
       }
     }
   }
@@ -222,6 +235,55 @@
     assertEquals(0, dependencies.countWaitingJobs());
   }
 
+  private static String[] ids(int first, int count) {
+    return IntStream.range(first, first + count).mapToObj(i -> "req-" + i).toArray(String[]::new);
+  }
+
+  /** Guards against a leader that loses its lease while it loads a wide pipeline. */
+  @Test
+  void workForWidePipelineGrowsWithItsEdges() {
+    int scans = 30;
+    int purges = 150;
+    String[] scanIds = ids(0, scans);
+    for (int i = 0; i < scans; i++) {
+      add(i, PriorityClass.LOW, null);
+    }
+    for (int i = 0; i < purges; i++) {
+      add(scans + i, PriorityClass.LOW, null, scanIds);
+    }
+    for (int i = 0; i < purges; i++) {
+      Duration deadline = Duration.ofSeconds(9_000 - i);
+      add(scans + purges + i, PriorityClass.HIGH, deadline, "req-" + (scans + i));
+    }
+    int edges = scans * purges + purges;
+    assertTrue(evaluations <= 4 * edges, "after adding: " + evaluations);
+    assertMatchesModelOf(allJobs.get("req-0"));
+    evaluations = 0;
+    storeFinalState(allJobs.get("req-0"), Job.State.CANCELLED);
+    assertEquals(2 * purges, cancelled.size());
+    assertTrue(evaluations <= 4 * edges, "after cancelling: " + evaluations);
+    assertMatchesModelOf(allJobs.get("req-1"));
+  }
+
+  /** Guards against a leader that stands still for one urgent job that needs hundreds. */
+  @Test
+  void workForUrgentLastJobGrowsWithEdgesBeforeIt() {
+    int width = 60;
+    int first = 0;
+    String[] previous = {};
+    for (int stage = 0; stage < 3; stage++) {
+      for (int i = 0; i < width; i++) {
+        add(first + i, PriorityClass.LOW, null, previous);
+      }
+      previous = ids(first, width);
+      first += width;
+    }
+    evaluations = 0;
+    add(first, PriorityClass.HIGH, Duration.ofHours(1), previous);
+    assertEquals(PriorityClass.HIGH, allJobs.get("req-0").priorityClass());
+    assertTrue(evaluations <= 2 * width * width + width, "evaluations: " + evaluations);
+  }
+
   /**
    * A prerequisite that is being looked up may turn out to be cancelled, so the state of its
    * dependents is uncertain.
