A response of over 8 MiB is not read, and the missed changes are listed instead

The bound on what it may have missed was looked at only after a request had failed.

Cause: the size of a response had no limit (Integer.MAX_VALUE), and the store's answer to a request for changes has none. The three readers of changes (replica, inbox, index of accepted jobs) treat it as they treat 410: they list the records again, in pages of 512 KiB at most.

--- a/src/main/java/io/pineladder/net/AsyncHttpClient.java
+++ b/src/main/java/io/pineladder/net/AsyncHttpClient.java
@@ -36,6 +36,8 @@
     ANSWERED,
     /** No connection was established: the request was not sent and will not be. */
     NOT_SENT,
+    /** A response arrived that is longer than the client reads; the request was processed. */
+    TOO_LARGE,
     /** No response arrived: the request may or may not have been executed, or may be later. */
     UNKNOWN
   }
@@ -44,6 +46,7 @@
   record Reply(Outcome outcome, int status, byte[] body) {
     private static final byte[] EMPTY = new byte[0];
     public static final Reply NOT_SENT = new Reply(Outcome.NOT_SENT, 0, EMPTY);
+    public static final Reply TOO_LARGE = new Reply(Outcome.TOO_LARGE, 0, EMPTY);
     public static final Reply UNKNOWN = new Reply(Outcome.UNKNOWN, 0, EMPTY);
 
     /** Creates the reply for a response that arrived. */
--- a/src/main/java/io/pineladder/net/HttpExchange.java
+++ b/src/main/java/io/pineladder/net/HttpExchange.java
@@ -19,6 +19,9 @@
     /** Called when the whole response has arrived. */
     void onResponse(ClientResponse response, byte[] body);
 
+    /** Called when the response is longer than the caller accepts. */
+    void onTooLarge(String reason);
+
     /** Called when the exchange failed; the request may or may not have been executed. */
     void onFailure(String reason);
   }
@@ -164,7 +167,8 @@
           return true;
         }
         if (into.size() + read > maxResponseBytes) {
-          fail("the answer is longer than " + maxResponseBytes + " bytes");
+          finished = true;
+          listener.onTooLarge("the answer is longer than " + maxResponseBytes + " bytes");
           return true;
         }
         into.write(buffer.array(), 0, read);
--- a/src/main/java/io/pineladder/net/OutboundHttpClient.java
+++ b/src/main/java/io/pineladder/net/OutboundHttpClient.java
@@ -340,6 +340,11 @@
                       body));
             }
 
+            @Override
+            public void onTooLarge(String reason) {
+              finish(Result.failed(reason));
+            }
+
             @Override
             public void onFailure(String reason) {
               finish(Result.failed(reason));
--- a/src/main/java/io/pineladder/net/UndertowHttpClient.java
+++ b/src/main/java/io/pineladder/net/UndertowHttpClient.java
@@ -32,6 +32,12 @@
  * without a free socket in its traffic class waits for one until its timeout. Event thread only.
  */
 public final class UndertowHttpClient implements AsyncHttpClient {
+  /**
+   * The longest response that is read, since a parsed one takes several times its size of the heap.
+   * Only the store's changes, which have no limit of their own, may be longer.
+   */
+  public static final int MAX_RESPONSE_BYTES = 8 * 1024 * 1024;
+
   private static final int MAX_IDLE_PER_ADDRESS = 3;
 
   /** Keeps the idle connections to a large fleet from exhausting the sockets of the process. */
@@ -271,7 +277,7 @@
           openConnection.connection,
           clientRequest,
           body,
-          Integer.MAX_VALUE,
+          MAX_RESPONSE_BYTES,
           new HttpExchange.Listener() {
             @Override
             public void onResponse(ClientResponse response, byte[] answer) {
@@ -282,6 +288,11 @@
               finish(Reply.answered(response.getResponseCode(), answer));
             }
 
+            @Override
+            public void onTooLarge(String reason) {
+              finish(Reply.TOO_LARGE);
+            }
+
             @Override
             public void onFailure(String reason) {
               finish(Reply.UNKNOWN);
--- a/src/main/java/io/pineladder/reconciliation/JobReconciler.java
+++ b/src/main/java/io/pineladder/reconciliation/JobReconciler.java
@@ -106,7 +106,7 @@
                 .filter(e -> e.value() != null)
                 .forEach(this::reconcileInboxEntry);
             watchInbox(changes.revision());
-          } else if (result.reply().hasStatus(410)) {
+          } else if (result.requiresListing()) {
             storeClient.listAll(
                 RecordKeys.INBOX,
                 listener::isLeading,
--- a/src/main/java/io/pineladder/replica/ReplicaFollower.java
+++ b/src/main/java/io/pineladder/replica/ReplicaFollower.java
@@ -351,7 +351,7 @@
             upToDateAt = sentAt;
             changes.entries().forEach(e -> replica.put(e.key(), e.value(), e.revision(), true));
             replica.advanceTo(revision);
-          } else if (result.reply().hasStatus(410)
+          } else if (result.requiresListing()
               || (upToDateAt.plus(MAX_LAG).isBefore(eventLoop.now()) && storeClient.isHealthy())) {
             follow();
             return;
--- a/src/main/java/io/pineladder/store/AcceptedJobIndex.java
+++ b/src/main/java/io/pineladder/store/AcceptedJobIndex.java
@@ -181,8 +181,7 @@
             finish(indexPages(changes.entries()) ? State.LOADED : State.EMPTY, callers);
             return;
           }
-          // 410: the changes since this revision are no longer available.
-          finish(response.reply().hasStatus(410) ? State.EMPTY : State.LOADED, callers, false);
+          finish(response.requiresListing() ? State.EMPTY : State.LOADED, callers, false);
         });
   }
 
--- a/src/main/java/io/pineladder/store/StoreClient.java
+++ b/src/main/java/io/pineladder/store/StoreClient.java
@@ -3,6 +3,7 @@
 import io.pineladder.model.Generation;
 import io.pineladder.model.Settings;
 import io.pineladder.net.AsyncHttpClient;
+import io.pineladder.net.AsyncHttpClient.Outcome;
 import io.pineladder.net.AsyncHttpClient.Reply;
 import io.pineladder.net.AsyncHttpClient.Request;
 import io.pineladder.net.EventLoop;
@@ -368,7 +369,12 @@
    *
    * @param changes the changes; null if the request failed or the reply cannot be used
    */
-  public record ChangesReply(Reply reply, StoreWire.Changes changes) {}
+  public record ChangesReply(Reply reply, StoreWire.Changes changes) {
+    /** Whether the changes cannot be had: too old or too many, so the records are listed again. */
+    public boolean requiresListing() {
+      return reply.hasStatus(410) || reply.outcome() == Outcome.TOO_LARGE;
+    }
+  }
 
   /** Waits for changes under a prefix after a revision, at most for the given time. */
   public void watch(String prefix, long after, Duration wait, Consumer<ChangesReply> onReply) {
--- a/src/main/java/io/pineladder/store/StoreRequestSender.java
+++ b/src/main/java/io/pineladder/store/StoreRequestSender.java
@@ -2,6 +2,7 @@
 
 import io.pineladder.model.Settings;
 import io.pineladder.net.AsyncHttpClient;
+import io.pineladder.net.AsyncHttpClient.Outcome;
 import io.pineladder.net.AsyncHttpClient.Reply;
 import io.pineladder.net.AsyncHttpClient.Request;
 import io.pineladder.net.EventLoop;
@@ -188,7 +189,8 @@
     requestCount++;
     return reply -> {
       rateLimitedCount += reply.hasStatus(429) ? 1 : 0;
-      boolean executed = reply.isAnswered() && reply.status() < 429;
+      boolean executed =
+          reply.outcome() == Outcome.TOO_LARGE || (reply.isAnswered() && reply.status() < 429);
       if (executed) {
         lastResponseAt = eventLoop.now();
         healthy = true;
--- a/src/test/java/io/pineladder/sim/RecoverySimulationTest.java
+++ b/src/test/java/io/pineladder/sim/RecoverySimulationTest.java
@@ -36,6 +36,25 @@
     return Json.parseObject(reply.body()).get("status").asText();
   }
 
+  /** Guards against a controller that never catches up after it has missed too many changes. */
+  @Test
+  void followerCatchesUpByPagesWhenItMissedTooMuch() {
+    begin(19);
+    world.runFor(Duration.ofSeconds(20));
+    int follower = (leaderIndex() + 1) % 3;
+    world.cut(host(follower), "10.2.0.1");
+    for (int i = 0; i < 60; i++) {
+      submit(jobSpec("array", 2, "red"));
+      world.runFor(Duration.ofSeconds(1));
+    }
+    world.maxResponseBytes = 50_000;
+    world.heal(host(follower), "10.2.0.1");
+    world.runFor(Duration.ofSeconds(40));
+    assertTrue(world.responsesTooLarge > 0, "the changes exceed the limit");
+    assertTrue(controllers.get(follower).node.replicaManager().follower().isFresh());
+    settle(Duration.ofMinutes(2));
+  }
+
   /** Guards against one store change per accepted job, which exceeds the store's rate limit. */
   @Test
   void batchesBurstOfSubmissionsIntoFewStoreChanges() {
--- a/src/test/java/io/pineladder/sim/SimulatedWorld.java
+++ b/src/test/java/io/pineladder/sim/SimulatedWorld.java
@@ -4,6 +4,7 @@
 import io.pineladder.net.AsyncHttpHandler;
 import io.pineladder.net.EventLoop;
 import io.pineladder.net.HttpResponse;
+import io.pineladder.net.UndertowHttpClient;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.HashMap;
@@ -33,6 +34,13 @@
   final RandomGenerator random;
   private final PriorityQueue<Timer> timers = new PriorityQueue<>();
   private final Map<String, AsyncHttpHandler> servers = new HashMap<>();
+
+  /** The longest response that a client reads. */
+  int maxResponseBytes = UndertowHttpClient.MAX_RESPONSE_BYTES;
+
+  /** How many responses were longer. */
+  int responsesTooLarge;
+
   private final Set<String> cutRoutes = new HashSet<>();
   private long nextTimerSequence;
   private long nowMillis = 1_000_000;
@@ -283,18 +291,20 @@
                     if (!lost && !cutRoutes.contains(route) && !unreachableHosts.contains(from)) {
                       after(
                           1 + random.nextInt(5) + answerDelay,
-                          () ->
-                              runWhenNotRejected(
-                                  route,
-                                  () ->
-                                      once.accept(
-                                          AsyncHttpClient.Reply.answered(
-                                              answer.status(), answer.body()))));
+                          () -> runWhenNotRejected(route, () -> once.accept(toReply(answer))));
                     }
                   }));
     };
   }
 
+  private AsyncHttpClient.Reply toReply(HttpResponse answer) {
+    if (answer.body().length > maxResponseBytes) {
+      responsesTooLarge++;
+      return AsyncHttpClient.Reply.TOO_LARGE;
+    }
+    return AsyncHttpClient.Reply.answered(answer.status(), answer.body());
+  }
+
   /** Delivers a copy of a request after a delay and ignores the answer. */
   void deliverDuplicate(AsyncHttpClient.Request request, long millis) {
     after(millis, () -> deliver(request, answer -> {}));
