A leader's reads for users wait for its other requests, bounded and shared

Cause: a leader looks up a job that it doesn't have in memory with two reads, in the one queue in which its own transactions wait, first in first out and without a bound. Now these reads are sent when nothing else waits, 200 at most wait, users who ask for the same share one that was not sent yet (so no answer is older than its question), and the others get 503 at once, as where the leader can't tell.

--- a/src/main/java/io/pineladder/JobStatusReader.java
+++ b/src/main/java/io/pineladder/JobStatusReader.java
@@ -47,7 +47,7 @@
    * @param onOther receives the view for any other outcome
    */
   void lookUp(String id, Consumer<Job> onFound, Consumer<JobView> onOther) {
-    reconciler.lookUp(
+    reconciler.lookUpForUser(
         id,
         lookup -> {
           if (lookup instanceof JobLookup.Uncertain) {
--- a/src/main/java/io/pineladder/reconciliation/JobReconciler.java
+++ b/src/main/java/io/pineladder/reconciliation/JobReconciler.java
@@ -161,8 +161,22 @@
         });
   }
 
+  /** Reads one key of the store. */
+  private interface KeyReader {
+    void read(String key, Consumer<StoreClient.ReadResult> onRead);
+  }
+
   /** Looks a job up in memory, in the final states of the replica, and by reads of the store. */
   public void lookUp(String id, Consumer<JobLookup> onDone) {
+    lookUp(id, storeClient::read, onDone);
+  }
+
+  /** Looks a job up for a user; uncertain if too many users' reads wait for other requests. */
+  public void lookUpForUser(String id, Consumer<JobLookup> onDone) {
+    lookUp(id, storeClient::readAfterOthers, onDone);
+  }
+
+  private void lookUp(String id, KeyReader reader, Consumer<JobLookup> onDone) {
     if (cluster.jobs.containsKey(id)) {
       onDone.accept(new JobLookup.Found(cluster.jobs.get(id)));
       return;
@@ -179,12 +193,17 @@
       return;
     }
     long removalsBefore = removalCount;
-    storeClient.read(
-        RecordKeys.UNPAGED_JOB + id, read -> onRecordRead(id, read, removalsBefore, onDone));
+    reader.read(
+        RecordKeys.UNPAGED_JOB + id,
+        read -> onRecordRead(id, reader, read, removalsBefore, onDone));
   }
 
   private void onRecordRead(
-      String id, StoreClient.ReadResult read, long removalsBefore, Consumer<JobLookup> onDone) {
+      String id,
+      KeyReader reader,
+      StoreClient.ReadResult read,
+      long removalsBefore,
+      Consumer<JobLookup> onDone) {
     if (!listener.isLeading() || !read.succeeded() || listener.isAccepting(id)) {
       onDone.accept(JobLookup.UNCERTAIN);
       return;
@@ -196,11 +215,11 @@
     }
     if (read.found() && removalCount != removalsBefore) {
       // The job may have been removed during the read, and must not be added and ended again.
-      lookUp(id, onDone);
+      lookUp(id, reader, onDone);
       return;
     }
     if (!read.found()) {
-      lookUpFinalState(id, onDone);
+      lookUpFinalState(id, reader, onDone);
       return;
     }
     try {
@@ -267,8 +286,8 @@
         });
   }
 
-  private void lookUpFinalState(String id, Consumer<JobLookup> onDone) {
-    storeClient.read(
+  private void lookUpFinalState(String id, KeyReader reader, Consumer<JobLookup> onDone) {
+    reader.read(
         RecordKeys.FINAL_STATE + id,
         read -> {
           if (!read.succeeded()) {
--- a/src/main/java/io/pineladder/store/StoreClient.java
+++ b/src/main/java/io/pineladder/store/StoreClient.java
@@ -222,6 +222,15 @@
     sender.readForUser(get(keyPath(key)), reply -> onRead.accept(toReadResult(reply, context)));
   }
 
+  /**
+   * Reads one key on behalf of a user of the leader, after all other requests that wait; fails
+   * immediately if too many do.
+   */
+  public void readAfterOthers(String key, Consumer<ReadResult> onRead) {
+    RequestContext context = revisions.requestContext();
+    sender.readAfterOthers(get(keyPath(key)), reply -> onRead.accept(toReadResult(reply, context)));
+  }
+
   /**
    * Reads the record that names the active generation, immediately. The read succeeds even if the
    * reply shows a revision rollback, because a rebuild needs to know what the store contains now.
--- a/src/main/java/io/pineladder/store/StoreRequestSender.java
+++ b/src/main/java/io/pineladder/store/StoreRequestSender.java
@@ -12,7 +12,12 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Deque;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
 import java.util.function.Consumer;
 
 /**
@@ -42,8 +47,13 @@
   /** Requests of the budget of user reads that are left for shared reads. */
   private static final int RESERVED_SHARED_READS = 1;
 
+  /** User reads that wait for the leader's other requests; about two seconds' worth. */
+  private static final int MAX_WAITING_USER_READS = 200;
+
   private record QueuedRequest(Request request, Consumer<Reply> onReply) {}
 
+  private record SharedRead(Request request, List<Consumer<Reply>> callbacks) {}
+
   private final AsyncHttpClient httpClient;
   private final EventLoop eventLoop;
   private final TokenBucket requestBudget;
@@ -52,6 +62,10 @@
   private final TokenBucket userWriteBudget;
   private final RetryBudget retryBudget;
   private final Deque<QueuedRequest> queue = new ArrayDeque<>();
+
+  /** The callbacks of reads by path that are sent once the queue is empty, the oldest first. */
+  private final Map<String, SharedRead> waitingUserReads = new LinkedHashMap<>();
+
   private boolean drainScheduled;
   private long requestCount;
   private long rateLimitedCount;
@@ -110,14 +124,49 @@
     drainQueue();
   }
 
+  /**
+   * Sends a read of a leader's user after all other requests. Users who ask for the same share a
+   * read that has not been sent, so that no answer is older than its question. Passes {@link
+   * Reply#NOT_SENT} if too many wait.
+   */
+  void readAfterOthers(Request request, Consumer<Reply> onReply) {
+    SharedRead waiting = waitingUserReads.get(request.path());
+    if (waiting != null) {
+      waiting.callbacks.add(onReply);
+      return;
+    }
+    if (waitingUserReads.size() >= MAX_WAITING_USER_READS) {
+      onReply.accept(Reply.NOT_SENT);
+      return;
+    }
+    waitingUserReads.put(
+        request.path(), new SharedRead(request, new ArrayList<>(List.of(onReply))));
+    drainQueue();
+  }
+
+  private QueuedRequest pollNext() {
+    if (!queue.isEmpty()) {
+      return queue.pollFirst();
+    }
+    Iterator<SharedRead> oldest = waitingUserReads.values().iterator();
+    SharedRead next = oldest.next();
+    oldest.remove();
+    return new QueuedRequest(
+        next.request, reply -> next.callbacks.forEach(callback -> callback.accept(reply)));
+  }
+
+  private boolean isAnyWaiting() {
+    return !queue.isEmpty() || !waitingUserReads.isEmpty();
+  }
+
   private void drainQueue() {
     Instant now = eventLoop.now();
-    while (!queue.isEmpty() && requestBudget.available(now) >= 1) {
-      QueuedRequest next = queue.pollFirst();
+    while (isAnyWaiting() && requestBudget.available(now) >= 1) {
+      QueuedRequest next = pollNext();
       requestBudget.consume(1, now);
       httpClient.call(next.request, observing(next.onReply));
     }
-    if (!queue.isEmpty() && !drainScheduled) {
+    if (isAnyWaiting() && !drainScheduled) {
       drainScheduled = true;
       eventLoop.schedule(
           requestBudget.delayUntilAvailable(1, now).plusMillis(1),
--- a/src/test/java/io/pineladder/sim/RecoverySimulationTest.java
+++ b/src/test/java/io/pineladder/sim/RecoverySimulationTest.java
@@ -55,6 +55,28 @@
     settle(Duration.ofMinutes(2));
   }
 
+  /** Guards against users' questions that keep accepted jobs from being stored and started. */
+  @Test
+  void startsAcceptedJobsAfterStormOfQuestionsAboutUnknownJobs() {
+    begin(20);
+    submit(jobSpec("service", 1, "red"));
+    world.runFor(Duration.ofSeconds(60));
+    String leader = host(leaderIndex()) + ":8080";
+    for (int step = 0; step < 150; step++) {
+      for (int i = 0; i < 40; i++) {
+        String path = String.format("/v1/jobs/req-%06d", 500_000 + step * 40 + i);
+        world
+            .httpClient("user", () -> true)
+            .call(AsyncHttpClient.Request.get(leader, path, Duration.ofSeconds(2)), reply -> {});
+      }
+      world.runFor(Duration.ofMillis(100));
+    }
+    SafetyRules.TrackedJob job = submit(jobSpec("array", 2, "red").put("guess_s", 3));
+    world.runFor(Duration.ofSeconds(30));
+    assertTrue(job.firstStartedAt != null, "started within 30 s of the storm's end");
+    settle(Duration.ofMinutes(1));
+  }
+
   /** Guards against one store change per accepted job, which exceeds the store's rate limit. */
   @Test
   void batchesBurstOfSubmissionsIntoFewStoreChanges() {
