Zone tests share the end of a partition and its check

The three tests that keep tasks through a partition ended it with the same lines. The maps of both zones are compared in each; a key of a task in one zone stands in one of them only.

--- a/src/test/java/io/pineladder/sim/ZoneSimulationTest.java
+++ b/src/test/java/io/pineladder/sim/ZoneSimulationTest.java
@@ -89,6 +89,16 @@
     return found;
   }
 
+  /** Ends the partition and checks that each task still runs on the machine where it was. */
+  private void healAndAssertKept(Runnable heal, Duration wait, Map<String, String> before) {
+    heal.run();
+    world.runFor(wait);
+    Map<String, String> after = placementsIn("b");
+    after.putAll(placementsIn("a"));
+    before.forEach((task, machine) -> assertEquals(machine, after.get(task), task));
+    settle(Duration.ofSeconds(60));
+  }
+
   private void fillZones() {
     fleet.zoneCapacity = 40;
     world.runFor(Duration.ofSeconds(5));
@@ -130,11 +140,7 @@
     }
     world.runFor(Duration.ofSeconds(100));
     assertEquals(before, placementsIn("b"), "no task ended during the partition");
-    heal.run();
-    world.runFor(Duration.ofSeconds(60));
-    Map<String, String> after = placementsIn("b");
-    before.forEach((task, machine) -> assertEquals(machine, after.get(task), task));
-    settle(Duration.ofSeconds(60));
+    healAndAssertKept(heal, Duration.ofSeconds(60), before);
   }
 
   @ParameterizedTest
@@ -147,12 +153,7 @@
     before.putAll(placementsIn("a"));
     Runnable heal = partition(false);
     world.runFor(Duration.ofSeconds(150));
-    heal.run();
-    world.runFor(Duration.ofSeconds(40));
-    Map<String, String> after = placementsIn("b");
-    after.putAll(placementsIn("a"));
-    before.forEach((task, machine) -> assertEquals(machine, after.get(task), task));
-    settle(Duration.ofSeconds(60));
+    healAndAssertKept(heal, Duration.ofSeconds(40), before);
   }
 
   /** Guards against leases that end since the worker's token is above that of the leader key. */
@@ -174,11 +175,7 @@
     assertTrue(raised > 0, "machines with raised tokens in the second zone");
     Runnable heal = partition(false);
     world.runFor(Duration.ofSeconds(100));
-    heal.run();
-    world.runFor(Duration.ofSeconds(40));
-    Map<String, String> after = placementsIn("b");
-    before.forEach((task, machine) -> assertEquals(machine, after.get(task), task));
-    settle(Duration.ofSeconds(60));
+    healAndAssertKept(heal, Duration.ofSeconds(40), before);
   }
 
   /** Guards against a job reported as cancelled while tasks of it run in a partitioned zone. */
