--- a/src/main/java/io/pineladder/scheduling/TaskStarter.java
+++ b/src/main/java/io/pineladder/scheduling/TaskStarter.java
@@ -28,7 +28,8 @@
 
   /** Returns a new attempt number; the leader resigns if the term has none left. */
   long nextAttemptNumber() {
-    if (!AttemptNumbers.isCountValid(++attemptCount)) {
+    attemptCount++;
+    if (!AttemptNumbers.isCountValid(attemptCount)) {
       context.callbacks.resign("the attempt numbers of the term are exhausted");
     }
     return AttemptNumbers.of(term, attemptCount);
