--- a/review/standins-2/Case6.java
+++ b/review/standins-2/Case6.java
@@ -17,7 +17,7 @@
     Controllers controllers = new Controllers(record, folder, "deploy/service.toml", 3);
     int[] ports = Http.freePorts(2);
     Fleet fleet = new Fleet(record, controllers.frontPorts, 3, 36);
-    fleet.capacity = 48;
+    fleet.capacity = 30;
     Http.serve(ports[0], fleet);
     Http.serve(ports[1], new Store(100, 40, 32, 32));
     controllers.start(
--- a/review/standins-2/Case7.java
+++ b/review/standins-2/Case7.java
@@ -35,9 +35,14 @@
         controllers.workFolder().resolve("delivery.key"),
         Base64.getEncoder().encodeToString(new byte[32]));
     int[] ports = Http.freePorts(3);
-    // The cloud has no machine, so all jobs wait.
+    // The first machines boot, so the jobs wait.
     Fleet fleet = new Fleet(record, controllers.frontPorts, 3, 22);
-    fleet.capacity = 0;
+    fleet.sku = "erable16";
+    fleet.vcpus = 16;
+    fleet.cards = 2;
+    fleet.memoryGb = 128;
+    fleet.capacity = 49;
+    fleet.bootMillis = 45_000;
     Http.serve(ports[0], fleet);
     Receiver receiver = new Receiver(record, ports[2]);
     receiver.start();
--- a/review/standins-2/Fleet.java
+++ b/review/standins-2/Fleet.java
@@ -40,6 +40,9 @@
   /** The run time of a task by its job, in milliseconds; 0 for one that never ends. */
   Map<String, Long> runMillis = new java.util.concurrent.ConcurrentHashMap<>();
 
+  /** How long a machine takes to boot, beside up to two seconds. */
+  long bootMillis;
+
   /** How long a worker takes to fetch an image. */
   long fetchMillis = 300;
 
@@ -123,18 +126,25 @@
       hosts.add(
           Json.map(
               "ref", worker.name, "addr", worker.address(), "hull", sku, "yard", worker.yard,
-              "loaners", worker.loaner, "status", worker.ended ? "failed" : "running",
+              "loaners", worker.loaner, "status", status(worker),
               "age_s", (System.nanoTime() - worker.bornAt) / 1e9));
     }
     return new Http.Answer(200, Json.write(Json.map("hosts", hosts, "truncated", false)));
   }
 
-  /** Creates a machine, whose worker reports within two seconds. */
+  private String status(Worker worker) {
+    if (worker.ended) {
+      return "failed";
+    }
+    return worker.up || bootMillis == 0 ? "running" : "booting";
+  }
+
+  /** Creates a machine, whose worker reports within two seconds of its boot. */
   synchronized String addMachine(String yard, boolean loaner) throws IOException {
     String name = String.format("m-%06d", ++lastNumber);
     Worker worker = new Worker(name, yard, loaner);
     machines.put(name, worker);
-    timers.schedule(worker::boot, 200 + random.nextInt(1_500), TimeUnit.MILLISECONDS);
+    timers.schedule(worker::boot, bootMillis + 200 + random.nextInt(1_500), TimeUnit.MILLISECONDS);
     return name;
   }
 
