--- a/src/main/java/io/pineladder/ClusterConfiguration.java
+++ b/src/main/java/io/pineladder/ClusterConfiguration.java
@@ -131,7 +131,7 @@
     if (entry.key().equals(RecordKeys.DELIVERY_NETWORKS) && delivery != null) {
       delivery.setAllowedNetworks(entry.value());
     }
-    if (entry.value() == null) {
+    if (entry.isDeletion()) {
       return;
     }
     if (entry.key().equals(RecordKeys.CLUSTER_VERSION)) {
--- a/src/main/java/io/pineladder/LeaderTerm.java
+++ b/src/main/java/io/pineladder/LeaderTerm.java
@@ -563,7 +563,7 @@
 
     @Override
     public void onStored(String key, JsonNode value, long revision) {
-      replica.put(key, value, revision, false);
+      replica.put(key, value, revision);
     }
   }
 
@@ -703,7 +703,7 @@
 
     @Override
     public void onRecordRead(StoreWire.Entry entry) {
-      replica.put(entry.key(), entry.value(), entry.revision(), false);
+      replica.put(entry);
     }
 
     @Override
--- a/src/main/java/io/pineladder/api/LeaderlessApi.java
+++ b/src/main/java/io/pineladder/api/LeaderlessApi.java
@@ -164,8 +164,8 @@
                     "Job accepted without a leader: job={} pagesRevision={}",
                     id,
                     node.acceptedJobs().revision());
-                replica.put(RecordKeys.UNPAGED_JOB + id, record, 0, true);
-                replica.put(RecordKeys.INBOX + id, inboxEntry, 0, true);
+                replica.put(RecordKeys.UNPAGED_JOB + id, record, 0);
+                replica.put(RecordKeys.INBOX + id, inboxEntry, 0);
                 node.replicaManager().onAcceptedWithoutLeader(() -> submit(spec, ignored -> {}));
                 answer.accept(new HttpResponse(201, JobWire.view(id, status)));
               } else if (reply.hasStatus(409)) {
--- a/src/main/java/io/pineladder/failover/ClusterStateRestorer.java
+++ b/src/main/java/io/pineladder/failover/ClusterStateRestorer.java
@@ -18,6 +18,7 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -37,7 +38,7 @@
   private final Function<String, Job.State> finalStates;
   private final Instant now;
   private final Map<String, Job> jobs = new HashMap<>();
-  private List<PageEntry<RecordWire.Placement>> placements;
+  private final HighestAttempts highestAttempts = new HighestAttempts();
 
   /**
    * Creates a restorer.
@@ -59,28 +60,40 @@
     this.now = now;
   }
 
-  /** An entry and the key of the page on which it is stored. */
-  private record PageEntry<T>(String page, T entry) {}
-
   /** Parses one kind of page entry. */
   private interface EntryParser<T> {
     T parse(JsonNode entry) throws MalformedMessageException;
   }
 
+  /** Receives the entries of pages one by one. */
+  private interface EntryConsumer<T> {
+    void accept(String page, T entry) throws MalformedMessageException;
+  }
+
   /**
-   * Parses the placements. Must be called before {@link #restore}.
+   * Parses the placements without restoring them. Must be called before {@link #restore}.
    *
    * @return the name of a machine whose type is not known yet, which prevents a restore; empty if
    *     all types are known
    */
   Optional<String> readPlacements(StoreClient.Listing listing) throws MalformedMessageException {
-    placements = readPages(listing, RecordWire::parsePlacement);
-    for (PageEntry<RecordWire.Placement> placement : placements) {
-      if (cluster.type(placement.entry.type()) == null) {
-        return Optional.of(placement.entry.machine());
-      }
+    Set<String> untypedMachines = new LinkedHashSet<>();
+    forEachEntry(
+        listing,
+        RecordWire::parsePlacement,
+        (page, placement) -> {
+          highestAttempts.add(placement);
+          if (cluster.type(placement.type()) == null) {
+            untypedMachines.add(placement.machine());
+          }
+        });
+    if (highestAttempts.hasRepeatedTasks()) {
+      forEachEntry(
+          listing,
+          RecordWire::parsePlacement,
+          (page, placement) -> highestAttempts.addRepeated(placement));
     }
-    return Optional.empty();
+    return untypedMachines.stream().findFirst();
   }
 
   /**
@@ -94,12 +107,16 @@
     restoreUnpagedJobs(stored.unpagedJobs, ordered);
     restoreCompletions(stored.completions);
     // In the order of page keys, not of use: the state of the image cache is only an estimate.
-    for (PageEntry<RecordWire.StoredImages> images :
-        readPages(stored.cachedImages, RecordWire::parseImages)) {
-      records.restoreImagePage(images.page);
-      cluster.expectImages(images.entry.machine(), images.entry.images());
-    }
-    restorePlacements();
+    restoreRevisions(stored.cachedImages);
+    forEachEntry(
+        stored.cachedImages,
+        RecordWire::parseImages,
+        (page, images) -> {
+          records.restoreImagePage(page);
+          cluster.expectImages(images.machine(), images.images());
+        });
+    restoreRevisions(stored.placements);
+    forEachEntry(stored.placements, RecordWire::parsePlacement, this::restorePlacement);
     stored.placements.entries().forEach(page -> records.restorePlacementPage(page.key()));
     ordered.sort(
         (a, b) -> {
@@ -120,20 +137,30 @@
     outbox.onJobPagesLoaded();
     Set<String> pages = new HashSet<>();
     listing.entries().forEach(page -> pages.add(page.key()));
-    for (PageEntry<JsonNode> record : readPages(listing, entry -> entry)) {
-      String source = RecordWire.copySource(record.entry);
-      if (source != null && pages.contains(source)) {
-        records.restoreCopy(record.page, source);
-        continue;
-      }
-      if (source != null) {
-        records.reservePageNumber(source);
-      }
-      Job job = withFinalState(TermLoader.toJob(record.entry));
-      records.restoreJob(record.page, job, RecordWire.withoutCopySource(record.entry));
-      jobs.put(job.spec.id(), job);
-      ordered.add(job);
+    restoreRevisions(listing);
+    forEachEntry(
+        listing,
+        entry -> entry,
+        (page, record) -> {
+          String source = RecordWire.copySource(record);
+          if (source != null && pages.contains(source)) {
+            records.restoreCopy(page, source);
+          } else {
+            ordered.add(restoreJob(page, record, source));
+          }
+        });
+  }
+
+  /** Restores a job from its record in a page, which was copied from {@code source} if not null. */
+  private Job restoreJob(String page, JsonNode record, String source)
+      throws MalformedMessageException {
+    if (source != null) {
+      records.reservePageNumber(source);
     }
+    Job job = withFinalState(TermLoader.toJob(record));
+    records.restoreJob(page, job, RecordWire.withoutCopySource(record));
+    jobs.put(job.spec.id(), job);
+    return job;
   }
 
   private void restoreUnpagedJobs(StoreClient.Listing listing, List<Job> ordered)
@@ -151,34 +178,49 @@
     }
   }
 
-  private <T> List<PageEntry<T>> readPages(StoreClient.Listing listing, EntryParser<T> parser)
+  private void restoreRevisions(StoreClient.Listing listing) {
+    listing.entries().forEach(page -> committer.restoreRevision(page.key(), page.revision()));
+  }
+
+  /**
+   * Passes on the entries of all pages, one parsed page at a time: as trees, the pages of a large
+   * cluster would take more memory than the state that is restored from them.
+   */
+  private static <T> void forEachEntry(
+      StoreClient.Listing listing, EntryParser<T> parser, EntryConsumer<T> consumer)
       throws MalformedMessageException {
-    List<PageEntry<T>> pageEntries = new ArrayList<>();
     for (StoreWire.Entry page : listing.entries()) {
-      committer.restoreRevision(page.key(), page.revision());
       for (JsonNode entry : RecordWire.entries(page.value())) {
-        pageEntries.add(new PageEntry<>(page.key(), parser.parse(entry)));
+        consumer.accept(page.key(), parser.parse(entry));
       }
     }
-    return pageEntries;
   }
 
   private void restoreCompletions(StoreClient.Listing listing) throws MalformedMessageException {
     listing.entries().forEach(page -> records.restoreCompletionPage(page.key()));
-    List<PageEntry<RecordWire.StoredCompletions>> completions =
-        readPages(listing, RecordWire::parseCompletions);
-    completions.removeIf(chunk -> !jobs.containsKey(chunk.entry.job()));
-    for (PageEntry<RecordWire.StoredCompletions> chunk : completions) {
-      Job job = jobs.get(chunk.entry.job());
-      job.completedTasks.or(chunk.entry.completed());
-    }
-    for (PageEntry<RecordWire.StoredCompletions> chunk : completions) {
-      records.restoreCompletions(chunk.page, jobs.get(chunk.entry.job()), chunk.entry);
-    }
+    restoreRevisions(listing);
+    forEachEntry(
+        listing,
+        RecordWire::parseCompletions,
+        (page, chunk) -> {
+          Job job = jobs.get(chunk.job());
+          if (job != null) {
+            job.completedTasks.or(chunk.completed());
+          }
+        });
+    forEachEntry(
+        listing,
+        RecordWire::parseCompletions,
+        (page, chunk) -> {
+          Job job = jobs.get(chunk.job());
+          if (job != null) {
+            records.restoreCompletions(page, job, chunk);
+          }
+        });
   }
 
   /**
-   * Restores the placements that are still valid and skips obsolete ones:
+   * Restores a placement if it is still valid. Obsolete are:
    *
    * <ul>
    *   <li>All but the highest attempt number of a task, since an attempt is stored only when all
@@ -189,38 +231,35 @@
    *       other attempt can be running.
    * </ul>
    */
-  private void restorePlacements() {
-    Map<String, Long> highestAttempts = new HashMap<>();
-    for (PageEntry<RecordWire.Placement> pageEntry : placements) {
-      RecordWire.Placement placement = pageEntry.entry;
-      highestAttempts.merge(
-          placement.job() + "/" + placement.task(), placement.attempt(), Math::max);
+  private void restorePlacement(String page, RecordWire.Placement placement) {
+    Job job = jobs.get(placement.job());
+    if (job == null
+        || placement.task() >= job.spec.tasks()
+        || (job.isActive() && job.completedTasks.get(placement.task()))
+        || !highestAttempts.isHighest(placement)) {
+      return;
     }
-    for (PageEntry<RecordWire.Placement> pageEntry : placements) {
-      RecordWire.Placement placement = pageEntry.entry;
-      Job job = jobs.get(placement.job());
-      if (job == null
-          || placement.task() >= job.spec.tasks()
-          || (job.isActive() && job.completedTasks.get(placement.task()))
-          || highestAttempts.get(placement.job() + "/" + placement.task()) != placement.attempt()) {
-        continue;
-      }
-      Machine machine = cluster.machine(placement.machine());
-      if (machine == null) {
-        MachineType type = cluster.type(placement.type());
-        machine = new Machine(placement.machine(), type, placement.zone(), placement.spot(), now);
-        machine.address = placement.address();
-        machine.knownFromPlacements = true;
-        cluster.addMachine(machine);
-      }
-      String key = Machine.attemptKey(placement.job(), placement.task(), placement.attempt());
-      if (!machine.attempts.containsKey(key)) {
-        Attempt attempt =
-            cluster.addAttempt(
-                job, placement.task(), placement.attempt(), machine, now, Attempt.State.RECOVERED);
-        records.restorePlacement(pageEntry.page, attempt);
-      }
+    Machine machine = cluster.machine(placement.machine());
+    if (machine == null) {
+      machine = restoreMachine(placement);
     }
+    String key = Machine.attemptKey(placement.job(), placement.task(), placement.attempt());
+    if (!machine.attempts.containsKey(key)) {
+      Attempt attempt =
+          cluster.addAttempt(
+              job, placement.task(), placement.attempt(), machine, now, Attempt.State.RECOVERED);
+      records.restorePlacement(page, attempt);
+    }
+  }
+
+  private Machine restoreMachine(RecordWire.Placement placement) {
+    MachineType type = cluster.type(placement.type());
+    Machine machine =
+        new Machine(placement.machine(), type, placement.zone(), placement.spot(), now);
+    machine.address = placement.address();
+    machine.knownFromPlacements = true;
+    cluster.addMachine(machine);
+    return machine;
   }
 
   /** Applies a known final state, since a rebuild may have restored an older record of the job. */
--- a/src/main/java/io/pineladder/generation/GenerationWriter.java
+++ b/src/main/java/io/pineladder/generation/GenerationWriter.java
@@ -4,7 +4,6 @@
 import io.pineladder.net.EventLoop;
 import io.pineladder.retry.Backoff;
 import io.pineladder.store.StoreClient;
-import io.pineladder.wire.Json;
 import io.pineladder.wire.RecordWire;
 import io.pineladder.wire.StoreWire;
 import java.util.List;
@@ -94,7 +93,7 @@
     int bytes = 0;
     while (count < maxOperations && writtenCount + count < entries.size()) {
       StoreWire.Entry entry = entries.get(writtenCount + count);
-      int size = Json.bytes(entry.value()).length + entry.key().length();
+      int size = entry.json().length + entry.key().length();
       if (count > 0 && bytes + size > MAX_TRANSACTION_BYTES) {
         break;
       }
--- a/src/main/java/io/pineladder/model/Job.java
+++ b/src/main/java/io/pineladder/model/Job.java
@@ -63,7 +63,10 @@
   /** The tasks that wait to be placed. */
   public final BitSet pendingTasks = new BitSet();
 
-  /** The attempts that may hold capacity, by task, including superseded ones not proven gone. */
+  /**
+   * The attempts that may hold capacity, by task, including superseded ones not proven gone. The
+   * sets are replaced, not modified: almost all have one element and take little memory.
+   */
   public final Map<Integer, Set<Attempt>> attempts = new HashMap<>();
 
   /** The machines on which tasks have failed most recently, the earliest first. */
@@ -134,15 +137,28 @@
 
   /** Adds an attempt that may hold capacity. */
   public void addAttempt(Attempt attempt) {
-    attempts.computeIfAbsent(attempt.task, t -> new LinkedHashSet<>(2)).add(attempt);
+    attempts.merge(attempt.task, Set.of(attempt), Job::union);
+  }
+
+  private static Set<Attempt> union(Set<Attempt> first, Set<Attempt> second) {
+    Set<Attempt> all = new LinkedHashSet<>(first);
+    all.addAll(second);
+    return all;
   }
 
   /** Removes an attempt that no longer holds capacity. */
   public void removeAttempt(Attempt attempt) {
-    Set<Attempt> taskAttempts = attempts.get(attempt.task);
-    if (taskAttempts != null && taskAttempts.remove(attempt) && taskAttempts.isEmpty()) {
-      attempts.remove(attempt.task);
+    attempts.computeIfPresent(attempt.task, (task, known) -> without(known, attempt));
+  }
+
+  /** The other attempts in the set; null if there are none. */
+  private static Set<Attempt> without(Set<Attempt> known, Attempt removed) {
+    if (!known.contains(removed)) {
+      return known;
     }
+    Set<Attempt> others = new LinkedHashSet<>(known);
+    others.remove(removed);
+    return others.isEmpty() ? null : others;
   }
 
   /** Whether a task may be started: it is not complete and no attempt of it may hold capacity. */
--- a/src/main/java/io/pineladder/reconciliation/JobReconciler.java
+++ b/src/main/java/io/pineladder/reconciliation/JobReconciler.java
@@ -103,7 +103,7 @@
           if (changes != null) {
             backoff.reset();
             changes.entries().stream()
-                .filter(e -> e.value() != null)
+                .filter(entry -> !entry.isDeletion())
                 .forEach(this::reconcileInboxEntry);
             watchInbox(changes.revision());
           } else if (result.requiresListing()) {
--- a/src/main/java/io/pineladder/replica/GenerationEntries.java
+++ b/src/main/java/io/pineladder/replica/GenerationEntries.java
@@ -49,7 +49,8 @@
     records.forEach(
         (key, value) -> {
           try {
-            entries.add(new StoreWire.Entry(key, value.parse(), value.version()));
+            value.parse();
+            entries.add(new StoreWire.Entry(key, value.json(), value.version()));
           } catch (MalformedMessageException e) {
             log.error("Unreadable record left out of the rebuild: key={}", key);
           }
@@ -82,7 +83,7 @@
   }
 
   private static StoreWire.Entry page(int number, Job.State state, List<String> ids) {
-    return new StoreWire.Entry(
+    return StoreWire.Entry.of(
         RecordKeys.ARCHIVED_FINAL_STATES + number, RecordWire.finalStates(state, ids), 0);
   }
 }
--- a/src/main/java/io/pineladder/replica/RecordReplica.java
+++ b/src/main/java/io/pineladder/replica/RecordReplica.java
@@ -18,7 +18,6 @@
 import java.util.NavigableMap;
 import java.util.SortedMap;
 import java.util.TreeMap;
-import java.util.function.Supplier;
 import java.util.regex.Pattern;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -26,8 +25,8 @@
 /**
  * A controller's copy of the records of one generation, from which a new generation is written
  * after a data loss of the store. A leader updates its replica with what it reads and commits; the
- * replica of any other controller follows the store ({@link ReplicaFollower}). A leader's values
- * share the JSON trees in its memory, a follower's are stored as bytes. Event thread only.
+ * replica of any other controller follows the store ({@link ReplicaFollower}). Values are held as
+ * encoded JSON, which bounds the memory by the size of the stored records. Event thread only.
  */
 public final class RecordReplica {
   private static final Logger log = LoggerFactory.getLogger(RecordReplica.class);
@@ -65,9 +64,9 @@
     /**
      * A record was changed.
      *
-     * @param json the new value, encoded on demand; supplies null for a removed key
+     * @param json the new value, encoded; null for a removed key
      */
-    void onChange(String key, long version, Supplier<byte[]> json);
+    void onChange(String key, long version, byte[] json);
   }
 
   /**
@@ -81,16 +80,15 @@
         .records()
         .forEach(
             (key, entry) ->
-                replica.records.put(key, StoredValue.ofBytes(entry.version(), entry.json())));
+                replica.records.put(key, new StoredValue(entry.version(), entry.json())));
     replica.finalStates.putAllArchived(snapshot.finalStates());
     replica.revision = snapshot.revision();
     for (ChangeRecord change : loaded.changes()) {
       try {
-        replica.put(
-            change.key(),
-            change.json() == null ? null : Json.parseObject(change.json()),
-            change.version(),
-            true);
+        if (change.json() != null) {
+          Json.parseObject(change.json());
+        }
+        replica.put(new StoreWire.Entry(change.key(), change.json(), change.version()));
       } catch (MalformedMessageException e) {
         log.warn("Unreadable change after a snapshot ignored: key={}", change.key());
       }
@@ -182,33 +180,33 @@
    *
    * @param value the new value; null for a removed key
    * @param version the revision of the change
-   * @param asBytes whether to store the value as bytes, which saves memory unless the caller
-   *     retains the tree
    */
-  public void put(String key, JsonNode value, long version, boolean asBytes) {
-    revision = Math.max(revision, version);
+  public void put(String key, JsonNode value, long version) {
+    put(StoreWire.Entry.of(key, value, version));
+  }
+
+  /** Applies one change. */
+  public void put(StoreWire.Entry change) {
+    String key = change.key();
+    revision = Math.max(revision, change.revision());
     if (NOT_REPLICATED.matcher(key).matches()) {
       return;
     }
     if (listener != null) {
-      listener.onChange(key, version, () -> value == null ? null : Json.bytes(value));
+      listener.onChange(key, change.revision(), change.json());
     }
     if (key.startsWith(RecordKeys.FINAL_STATE)) {
-      if (value != null) {
-        finalStates.putKeyed(key.substring(RecordKeys.FINAL_STATE.length()), value);
+      if (!change.isDeletion()) {
+        finalStates.putKeyed(key.substring(RecordKeys.FINAL_STATE.length()), change.value());
       }
     } else if (key.startsWith(RecordKeys.ARCHIVED_FINAL_STATES)) {
-      if (value != null) {
-        finalStates.putArchived(key, value);
+      if (!change.isDeletion()) {
+        finalStates.putArchived(key, change.value());
       }
-    } else if (value == null) {
+    } else if (change.isDeletion()) {
       records.remove(key);
     } else {
-      records.put(
-          key,
-          asBytes
-              ? StoredValue.ofBytes(version, Json.bytes(value))
-              : StoredValue.ofTree(version, value));
+      records.put(key, new StoredValue(change.revision(), change.json()));
     }
   }
 
@@ -340,7 +338,7 @@
       recordsWithPrefix(prefix).clear();
     }
     // If a damaged record was not repaired, the replica's older values are retained.
-    readable.forEach(entry -> put(entry.key(), entry.value(), entry.revision(), false));
+    readable.forEach(this::put);
     return new ListingResult(readable, damaged);
   }
 
@@ -349,12 +347,8 @@
     if (known == null || known.version() != damaged.revision()) {
       return null;
     }
-    try {
-      StoreWire.Entry entry = new StoreWire.Entry(damaged.key(), known.parse(), damaged.revision());
-      return RecordValidator.isReadable(entry) ? entry : null;
-    } catch (MalformedMessageException e) {
-      return null;
-    }
+    StoreWire.Entry entry = new StoreWire.Entry(damaged.key(), known.json(), damaged.revision());
+    return RecordValidator.isReadable(entry) ? entry : null;
   }
 
   /**
@@ -366,7 +360,7 @@
       StoredValue own = records.get(entry.key());
       boolean newer = own == null || entry.revision() > own.version();
       if (newer && RecordValidator.isReadable(entry)) {
-        put(entry.key(), entry.value(), entry.revision(), true);
+        put(entry);
       }
     }
   }
--- a/src/main/java/io/pineladder/replica/ReplicaPageSplitter.java
+++ b/src/main/java/io/pineladder/replica/ReplicaPageSplitter.java
@@ -67,14 +67,14 @@
       }
     }
     for (StoreWire.Entry page : pages) {
-      if (Json.bytes(page.value()).length <= maxValueBytes) {
+      if (page.json().length <= maxValueBytes) {
         splitEntries.add(page);
         continue;
       }
       // The first part retains the key: copies of its records are ignored while it exists.
       String key = page.key();
       for (ObjectNode part : splitPage(page.value())) {
-        splitEntries.add(new StoreWire.Entry(key, part, page.revision()));
+        splitEntries.add(StoreWire.Entry.of(key, part, page.revision()));
         key = prefix + nextPageNumber++;
       }
     }
--- a/src/main/java/io/pineladder/replica/SnapshotMerger.java
+++ b/src/main/java/io/pineladder/replica/SnapshotMerger.java
@@ -59,14 +59,14 @@
     } else if (key.startsWith(RecordKeys.UNPAGED_JOB)) {
       if (isUnknown(key.substring(RecordKeys.UNPAGED_JOB.length()))) {
         jobCount++;
-        target.put(key, value, 0, true);
+        target.put(key, value, 0);
       }
     } else if (key.startsWith(RecordKeys.COMPLETIONS)) {
       putPage(key, RecordKeys.COMPLETIONS, value);
     } else if (key.startsWith(RecordKeys.PLACEMENTS)) {
       putPage(key, RecordKeys.PLACEMENTS, value);
     } else if (key.startsWith(RecordKeys.CONFIGURATION) && !target.containsRecord(key)) {
-      target.put(key, value, 0, true);
+      target.put(key, value, 0);
     }
   }
 
@@ -76,6 +76,6 @@
 
   private void putPage(String key, String prefix, JsonNode page) {
     long number = Long.parseLong(key.substring(prefix.length())) + MERGED_PAGE_OFFSET;
-    target.put(prefix + number, page, 0, true);
+    target.put(prefix + number, page, 0);
   }
 }
--- a/src/main/java/io/pineladder/snapshot/SnapshotManager.java
+++ b/src/main/java/io/pineladder/snapshot/SnapshotManager.java
@@ -110,13 +110,13 @@
   /**
    * Appends a change of the replica.
    *
-   * @param json supplies the new value, or null for a deleted key; called during this call or never
+   * @param json the new value, encoded; null for a deleted key
    */
-  public void appendChange(String key, long version, Supplier<byte[]> json) {
+  public void appendChange(String key, long version, byte[] json) {
     if (changeFile == null || stopped) {
       return;
     }
-    byte[] bytes = new ChangeRecord(key, version, json.get()).encode();
+    byte[] bytes = new ChangeRecord(key, version, json).encode();
     bufferedChanges.writeBytes(bytes);
     changeBytes += bytes.length;
     if (!flushScheduled) {
--- a/src/main/java/io/pineladder/store/AcceptedJobIndex.java
+++ b/src/main/java/io/pineladder/store/AcceptedJobIndex.java
@@ -217,7 +217,7 @@
     try {
       for (StoreWire.Entry entry : entries) {
         Map<String, IndexedJob> jobs = new HashMap<>();
-        if (entry.value() != null) {
+        if (!entry.isDeletion()) {
           for (JsonNode record : RecordWire.entries(entry.value())) {
             RecordWire.StoredJob job = RecordWire.parseJob(record);
             jobs.put(job.spec().id(), new IndexedJob(job.state(), job.spec().prerequisites()));
--- a/src/main/java/io/pineladder/store/CompletionRecords.java
+++ b/src/main/java/io/pineladder/store/CompletionRecords.java
@@ -6,6 +6,7 @@
 import io.pineladder.model.Job;
 import io.pineladder.net.EventLoop;
 import io.pineladder.store.Mutation.Priority;
+import io.pineladder.wire.Json;
 import io.pineladder.wire.RecordWire;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -53,7 +54,7 @@
   private final int chunkTasks;
   private final Map<Job, Chunking> chunkings = new HashMap<>();
   private final Map<Job, Map<Integer, Chunk>> chunks = new HashMap<>();
-  private final RecordPages<Chunk> pages;
+  private final RecordPages<Chunk, byte[]> pages;
 
   CompletionRecords(
       int valueBytes,
@@ -71,7 +72,8 @@
                 Priority.COMPLETION,
                 FLUSH_INTERVAL,
                 chunk -> !chunk.job.finalStatePending,
-                this::encode,
+                chunk -> Json.bytes(encode(chunk)),
+                (chunk, encoded) -> Json.parseOrMissing(encoded),
                 CompletionRecords::onStored),
             valueBytes,
             eventLoop,
@@ -166,7 +168,7 @@
     Chunk chunk = chunk(job, entry.chunk());
     JsonNode all = encode(chunk);
     if (entry.json().equals(all)) {
-      pages.restore(page, chunk, all);
+      pages.restore(page, chunk, Json.bytes(all));
     }
   }
 
--- a/src/main/java/io/pineladder/store/RecordPages.java
+++ b/src/main/java/io/pineladder/store/RecordPages.java
@@ -8,12 +8,13 @@
 import io.pineladder.wire.RecordWire;
 import java.time.Duration;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.BiFunction;
 import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.function.Predicate;
@@ -24,12 +25,16 @@
  * copies stay in their pages until these are written for other entries. Readers must tolerate stale
  * copies, so entries are either immutable or grow monotonically.
  *
+ * <p>An entry is encoded again for each write of its page, from the object and the retained {@link
+ * EntryKind#content}, so that the memory per entry does not depend on its encoded size.
+ *
  * <p>A page may exceed the value limit if an earlier leader wrote it under a higher one. While its
  * live entries do not fit, it is not written; they are stored in other pages first.
  *
  * @param <T> the object that an entry describes; used as a map key
+ * @param <C> what else determines the encoded entry
  */
-final class RecordPages<T> {
+final class RecordPages<T, C> {
   /** Bounds the cost of rewriting a page, and lets several pages share a transaction. */
   private static final int MAX_PAGE_BYTES = 12 * 1024;
 
@@ -43,24 +48,32 @@
    * @param priority the priority of writes with new or changed entries
    * @param flushInterval how long entries are collected before a page is written
    * @param isLive whether an entry still has to be stored
-   * @param encoder encodes the present content of an entry
+   * @param content returns what the encoded entry depends on and may change later; retained for
+   *     each entry, so it should be small or shared
+   * @param encoder encodes an entry with its content
    * @param onStored called for each new or changed entry once its page is committed
    */
-  record EntryKind<T>(
+  record EntryKind<T, C>(
       String prefix,
       Priority priority,
       Duration flushInterval,
       Predicate<T> isLive,
-      Function<T, JsonNode> encoder,
+      Function<T, C> content,
+      BiFunction<T, C, JsonNode> encoder,
       Consumer<T> onStored) {}
 
-  private record EncodedEntry(JsonNode json, int bytes) {}
+  /**
+   * An entry as rendered in a page.
+   *
+   * @param bytes its encoded size, with a comma
+   */
+  private record PageEntry<T, C>(T entry, C content, int bytes) {}
 
-  private static final class Page<T> {
+  private static final class Page<T, C> {
     final String key;
 
-    /** The entries in its last rendered value. */
-    final Map<T, EncodedEntry> entries = new LinkedHashMap<>();
+    /** The entries in its last rendered value; a list, since a page has few of them. */
+    final List<PageEntry<T, C>> entries = new ArrayList<>();
 
     /** New or changed entries in the queued write. */
     Set<T> entriesBeingStored = new LinkedHashSet<>();
@@ -74,21 +87,51 @@
     Page(String key) {
       this.key = key;
     }
+
+    /** The bytes of an entry in the last rendered value; 0 if it is not in the page. */
+    int bytesOf(T entry) {
+      int index = indexOf(entry);
+      return index < 0 ? 0 : entries.get(index).bytes;
+    }
+
+    void put(PageEntry<T, C> pageEntry) {
+      int index = indexOf(pageEntry.entry);
+      if (index < 0) {
+        entries.add(pageEntry);
+      } else {
+        entries.set(index, pageEntry);
+      }
+    }
+
+    void remove(T entry) {
+      entries.removeIf(pageEntry -> pageEntry.entry == entry);
+    }
+
+    private int indexOf(T entry) {
+      for (int i = 0; i < entries.size(); i++) {
+        if (entries.get(i).entry == entry) {
+          return i;
+        }
+      }
+      return -1;
+    }
   }
 
-  private final EntryKind<T> kind;
+  private final EntryKind<T, C> kind;
   private final int capacity;
   private final EventLoop eventLoop;
   private final Consumer<Mutation> commit;
 
   /** Pages in the order in which they are considered for new entries. */
-  private final ArrayDeque<Page<T>> pages = new ArrayDeque<>();
+  private final ArrayDeque<Page<T, C>> pages = new ArrayDeque<>();
+
+  private final Map<String, Page<T, C>> pageByKey = new HashMap<>();
 
   /** The page with the committed copy of an entry; that copy remains until another is committed. */
-  private final Map<T, Page<T>> storedPage = new HashMap<>();
+  private final Map<T, Page<T, C>> storedPage = new HashMap<>();
 
   /** The page with a queued write of an entry's newest content. */
-  private final Map<T, Page<T>> pageBeingStored = new HashMap<>();
+  private final Map<T, Page<T, C>> pageBeingStored = new HashMap<>();
 
   /** Entries whose newest content is in no page yet. */
   private final Set<T> pendingEntries = new LinkedHashSet<>();
@@ -97,7 +140,7 @@
   private boolean flushScheduled;
 
   /** The queued page that pending entries will be added to when it is rendered, or null. */
-  private Page<T> pageToFill;
+  private Page<T, C> pageToFill;
 
   /**
    * Creates the pages of a kind of entry.
@@ -105,7 +148,8 @@
    * @param valueBytes maximum size of a value
    * @param commit accepts mutations, which are committed in order
    */
-  RecordPages(EntryKind<T> kind, int valueBytes, EventLoop eventLoop, Consumer<Mutation> commit) {
+  RecordPages(
+      EntryKind<T, C> kind, int valueBytes, EventLoop eventLoop, Consumer<Mutation> commit) {
     this.kind = kind;
     this.capacity = capacity(valueBytes);
     this.eventLoop = eventLoop;
@@ -118,27 +162,32 @@
   }
 
   /** Restores an entry read at the start of a term. */
-  void restore(String key, T entry, JsonNode json) {
-    Page<T> page = restorePage(key);
-    page.entries.put(entry, encode(json));
+  void restore(String key, T entry, C content) {
+    Page<T, C> page = restorePage(key);
+    page.put(encode(entry, content));
     storedPage.put(entry, page);
   }
 
   /** Returns the page with this key; registers it if it is not known yet. */
-  Page<T> restorePage(String key) {
-    for (Page<T> page : pages) {
-      if (page.key.equals(key)) {
-        return page;
-      }
+  Page<T, C> restorePage(String key) {
+    Page<T, C> known = pageByKey.get(key);
+    if (known != null) {
+      return known;
     }
-    Page<T> page = new Page<>(key);
-    pages.addLast(page);
     nextPageNumber = Math.max(nextPageNumber, RecordKeys.pageNumber(key, kind.prefix) + 1);
+    return addPage(key);
+  }
+
+  private Page<T, C> addPage(String key) {
+    Page<T, C> page = new Page<>(key);
+    pages.addLast(page);
+    pageByKey.put(key, page);
     return page;
   }
 
-  private static EncodedEntry encode(JsonNode json) {
-    return new EncodedEntry(json, Json.bytes(json).length + 1);
+  private PageEntry<T, C> encode(T entry, C content) {
+    JsonNode json = kind.encoder.apply(entry, content);
+    return new PageEntry<>(entry, content, Json.bytes(json).length + 1);
   }
 
   /** Stores an entry that is new or has changed. */
@@ -152,9 +201,9 @@
 
   /** Writes the pages of these entries again, because the entries are no longer live. */
   void rewritePagesOf(Iterable<T> entries) {
-    Set<Page<T>> affectedPages = new LinkedHashSet<>();
+    Set<Page<T, C>> affectedPages = new LinkedHashSet<>();
     for (T entry : entries) {
-      Page<T> page = storedPage.get(entry);
+      Page<T, C> page = storedPage.get(entry);
       if (page != null && !page.writeQueued) {
         affectedPages.add(page);
       }
@@ -164,13 +213,13 @@
 
   /** Writes a page again from memory. */
   void rewritePage(String key) {
-    Page<T> page = restorePage(key);
+    Page<T, C> page = restorePage(key);
     if (!page.writeQueued) {
       rewriteOrEvacuate(page);
     }
   }
 
-  private void rewriteOrEvacuate(Page<T> page) {
+  private void rewriteOrEvacuate(Page<T, C> page) {
     if (prune(page) <= capacity) {
       queueWrite(page, Priority.CLEANUP);
     } else {
@@ -180,7 +229,7 @@
 
   /** Starts to evacuate an oversized page; returns false when there is none. */
   boolean evacuateOversizedPage() {
-    for (Page<T> page : pages) {
+    for (Page<T, C> page : pages) {
       if (!page.writeQueued && !page.evacuating && prune(page) > capacity) {
         evacuate(page);
         return true;
@@ -190,10 +239,10 @@
   }
 
   /** Stores the page's entries in other pages, after which it can be written again. */
-  private void evacuate(Page<T> page) {
+  private void evacuate(Page<T, C> page) {
     if (!page.evacuating) {
       page.evacuating = true;
-      List.copyOf(page.entries.keySet()).forEach(this::store);
+      page.entries.forEach(pageEntry -> store(pageEntry.entry));
     }
   }
 
@@ -211,42 +260,42 @@
   }
 
   /** Returns the next page that is at most half full of live entries, or a new page. */
-  private Page<T> choosePage() {
+  private Page<T, C> choosePage() {
     for (int i = pages.size(); i > 0; i--) {
-      Page<T> page = pages.pollFirst();
+      Page<T, C> page = pages.pollFirst();
       pages.addLast(page);
       if (!page.writeQueued && prune(page) <= capacity / 2) {
         return page;
       }
     }
-    Page<T> page = new Page<>(kind.prefix + nextPageNumber++);
-    pages.addLast(page);
-    return page;
+    return addPage(kind.prefix + nextPageNumber++);
   }
 
   /** Drops entries that are not live or are stored in another page; returns the remaining bytes. */
-  private int prune(Page<T> page) {
+  private int prune(Page<T, C> page) {
+    page.entries.removeIf(pageEntry -> !isRetained(page, pageEntry.entry));
     int bytes = 0;
-    var entries = page.entries.entrySet().iterator();
-    while (entries.hasNext()) {
-      Map.Entry<T, EncodedEntry> pageEntry = entries.next();
-      T entry = pageEntry.getKey();
-      boolean inThisPage = storedPage.get(entry) == page || page.entriesBeingStored.contains(entry);
-      if (inThisPage && kind.isLive.test(entry)) {
-        bytes += pageEntry.getValue().bytes;
-        continue;
-      }
-      entries.remove();
-      if (inThisPage) {
-        storedPage.remove(entry, page);
-        pageBeingStored.remove(entry, page);
-        page.entriesBeingStored.remove(entry);
-      }
+    for (PageEntry<T, C> pageEntry : page.entries) {
+      bytes += pageEntry.bytes;
     }
     return bytes;
   }
 
-  private void queueWrite(Page<T> page, Priority writePriority) {
+  /** Whether the page has to contain the entry; forgets that it does otherwise. */
+  private boolean isRetained(Page<T, C> page, T entry) {
+    if (storedPage.get(entry) != page && !page.entriesBeingStored.contains(entry)) {
+      return false;
+    }
+    if (kind.isLive.test(entry)) {
+      return true;
+    }
+    storedPage.remove(entry, page);
+    pageBeingStored.remove(entry, page);
+    page.entriesBeingStored.remove(entry);
+    return false;
+  }
+
+  private void queueWrite(Page<T, C> page, Priority writePriority) {
     page.writeQueued = true;
     commit.accept(
         Mutation.of(
@@ -256,7 +305,7 @@
   }
 
   /** Renders the page's next value; called again if the transaction is not executed. */
-  private JsonNode nextValue(Page<T> page) {
+  private JsonNode nextValue(Page<T, C> page) {
     if (page == pageToFill) {
       pageToFill = null;
     }
@@ -269,9 +318,8 @@
         remaining.remove();
         continue;
       }
-      EncodedEntry encoded = encode(kind.encoder.apply(entry));
-      EncodedEntry previous = page.entries.get(entry);
-      int additionalBytes = encoded.bytes - (previous == null ? 0 : previous.bytes);
+      PageEntry<T, C> encoded = encode(entry, kind.content.apply(entry));
+      int additionalBytes = encoded.bytes - page.bytesOf(entry);
       if (bytes + additionalBytes > capacity) {
         if (encoded.bytes > capacity) {
           // Completions with too many gaps for any page; the entry shrinks as the gaps close.
@@ -281,32 +329,35 @@
       }
       remaining.remove();
       bytes += additionalBytes;
-      add(page, entry, encoded);
+      add(page, encoded);
     }
     // The transaction may have capacity for another page.
     queueNextPage();
-    return RecordWire.page(page.entries.values().stream().map(EncodedEntry::json));
+    return RecordWire.page(
+        page.entries.stream()
+            .map(pageEntry -> kind.encoder.apply(pageEntry.entry, pageEntry.content)));
   }
 
-  private void add(Page<T> page, T entry, EncodedEntry encoded) {
-    page.entries.put(entry, encoded);
+  private void add(Page<T, C> page, PageEntry<T, C> encoded) {
+    T entry = encoded.entry;
+    page.put(encoded);
     page.entriesBeingStored.add(entry);
-    Page<T> superseded = pageBeingStored.put(entry, page);
+    Page<T, C> superseded = pageBeingStored.put(entry, page);
     if (superseded != null && superseded != page) {
       // If that page is committed later, its older copy must not be taken for the newest.
       superseded.entriesBeingStored.remove(entry);
       if (storedPage.get(entry) != superseded) {
-        superseded.entries.remove(entry);
+        superseded.remove(entry);
       }
     }
   }
 
-  private void onPageStored(Page<T> page) {
+  private void onPageStored(Page<T, C> page) {
     page.writeQueued = false;
     Set<T> added = page.entriesBeingStored;
     page.entriesBeingStored = new LinkedHashSet<>();
     for (T entry : added) {
-      Page<T> previous = storedPage.put(entry, page);
+      Page<T, C> previous = storedPage.put(entry, page);
       pageBeingStored.remove(entry, page);
       kind.onStored.accept(entry);
       if (previous != null && previous.evacuating && prune(previous) <= capacity) {
--- a/src/main/java/io/pineladder/store/Records.java
+++ b/src/main/java/io/pineladder/store/Records.java
@@ -9,6 +9,7 @@
 import io.pineladder.model.Notification;
 import io.pineladder.net.EventLoop;
 import io.pineladder.store.Mutation.Priority;
+import io.pineladder.wire.Json;
 import io.pineladder.wire.RecordWire;
 import java.time.Duration;
 import java.time.Instant;
@@ -61,8 +62,8 @@
   private final JobPageDivider divider;
   private final JobRecords jobs;
   private final CompletionRecords completions;
-  private final RecordPages<Attempt> placements;
-  private final RecordPages<Machine> images;
+  private final RecordPages<Attempt, String> placements;
+  private final RecordPages<Machine, byte[]> images;
   private final OversizedPages oversizedPages;
 
   /**
@@ -95,6 +96,7 @@
                 Priority.PLACEMENT,
                 PLACEMENT_FLUSH_INTERVAL,
                 Attempt::holdsCapacity,
+                attempt -> attempt.machine.address,
                 RecordWire::placement,
                 this::onPlacementStored),
             valueBytes,
@@ -107,7 +109,8 @@
                 Priority.CLEANUP,
                 IMAGES_FLUSH_INTERVAL,
                 machine -> machine.state() != Machine.State.GONE,
-                Records::encodeImages,
+                machine -> Json.bytes(encodeImages(machine)),
+                (machine, encoded) -> Json.parseOrMissing(encoded),
                 machine -> {}),
             valueBytes,
             eventLoop,
@@ -131,7 +134,7 @@
 
   /** Restores a placement read at the start of a term. */
   public void restorePlacement(String page, Attempt attempt) {
-    placements.restore(page, attempt, RecordWire.placement(attempt));
+    placements.restore(page, attempt, attempt.machine.address);
   }
 
   /** Registers a page of placements that exists at the start of a term. */
--- a/src/main/java/io/pineladder/wire/JobWire.java
+++ b/src/main/java/io/pineladder/wire/JobWire.java
@@ -19,7 +19,7 @@
   /** Maximum length of a request body. */
   public static final int MAX_BODY_BYTES = 64 * 1024;
 
-  private static final int MAX_TASKS = 100_000;
+  static final int MAX_TASKS = 100_000;
   private static final int MAX_NAME_LENGTH = 200;
   private static final String PREREQUISITES_FIELD = "waits_on";
   private static final double MAX_AMOUNT = 1e6;
--- a/src/main/java/io/pineladder/wire/Json.java
+++ b/src/main/java/io/pineladder/wire/Json.java
@@ -1,14 +1,17 @@
 package io.pineladder.wire;
 
 import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.core.StreamReadConstraints;
 import com.fasterxml.jackson.core.StreamReadFeature;
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.ObjectReader;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.MissingNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
 
@@ -37,6 +40,9 @@
                   .build())
           .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS);
 
+  private static final ObjectReader VALUE_READER =
+      MAPPER.reader().without(DeserializationFeature.FAIL_ON_TRAILING_TOKENS);
+
   private Json() {}
 
   public static ObjectNode object() {
@@ -56,6 +62,25 @@
     }
   }
 
+  /** Creates a parser for a body that is read token by token. */
+  static JsonParser parser(byte[] body) throws IOException {
+    return MAPPER.createParser(body);
+  }
+
+  /** Reads the value at the parser's current token, within a body that goes on after it. */
+  static JsonNode tree(JsonParser parser) throws IOException {
+    return VALUE_READER.readTree(parser);
+  }
+
+  /** Reads a JSON value; a missing node if the bytes are not JSON. */
+  public static JsonNode parseOrMissing(byte[] json) {
+    try {
+      return MAPPER.readTree(json);
+    } catch (IOException e) {
+      return MissingNode.getInstance();
+    }
+  }
+
   /** Reads a single JSON object; any other value or trailing content is malformed. */
   public static ObjectNode parseObject(byte[] body) throws MalformedMessageException {
     JsonNode node;
--- a/src/main/java/io/pineladder/wire/RecordWire.java
+++ b/src/main/java/io/pineladder/wire/RecordWire.java
@@ -210,12 +210,16 @@
     return entry;
   }
 
-  /** The entry for the placement of an attempt. */
-  public static JsonNode placement(Attempt attempt) {
+  /**
+   * The entry for the placement of an attempt.
+   *
+   * @param address the address of its machine at the time of the placement; null if unknown
+   */
+  public static JsonNode placement(Attempt attempt, String address) {
     Machine machine = attempt.machine;
     return Json.array()
         .add(machine.name)
-        .add(machine.address)
+        .add(address)
         .add(machine.type.name())
         .add(machine.zone)
         .add(machine.spot)
@@ -227,6 +231,10 @@
   /** Reads an entry written by {@link #placement}. */
   public static Placement parsePlacement(JsonNode entry) throws MalformedMessageException {
     requireSize(entry, 8);
+    int task = entry.get(6).asInt(-1);
+    if (task < 0 || task >= JobWire.MAX_TASKS) {
+      throw new MalformedMessageException("a placement of a task that no job can have");
+    }
     return new Placement(
         entry.get(0).asText(),
         entry.get(1).isNull() ? null : entry.get(1).asText(),
@@ -234,7 +242,7 @@
         entry.get(3).asText(),
         entry.get(4).asBoolean(),
         entry.get(5).asText(),
-        entry.get(6).asInt(),
+        task,
         entry.get(7).asLong());
   }
 
--- a/src/main/java/io/pineladder/wire/StoreWire.java
+++ b/src/main/java/io/pineladder/wire/StoreWire.java
@@ -5,7 +5,9 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
+import java.util.Objects;
 
 /** Messages of the consensus-backed key-value store. */
 public final class StoreWire {
@@ -19,8 +21,44 @@
 
   private StoreWire() {}
 
-  /** A key with its value, null for a deletion, and the revision of its last change. */
-  public record Entry(String key, JsonNode value, long revision) {}
+  /**
+   * A key with its value and the revision of its last change. The value stays encoded, since all
+   * records may be in memory at once and take several times as much as trees.
+   *
+   * @param json the encoded value, which must not be modified; null for a deletion
+   */
+  public record Entry(String key, byte[] json, long revision) {
+    /** Creates an entry with an encoded copy of the value; null for a deletion. */
+    public static Entry of(String key, JsonNode value, long revision) {
+      return new Entry(key, value == null ? null : Json.bytes(value), revision);
+    }
+
+    /** Whether the key was deleted. */
+    public boolean isDeletion() {
+      return json == null;
+    }
+
+    /**
+     * Parses the value; to be called again rather than retained. Null for a deletion, and a missing
+     * node if it is not JSON.
+     */
+    public JsonNode value() {
+      return json == null ? null : Json.parseOrMissing(json);
+    }
+
+    @Override
+    public boolean equals(Object other) {
+      return other instanceof Entry entry
+          && key.equals(entry.key)
+          && revision == entry.revision
+          && Arrays.equals(json, entry.json);
+    }
+
+    @Override
+    public int hashCode() {
+      return Objects.hash(key, revision);
+    }
+  }
 
   /** A page of keys, as of {@code revision}. */
   public record Page(List<Entry> entries, boolean hasMore, long revision) {
@@ -112,14 +150,14 @@
 
   /** Reads one entry and removes {@code keyPrefix} from its key. */
   public static Entry parseEntry(byte[] body, String keyPrefix) throws MalformedMessageException {
-    return entry(new Fields(Json.parseObject(body)), keyPrefix);
+    Fields in = new Fields(Json.parseObject(body));
+    return entry(in, Json.bytes(in.node("v")), keyPrefix);
   }
 
-  private static Entry entry(Fields in, String keyPrefix) throws MalformedMessageException {
+  private static Entry entry(Fields in, byte[] json, String keyPrefix)
+      throws MalformedMessageException {
     return new Entry(
-        withoutPrefix(in.string("path"), keyPrefix),
-        in.node("v"),
-        in.integer("stamp", 0, MAX_REVISION));
+        withoutPrefix(in.string("path"), keyPrefix), json, in.integer("stamp", 0, MAX_REVISION));
   }
 
   private static String withoutPrefix(String key, String keyPrefix) {
@@ -138,33 +176,35 @@
 
   /** Reads a page of entries and removes {@code keyPrefix} from their keys. */
   public static Page parsePage(byte[] body, String keyPrefix) throws MalformedMessageException {
-    Fields in = new Fields(Json.parseObject(body));
-    List<Entry> entries = new ArrayList<>();
-    for (Fields item : in.objects("entries")) {
-      entries.add(entry(item, keyPrefix));
+    EncodedEntries response = EncodedEntries.read(body, "entries");
+    List<Entry> entries = new ArrayList<>(response.items().size());
+    for (EncodedEntries.Item item : response.items()) {
+      entries.add(entry(item.fields(), item.requiredValue(), keyPrefix));
     }
+    Fields in = response.fields();
     return new Page(entries, in.boolOr("truncated", false), in.integer("epoch", 0, MAX_REVISION));
   }
 
   /** Reads changes and removes {@code keyPrefix} from their keys. */
   public static Changes parseChanges(byte[] body, String keyPrefix)
       throws MalformedMessageException {
-    Fields in = new Fields(Json.parseObject(body));
-    List<Entry> entries = new ArrayList<>();
-    for (Fields item : in.objects("log")) {
-      String writtenKey = item.stringOr("write", null);
-      entries.add(
-          writtenKey != null
-              ? new Entry(
-                  withoutPrefix(writtenKey, keyPrefix),
-                  item.node("v"),
-                  item.integer("stamp", 0, MAX_REVISION))
-              : new Entry(
-                  withoutPrefix(item.string("remove"), keyPrefix),
-                  null,
-                  item.integer("stamp", 0, MAX_REVISION)));
-    }
-    return new Changes(in.integer("epoch", 0, MAX_REVISION), entries);
+    EncodedEntries response = EncodedEntries.read(body, "log");
+    List<Entry> entries = new ArrayList<>(response.items().size());
+    for (EncodedEntries.Item item : response.items()) {
+      entries.add(change(item, keyPrefix));
+    }
+    return new Changes(response.fields().integer("epoch", 0, MAX_REVISION), entries);
+  }
+
+  private static Entry change(EncodedEntries.Item item, String keyPrefix)
+      throws MalformedMessageException {
+    Fields in = item.fields();
+    String writtenKey = in.stringOr("write", null);
+    String key = writtenKey != null ? writtenKey : in.string("remove");
+    return new Entry(
+        withoutPrefix(key, keyPrefix),
+        writtenKey != null ? item.requiredValue() : null,
+        in.integer("stamp", 0, MAX_REVISION));
   }
 
   /** The keys whose conditions did not hold in a rejected transaction. */
--- a/src/scale/java/io/pineladder/sim/SoakCluster.java
+++ b/src/scale/java/io/pineladder/sim/SoakCluster.java
@@ -1,12 +1,10 @@
 package io.pineladder.sim;
 
-import com.fasterxml.jackson.dataformat.toml.TomlMapper;
 import io.pineladder.net.AsyncHttpClient;
 import io.pineladder.net.HttpResponse;
 import io.pineladder.net.UnfinishedRequests;
 import io.pineladder.wire.Json;
 import io.pineladder.wire.MalformedMessageException;
-import java.io.File;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
@@ -26,7 +24,6 @@
  */
 final class SoakCluster implements AutoCloseable {
   private static final int MAX_UNFINISHED_REQUESTS = 1_000;
-  private static final Path DEPLOY_FILE = Path.of("deploy", "service.toml");
   private static final Duration REQUEST_TIMEOUT = Duration.ofSeconds(2);
   private static final int WORKER_PORT_OFFSET = 1_000;
   private static final int WORKERS_PER_NETWORK = 250;
@@ -159,7 +156,7 @@
   }
 
   private void startController(int controller) {
-    List<String> command = new ArrayList<>(runCommand());
+    List<String> command = new ArrayList<>(DeployCommand.of(options.jar));
     command.add(settingsFile(controller).toString());
     Path log = directory.resolve("controller-" + controller + ".log");
     ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true);
@@ -175,34 +172,6 @@
     }
   }
 
-  /**
-   * The command of the deploy file. Without a packaged controller its class path is that of this
-   * process, and the class-data archive of the package is left out.
-   */
-  private List<String> runCommand() {
-    List<String> command = new ArrayList<>();
-    try {
-      String run = new TomlMapper().readTree(DEPLOY_FILE.toFile()).get("run").asText();
-      for (String argument : run.split(" ", -1)) {
-        if (options.jar != null || !argument.contains("pineladder.jsa")) {
-          command.add(argument);
-        }
-      }
-    } catch (IOException e) {
-      throw new UncheckedIOException(e);
-    }
-    command.set(
-        0, System.getProperty("java.home") + File.separator + "bin" + File.separator + "java");
-    int classPath = command.indexOf("-cp") + 1;
-    command.set(
-        classPath,
-        options.jar != null
-            ? options.jar.toString()
-            : System.getProperty(
-                "surefire.test.class.path", System.getProperty("java.class.path")));
-    return command;
-  }
-
   private void checkProcesses() {
     for (int i = 0; i < processes.size(); i++) {
       Process process = processes.get(i);
--- a/src/test/java/io/pineladder/generation/RebuildDeferralTest.java
+++ b/src/test/java/io/pineladder/generation/RebuildDeferralTest.java
@@ -29,7 +29,7 @@
     }
     RecordReplica replica = new RecordReplica(OWN_BASE);
     JsonNode page = Json.object().set("entries", Json.array());
-    replica.put("placed/0", page, OWN_REVISION, true);
+    replica.put("placed/0", page, OWN_REVISION);
     return replica;
   }
 
--- a/src/test/java/io/pineladder/replica/RecordReplicaTest.java
+++ b/src/test/java/io/pineladder/replica/RecordReplicaTest.java
@@ -54,13 +54,13 @@
       if (random.nextInt(3) == 0) {
         Job.State state = random.nextBoolean() ? Job.State.DONE : Job.State.CANCELLED;
         all.add(
-            new Entry(
+            Entry.of(
                 RecordKeys.FINAL_STATE + "req-" + revision,
                 RecordWire.finalState(state),
                 revision));
       } else {
         JsonNode value = Json.object().put("n", "r" + revision).set("entries", Json.array());
-        all.add(new Entry(PAGES.get(random.nextInt(PAGES.size())), value, revision));
+        all.add(Entry.of(PAGES.get(random.nextInt(PAGES.size())), value, revision));
       }
     }
     return all;
@@ -97,7 +97,7 @@
       int replicaRevision = random.nextInt(60);
       for (Entry entry : history()) {
         if (entry.revision() <= replicaRevision) {
-          replica.put(entry.key(), entry.value(), entry.revision(), random.nextBoolean());
+          replica.put(entry);
           model.put(entry);
         }
         // After a data loss the store may hold any subset, older or newer.
@@ -129,10 +129,10 @@
   void reportsMissingOrOutdatedPages() {
     RecordReplica replica = new RecordReplica(0);
     JsonNode page = Json.object().set("entries", Json.array());
-    replica.put("placed/0", page, 7, false);
-    replica.put("placed/1", page, 9, false);
+    replica.put("placed/0", page, 7);
+    replica.put("placed/1", page, 9);
     replica.markRecordsLoaded();
-    List<Entry> complete = List.of(new Entry("placed/0", page, 8), new Entry("placed/1", page, 9));
+    List<Entry> complete = List.of(Entry.of("placed/0", page, 8), Entry.of("placed/1", page, 9));
     assertNull(
         replica.firstMissingKey(RecordKeys.PLACEMENTS, complete), "newer versions are not missing");
     assertEquals(
@@ -141,6 +141,6 @@
         "placed/0",
         replica.firstMissingKey(
             RecordKeys.PLACEMENTS,
-            List.of(new Entry("placed/0", page, 6), new Entry("placed/1", page, 9))));
+            List.of(Entry.of("placed/0", page, 6), Entry.of("placed/1", page, 9))));
   }
 }
--- a/src/test/java/io/pineladder/sim/DeliveryProcessTest.java
+++ b/src/test/java/io/pineladder/sim/DeliveryProcessTest.java
@@ -71,29 +71,33 @@
   static String submitUnplaceableJob(LoopbackCluster cluster, int index)
       throws InterruptedException {
     String id = String.format("req-%06d", index);
-    ObjectNode spec =
-        Json.object()
-            .put("ref", id)
-            .put("jobclass", "work")
-            .put("owner", index % 2 == 0 ? "red" : "blue")
-            .put("shape", "array")
-            .put("rank", "low")
-            .put("pieces", 1)
-            .put("vcpus", 2.0)
-            .put("cards", 1.0)
-            .put("memory_gb", 4.0)
-            .put("bundle", "img-1")
-            .put("image_gb", 2.0)
-            .put("together", false)
-            .put("spread", false)
-            .put("loaners", false)
-            .put("guess_s", 30)
-            .put("mark_every_s", 0.0)
-            .put("stow_s", 0.0);
+    ObjectNode spec = unplaceableJob(id).put("owner", index % 2 == 0 ? "red" : "blue");
     cluster.requestUntilSuccess(false, "POST", "/v1/jobs", spec);
     return id;
   }
 
+  /** A submission of team red, which can't be placed on a fleet without machines. */
+  static ObjectNode unplaceableJob(String id) {
+    return Json.object()
+        .put("ref", id)
+        .put("jobclass", "work")
+        .put("owner", "red")
+        .put("shape", "array")
+        .put("rank", "low")
+        .put("pieces", 1)
+        .put("vcpus", 2.0)
+        .put("cards", 1.0)
+        .put("memory_gb", 4.0)
+        .put("bundle", "img-1")
+        .put("image_gb", 2.0)
+        .put("together", false)
+        .put("spread", false)
+        .put("loaners", false)
+        .put("guess_s", 30)
+        .put("mark_every_s", 0.0)
+        .put("stow_s", 0.0);
+  }
+
   private List<ObjectNode> readEvents(int index) throws Exception {
     // Opening the journal verifies the checksum and sequence of every line.
     new NotificationJournal(journal(index)).close();
--- a/src/test/java/io/pineladder/sim/FakeKeyValueStore.java
+++ b/src/test/java/io/pineladder/sim/FakeKeyValueStore.java
@@ -146,6 +146,11 @@
     return current == null ? "" : "g" + current.value.get("base").asLong() + "/";
   }
 
+  /** Stores a value before the first request. */
+  void prepare(String key, JsonNode value) {
+    keys.put(key, new Value(value, ++revision, 0));
+  }
+
   JsonNode value(String key) {
     Value found = keys.get(generationPrefix() + key);
     return found == null ? null : found.value;
--- /dev/null
+++ b/src/test/java/io/pineladder/sim/LargeStateProcessTest.java
@@ -0,0 +1,122 @@
+package io.pineladder.sim;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.pineladder.wire.Json;
+import io.pineladder.wire.RecordWire;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Controller processes with the heap of the deploy file and the most records that it must hold. */
+class LargeStateProcessTest {
+  private static final int CONTROLLERS = 3;
+  private static final int FAILOVERS = 3;
+  private static final int MACHINES = 131;
+  private static final int TASKS = 100_000;
+  private static final int ENTRIES_PER_PAGE = 90;
+
+  /** Keeps a page of the listing below 512 KiB. */
+  private static final int PAGES_PER_LISTING = 60;
+
+  private static final Duration MAX_FAILOVER = Duration.ofSeconds(60);
+  private static final String JOB = "req-000001";
+
+  @TempDir Path folder;
+
+  private static void prepare(FakeKeyValueStore store, FakeFleet fleet) {
+    store.pageSize = PAGES_PER_LISTING;
+    for (int machine = 0; machine < MACHINES; machine++) {
+      String name = machineName(machine);
+      fleet.machines.put(
+          name, fleet.new Worker(name, address(machine), "g4", zone(machine), false));
+    }
+    store.prepare("accepted/0", RecordWire.page(List.of(jobRecord()).stream()));
+    for (int first = 0, page = 0; first < TASKS; first += ENTRIES_PER_PAGE, page++) {
+      List<JsonNode> entries = new ArrayList<>();
+      for (int task = first; task < Math.min(TASKS, first + ENTRIES_PER_PAGE); task++) {
+        entries.add(placement(task));
+      }
+      store.prepare("placed/" + page, RecordWire.page(entries.stream()));
+    }
+  }
+
+  private static JsonNode jobRecord() {
+    ObjectNode spec =
+        DeliveryProcessTest.unplaceableJob(JOB).put("shape", "service").put("pieces", TASKS);
+    spec.put("vcpus", 0.02).put("cards", 0.0).put("memory_gb", 0.05).put("guess_s", 0.0);
+    return Json.object()
+        .put("accepted_ms", Instant.now().toEpochMilli())
+        .put("state", "active")
+        .set("spec", spec);
+  }
+
+  private static JsonNode placement(int task) {
+    int machine = task % MACHINES;
+    return Json.array()
+        .add(machineName(machine))
+        .add(address(machine))
+        .add("g4")
+        .add(zone(machine))
+        .add(false)
+        .add(JOB)
+        .add(task)
+        .add(1L << 20);
+  }
+
+  private static String machineName(int machine) {
+    return String.format("m-%06d", 1 + machine);
+  }
+
+  private static String address(int machine) {
+    return "10.1.0." + machine + ":9000";
+  }
+
+  private static String zone(int machine) {
+    return machine % 2 == 0 ? "a" : "b";
+  }
+
+  /** Guards against controllers that end for memory, one by one, while they load placements. */
+  @Test
+  @Timeout(400)
+  void eachNextLeaderLoadsPlacementsOfLargestJob() throws Exception {
+    try (LoopbackCluster cluster =
+        new LoopbackCluster(folder, CONTROLLERS, 1, List.of(), LargeStateProcessTest::prepare)) {
+      for (int failover = 0; failover < FAILOVERS; failover++) {
+        int leader = awaitLoadedLeader(cluster);
+        cluster.killController(leader);
+      }
+      awaitLoadedLeader(cluster);
+    }
+  }
+
+  /** Waits for a leader that has loaded the job; fails if a controller ends by itself meanwhile. */
+  private static int awaitLoadedLeader(LoopbackCluster cluster) throws Exception {
+    Instant deadline = Instant.now().plus(MAX_FAILOVER);
+    while (Instant.now().isBefore(deadline)) {
+      for (int i = 0; i < CONTROLLERS; i++) {
+        Process controller = cluster.controller(i);
+        assertTrue(controller.isAlive(), () -> "ended with exit code " + controller.exitValue());
+        ObjectNode status = cluster.adminRequestOnce(i, "/admin/v1/status");
+        if (status == null || !status.get("leadership").asText().equals("leading")) {
+          continue;
+        }
+        ObjectNode queue = cluster.adminRequestOnce(i, "/admin/v1/queue");
+        if (queue != null) {
+          assertEquals(1, queue.get("jobs").asInt());
+          return i;
+        }
+      }
+      Thread.sleep(100);
+    }
+    throw new AssertionError("no leader within " + MAX_FAILOVER);
+  }
+}
--- a/src/test/java/io/pineladder/sim/LoopbackCluster.java
+++ b/src/test/java/io/pineladder/sim/LoopbackCluster.java
@@ -4,6 +4,7 @@
 import io.pineladder.net.ConnectionLimiter;
 import io.pineladder.net.XnioEventLoop;
 import io.pineladder.wire.Json;
+import io.pineladder.wire.MalformedMessageException;
 import io.pineladder.wire.SettingsReaderTest;
 import java.io.File;
 import java.io.IOException;
@@ -13,11 +14,13 @@
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.BiConsumer;
 import java.util.function.Supplier;
 
 /**
@@ -50,12 +53,28 @@
    */
   LoopbackCluster(Path folder, int controllers, double coreShare, List<String> options)
       throws IOException {
+    this(folder, controllers, coreShare, options, (store, fleet) -> {});
+  }
+
+  /**
+   * Starts the cluster.
+   *
+   * @param preparation prepares the store and the cloud before the controllers start
+   */
+  LoopbackCluster(
+      Path folder,
+      int controllers,
+      double coreShare,
+      List<String> options,
+      BiConsumer<FakeKeyValueStore, FakeFleet> preparation)
+      throws IOException {
     this.folder = folder;
     this.coreShare = coreShare;
     this.controllerOptions = options;
     eventLoop = new XnioEventLoop(4_000, Duration.ofSeconds(3));
     FakeFleet fleet = new FakeFleet(world, new SafetyRules(world, List.of()), List.of());
     fleet.zoneCapacity = 0;
+    preparation.accept(store, fleet);
     eventLoop.serve(
         new XnioEventLoop.Listener(
             storeAddress,
@@ -131,10 +150,13 @@
     List<String> command = new ArrayList<>();
     command.add(System.getProperty("java.home") + File.separator + "bin" + File.separator + "java");
     command.addAll(List.of("-Xmx128m", "-XX:TieredStopAtLevel=1", "-XX:+UseSerialGC", "-cp"));
-    command.add(
-        System.getProperty("surefire.test.class.path", System.getProperty("java.class.path")));
+    command.add(DeployCommand.ownClassPath());
     command.add(mainClass);
     command.addAll(arguments);
+    return start(name, command);
+  }
+
+  private Process start(String name, List<String> command) {
     try {
       Process process =
           new ProcessBuilder(command)
@@ -150,9 +172,10 @@
   }
 
   void startController(int index) {
-    List<String> arguments = new ArrayList<>(controllerOptions);
-    arguments.add(folder.resolve("settings-" + index + ".toml").toString());
-    processes.set(index, start("controller-" + index, "io.pineladder.cli.Controller", arguments));
+    List<String> command = DeployCommand.of(null);
+    command.addAll(controllerOptions);
+    command.add(folder.resolve("settings-" + index + ".toml").toString());
+    processes.set(index, start("controller-" + index, command));
   }
 
   /** Kills the process of a controller and starts it again. */
@@ -198,6 +221,20 @@
     return sendRequest(apiAddresses.get(index), method, path, null);
   }
 
+  /** Sends one request to the admin API of a controller; returns null if it does not succeed. */
+  ObjectNode adminRequestOnce(int index, String path) throws InterruptedException {
+    HttpResponse<String> response = sendRequest(adminAddresses.get(index), "GET", path, null);
+    return response == null || response.statusCode() != 200 ? null : parse(response);
+  }
+
+  private static ObjectNode parse(HttpResponse<String> response) {
+    try {
+      return Json.parseObject(response.body().getBytes(StandardCharsets.UTF_8));
+    } catch (MalformedMessageException e) {
+      throw new AssertionError("malformed answer: " + response.body(), e);
+    }
+  }
+
   /** The cluster addresses of the controllers, which also serve the admin API. */
   List<String> adminAddresses() {
     return adminAddresses;
@@ -224,12 +261,7 @@
       HttpResponse<String> response =
           sendRequest(addresses.get((firstIndex + attempt) % addresses.size()), method, path, body);
       if (response != null && response.statusCode() / 100 == 2) {
-        try {
-          return Json.parseObject(
-              response.body().getBytes(java.nio.charset.StandardCharsets.UTF_8));
-        } catch (io.pineladder.wire.MalformedMessageException e) {
-          throw new AssertionError("malformed answer: " + response.body(), e);
-        }
+        return parse(response);
       }
       lastAnswer = response == null ? lastAnswer : response.statusCode() + " " + response.body();
       Thread.sleep(50);
--- a/src/test/java/io/pineladder/store/RecordPagesTest.java
+++ b/src/test/java/io/pineladder/store/RecordPagesTest.java
@@ -76,7 +76,8 @@
     }
   }
 
-  private static RecordPages<Entry> pages(FakeStore store, Map<Integer, Integer> reportedVersions) {
+  private static RecordPages<Entry, JsonNode> pages(
+      FakeStore store, Map<Integer, Integer> reportedVersions) {
     Map<Integer, Integer> encoded = new HashMap<>();
     return new RecordPages<>(
         new RecordPages.EntryKind<>(
@@ -88,6 +89,7 @@
               encoded.put(entry.id, entry.version);
               return Json.array().add(entry.id).add(entry.version).add("x".repeat(entry.id % 60));
             },
+            (entry, encodedEntry) -> encodedEntry,
             entry -> reportedVersions.put(entry.id, encoded.get(entry.id))),
         VALUE_BYTES,
         store,
@@ -111,7 +113,7 @@
     RandomGenerator random = RandomGeneratorFactory.of("L64X128MixRandom").create(seed);
     FakeStore store = new FakeStore();
     Map<Integer, Integer> reportedVersions = new HashMap<>();
-    RecordPages<Entry> pages = pages(store, reportedVersions);
+    RecordPages<Entry, JsonNode> pages = pages(store, reportedVersions);
     List<Entry> live = new ArrayList<>();
     int nextId = 0;
     int storeCalls = 0;
--- a/src/test/java/io/pineladder/upgrade/FormatCompatibilityTest.java
+++ b/src/test/java/io/pineladder/upgrade/FormatCompatibilityTest.java
@@ -155,7 +155,8 @@
             Stream.of(
                 RecordWire.completions("req-000412", completedTasks(), 0, 374),
                 RecordWire.completions("req-000412", completedTasks(), 1, 374))));
-    written.put("placed/0", RecordWire.page(Stream.of(RecordWire.placement(attempt()))));
+    written.put(
+        "placed/0", RecordWire.page(Stream.of(RecordWire.placement(attempt(), "10.1.0.232:9000"))));
     written.put(
         "images/0",
         RecordWire.page(Stream.of(RecordWire.images("m-000231", Map.of("img-07", 6.2)))));
--- a/src/test/java/io/pineladder/wire/JsonSpellings.java
+++ b/src/test/java/io/pineladder/wire/JsonSpellings.java
@@ -79,7 +79,10 @@
     return switch (random.nextInt(4)) {
       case 0 -> String.format("\\u%04x", c);
       case 1 -> String.format("\\u%04X", c);
-      default -> c == '/' && random.nextBoolean() ? "\\/" : Character.toString(c);
+      default ->
+          c == '"' || c == '\\' || (c == '/' && random.nextBoolean())
+              ? "\\" + (char) c
+              : Character.toString(c);
     };
   }
 
