A controller that is elected again does not hold the records of earlier terms

What callers saw: a controller that loses its lease, or steps down, and is elected again while many tasks are placed ends with OutOfMemoryError in its second or third term, although it survives the first.

Cause, by heap dumps at the end and the path from the roots to each LeaderTerm (2, 5 and 6 of them alive in three dumps): an ended term is retained by what is still open: the watch of the inbox (up to 15 s), timers (up to a minute), and, above all, by finished HTTP calls. A pooled connection refers to the call that opened it, for the limiter of connections, and the call kept its callback; so an idle connection retained the term that had opened it, and its replica, for as long as it stayed open. With 100,000 placements a term holds some 40 MB and its replica 7 MB.

Change: a finished call drops its callback and request, in both HTTP clients; a term schedules in a scope of the event loop that drops its timers when the term ends; the watch of the inbox is detached then; and the term clears jobs, machines, attempts and pages after the current event, since requests that are in flight refer to it until they are answered. Before only a check of the state made such callbacks harmless, so nothing runs now that did not before. The subscription manager keeps the node's event loop: it answers operators after the end of a term.

--- a/src/main/java/io/pineladder/LeaderTerm.java
+++ b/src/main/java/io/pineladder/LeaderTerm.java
@@ -16,7 +16,7 @@
 import io.pineladder.model.OperatorSettings;
 import io.pineladder.model.Settings;
 import io.pineladder.model.TermTokens;
-import io.pineladder.net.EventLoop;
+import io.pineladder.net.ScopedEventLoop;
 import io.pineladder.reconciliation.JobReconciler;
 import io.pineladder.reconciliation.PrerequisiteReader;
 import io.pineladder.replica.RecordReplica;
@@ -50,7 +50,7 @@
 public final class LeaderTerm {
   private static final Logger log = LoggerFactory.getLogger(LeaderTerm.class);
 
-  private final EventLoop eventLoop;
+  private final ScopedEventLoop eventLoop;
   private final StoreClient storeClient;
   private final ControllerContext context;
   private final ElectedTerm elected;
@@ -105,7 +105,7 @@
     this.failover = failover;
     this.leadership = leadership;
     this.recordLoss = recordLoss;
-    this.eventLoop = context.eventLoop();
+    this.eventLoop = new ScopedEventLoop(context.eventLoop());
     this.storeClient = context.storeClient();
     Settings settings = context.settings();
     this.lifecycle = new TermLifecycle(elected.term(), eventLoop.now(), leadership);
@@ -157,7 +157,8 @@
     return new SubscriptionManager(
         context.delivery(),
         outbox,
-        eventLoop,
+        // Answers operators after the end of the term too.
+        context.eventLoop(),
         committer::submit,
         maxValueBytes(),
         lifecycle::isLeadingWithValidLease);
@@ -302,6 +303,19 @@
     failover.close();
     committer.close();
     autoscaler.close();
+    reconciler.close();
+    eventLoop.close();
+    // After the current event, which may still iterate over what is released.
+    context.eventLoop().schedule(Duration.ZERO, this::releaseMemory);
+  }
+
+  /**
+   * Drops the state of the ended term, to which its open requests refer until they are answered.
+   * Meanwhile this controller may be elected again and load the same records.
+   */
+  private void releaseMemory() {
+    cluster.clear();
+    records.clear();
   }
 
   /** The lease was in doubt and has been confirmed as valid. */
--- a/src/main/java/io/pineladder/net/OutboundHttpClient.java
+++ b/src/main/java/io/pineladder/net/OutboundHttpClient.java
@@ -161,8 +161,12 @@
    * {@link HttpExchange}, as {@code last_error}.
    */
   private final class Call {
-    private final Message message;
-    private final Consumer<Result> onResult;
+    /** Null once the call is done: its connection may stay open and refers to this call. */
+    private Message message;
+
+    /** Null once the call is done. */
+    private Consumer<Result> onResult;
+
     private final String origin;
     private boolean finished;
     private OpenConnection openConnection;
@@ -302,7 +306,10 @@
           socket.markClosed();
         }
       }
-      XnioEventLoop.runOrHalt(() -> onResult.accept(result));
+      Consumer<Result> receiver = onResult;
+      onResult = null;
+      message = null;
+      XnioEventLoop.runOrHalt(() -> receiver.accept(result));
     }
 
     private void send(OpenConnection target) {
--- a/src/main/java/io/pineladder/net/UndertowHttpClient.java
+++ b/src/main/java/io/pineladder/net/UndertowHttpClient.java
@@ -161,8 +161,14 @@
       DONE
     }
 
-    private final Request request;
-    private final Consumer<Reply> onReply;
+    private final String address;
+
+    /** Null once the call is done: its connection may stay open and refers to this call. */
+    private Request request;
+
+    /** Null once the call is done. */
+    private Consumer<Reply> onReply;
+
     private State state = State.WAITING;
     private OpenConnection openConnection;
     private ConnectionLimiter.Socket socket;
@@ -170,6 +176,7 @@
     private XnioExecutor.Key timer;
 
     Call(Request request, Consumer<Reply> onReply) {
+      this.address = request.address();
       this.request = request;
       this.onReply = onReply;
     }
@@ -182,13 +189,13 @@
                   () -> XnioEventLoop.runOrHalt(this::onTimeout),
                   Math.max(1, request.timeout().toMillis()),
                   TimeUnit.MILLISECONDS);
-      OpenConnection idleConnection = takeIdleConnection(request.address());
+      OpenConnection idleConnection = takeIdleConnection(address);
       if (idleConnection != null) {
         state = State.CONNECTING;
         eventLoop.execute(() -> send(idleConnection));
         return;
       }
-      Deque<Call> queue = waitingCalls.get(trafficClassOf.apply(request.address()));
+      Deque<Call> queue = waitingCalls.get(trafficClassOf.apply(address));
       if (!queue.isEmpty() || !tryConnect()) {
         queue.addLast(this);
       }
@@ -196,17 +203,14 @@
 
     /** Opens a connection; returns false if the traffic class has no free socket. */
     boolean tryConnect() {
-      socket =
-          eventLoop
-              .connectionLimiter()
-              .tryOpen(trafficClassOf.apply(request.address()), this::close);
+      socket = eventLoop.connectionLimiter().tryOpen(trafficClassOf.apply(address), this::close);
       if (socket == null) {
         return false;
       }
       state = State.CONNECTING;
       connecting =
           connector.connect(
-              URI.create("http://" + request.address()),
+              URI.create("http://" + address),
               buffers,
               new ClientCallback<>() {
                 @Override
@@ -254,7 +258,10 @@
         connecting.cancel();
         onSocketClosed(socket);
       }
-      XnioEventLoop.runOrHalt(() -> onReply.accept(reply));
+      Consumer<Reply> receiver = onReply;
+      onReply = null;
+      request = null;
+      XnioEventLoop.runOrHalt(() -> receiver.accept(reply));
     }
 
     private void send(OpenConnection target) {
@@ -267,7 +274,7 @@
       state = State.SENT;
       ClientRequest clientRequest =
           new ClientRequest().setMethod(new HttpString(request.method())).setPath(request.path());
-      clientRequest.getRequestHeaders().put(Headers.HOST, request.address());
+      clientRequest.getRequestHeaders().put(Headers.HOST, address);
       byte[] body = request.body();
       if (body != null) {
         clientRequest.getRequestHeaders().put(Headers.CONTENT_TYPE, "application/json");
@@ -283,7 +290,7 @@
             public void onResponse(ClientResponse response, byte[] answer) {
               if (state != State.DONE) {
                 // Undertow finishes its own part of the exchange before the connection is reused.
-                eventLoop.execute(() -> release(request.address(), openConnection));
+                eventLoop.execute(() -> release(address, openConnection));
               }
               finish(Reply.answered(response.getResponseCode(), answer));
             }
--- a/src/main/java/io/pineladder/reconciliation/JobReconciler.java
+++ b/src/main/java/io/pineladder/reconciliation/JobReconciler.java
@@ -2,6 +2,7 @@
 
 import io.pineladder.failover.TermLoader;
 import io.pineladder.model.Job;
+import io.pineladder.net.DetachableCallback;
 import io.pineladder.retry.Backoff;
 import io.pineladder.scheduling.ClusterState;
 import io.pineladder.store.Committer;
@@ -58,6 +59,9 @@
   private final Listener listener;
   private final Backoff backoff;
 
+  /** The open watch of the inbox; null before the first. */
+  private DetachableCallback<StoreClient.ChangesReply> inboxWatch;
+
   /** Number of jobs removed from memory; a read that began before a removal may be outdated. */
   private long removalCount;
 
@@ -91,33 +95,33 @@
     if (!listener.isLeading()) {
       return;
     }
-    storeClient.watch(
-        RecordKeys.INBOX,
-        after,
-        INBOX_WATCH_TIMEOUT,
-        result -> {
-          if (!listener.isLeading()) {
-            return;
-          }
-          StoreWire.Changes changes = result.changes();
-          if (changes != null) {
-            backoff.reset();
-            changes.entries().stream()
-                .filter(entry -> !entry.isDeletion())
-                .forEach(this::reconcileInboxEntry);
-            watchInbox(changes.revision());
-          } else if (result.requiresListing()) {
-            storeClient.listAll(
-                RecordKeys.INBOX,
-                listener::isLeading,
-                inbox -> {
-                  inbox.entries().forEach(this::reconcileInboxEntry);
-                  watchInbox(inbox.revision());
-                });
-          } else {
-            storeClient.scheduleRetry(backoff, () -> watchInbox(after));
-          }
-        });
+    inboxWatch = new DetachableCallback<>(reply -> onInboxChanges(after, reply));
+    storeClient.watch(RecordKeys.INBOX, after, INBOX_WATCH_TIMEOUT, inboxWatch);
+  }
+
+  private void onInboxChanges(long after, StoreClient.ChangesReply reply) {
+    if (!listener.isLeading()) {
+      return;
+    }
+    StoreWire.Changes changes = reply.changes();
+    if (changes != null) {
+      backoff.reset();
+      changes.entries().stream()
+          .filter(entry -> !entry.isDeletion())
+          .forEach(this::reconcileInboxEntry);
+      watchInbox(changes.revision());
+    } else if (reply.requiresListing()) {
+      storeClient.listAll(RecordKeys.INBOX, listener::isLeading, this::start);
+    } else {
+      storeClient.scheduleRetry(backoff, () -> watchInbox(after));
+    }
+  }
+
+  /** Stops to watch, after the term has ended. */
+  public void close() {
+    if (inboxWatch != null) {
+      inboxWatch.detach();
+    }
   }
 
   private void reconcileInboxEntry(StoreWire.Entry entry) {
--- a/src/main/java/io/pineladder/scheduling/ClusterState.java
+++ b/src/main/java/io/pineladder/scheduling/ClusterState.java
@@ -248,6 +248,21 @@
     return quotas.isGuaranteed(job);
   }
 
+  /** Drops all jobs, machines and attempts, after the term has ended. */
+  public void clear() {
+    jobs.values().forEach(job -> job.attempts.clear());
+    machines.values().forEach(machine -> machine.attempts.clear());
+    jobs.clear();
+    machines.clear();
+    machinesWithGpuCapacity.clear();
+    machinesWithCapacity.clear();
+    excludedByPolicy.clear();
+    machineCounts.clear();
+    imageFetches.clear();
+    reservations.clear();
+    expectedImages.clear();
+  }
+
   // ---- machines
 
   /** All machines, by name. */
--- a/src/main/java/io/pineladder/scheduling/ImageFetchIndex.java
+++ b/src/main/java/io/pineladder/scheduling/ImageFetchIndex.java
@@ -41,4 +41,9 @@
       }
     }
   }
+
+  /** Forgets all attempts. */
+  void clear() {
+    fetchingByImage.clear();
+  }
 }
--- a/src/main/java/io/pineladder/store/CompletionRecords.java
+++ b/src/main/java/io/pineladder/store/CompletionRecords.java
@@ -141,6 +141,13 @@
     }
   }
 
+  /** Drops all entries. */
+  void clear() {
+    chunkings.clear();
+    chunks.clear();
+    pages.clear();
+  }
+
   /** Registers a page that exists at the start of a term. */
   void restorePage(String page) {
     pages.restorePage(page);
--- a/src/main/java/io/pineladder/store/JobPages.java
+++ b/src/main/java/io/pineladder/store/JobPages.java
@@ -138,6 +138,15 @@
     nextPageNumber = Math.max(nextPageNumber, RecordKeys.pageNumber(key, RecordKeys.JOB_PAGES) + 1);
   }
 
+  /** Drops all pages; nothing may be stored from here on. */
+  void clear() {
+    pages.clear();
+    pageByJob.clear();
+    recordBytesByJob.clear();
+    pendingNotifications.clear();
+    openPage = null;
+  }
+
   // ---- the start of a term
 
   /** Returns the page with this key; registers it if it is not known yet. */
--- a/src/main/java/io/pineladder/store/RecordPages.java
+++ b/src/main/java/io/pineladder/store/RecordPages.java
@@ -161,6 +161,15 @@
     return Math.min(valueBytes, MAX_PAGE_BYTES) - PAGE_OVERHEAD_BYTES;
   }
 
+  /** Drops all pages and entries; nothing may be stored from here on. */
+  void clear() {
+    pages.clear();
+    pageByKey.clear();
+    storedPage.clear();
+    pageBeingStored.clear();
+    pendingEntries.clear();
+  }
+
   /** Restores an entry read at the start of a term. */
   void restore(String key, T entry, C content) {
     Page<T, C> page = restorePage(key);
--- a/src/main/java/io/pineladder/store/Records.java
+++ b/src/main/java/io/pineladder/store/Records.java
@@ -119,6 +119,14 @@
         new OversizedPages(eventLoop, commit, divider, this::evacuateOversizedPage);
   }
 
+  /** Drops all entries, after the term has ended and the committer was closed. */
+  public void clear() {
+    jobPages.clear();
+    completions.clear();
+    placements.clear();
+    images.clear();
+  }
+
   // ---- placements
 
   /** Stores the placement of an attempt; see {@link Listener#onPlacementStored}. */
--- a/src/test/java/io/pineladder/sim/FakeKeyValueStore.java
+++ b/src/test/java/io/pineladder/sim/FakeKeyValueStore.java
@@ -306,6 +306,11 @@
     world.after(50, this::expireLeases);
   }
 
+  /** Ends all leases, as if none had been renewed in time. */
+  void endAllLeases() {
+    List.copyOf(leases.keySet()).forEach(this::endLease);
+  }
+
   private void endLease(long leaseId) {
     leases.remove(leaseId);
     List<String> attached =
--- a/src/test/java/io/pineladder/sim/LargeStateProcessTest.java
+++ b/src/test/java/io/pineladder/sim/LargeStateProcessTest.java
@@ -11,7 +11,9 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
@@ -20,6 +22,7 @@
 class LargeStateProcessTest {
   private static final int CONTROLLERS = 3;
   private static final int FAILOVERS = 3;
+  private static final int TERMS = 8;
   private static final int MACHINES = 131;
   private static final int TASKS = 100_000;
   private static final int ENTRIES_PER_PAGE = 90;
@@ -98,11 +101,28 @@
     }
   }
 
+  /** Guards against a controller that leads again and ends for the memory of its earlier terms. */
+  @Test
+  @Timeout(400)
+  void leaderElectedAgainHoldsOneTerm() throws Exception {
+    try (LoopbackCluster cluster =
+        new LoopbackCluster(folder, 2, 1, List.of(), LargeStateProcessTest::prepare)) {
+      Set<Long> terms = new HashSet<>();
+      while (terms.size() < TERMS) {
+        int leader = awaitLoadedLeader(cluster);
+        ObjectNode queue = cluster.adminRequestOnce(leader, "/admin/v1/queue");
+        if (queue != null && terms.add(queue.get("term").asLong())) {
+          cluster.runOnEventLoop(cluster.store::endAllLeases);
+        }
+      }
+    }
+  }
+
   /** Waits for a leader that has loaded the job; fails if a controller ends by itself meanwhile. */
   private static int awaitLoadedLeader(LoopbackCluster cluster) throws Exception {
     Instant deadline = Instant.now().plus(MAX_FAILOVER);
     while (Instant.now().isBefore(deadline)) {
-      for (int i = 0; i < CONTROLLERS; i++) {
+      for (int i = 0; i < cluster.adminAddresses().size(); i++) {
         Process controller = cluster.controller(i);
         assertTrue(controller.isAlive(), () -> "ended with exit code " + controller.exitValue());
         ObjectNode status = cluster.adminRequestOnce(i, "/admin/v1/status");
--- a/src/test/java/io/pineladder/sim/LoopbackCluster.java
+++ b/src/test/java/io/pineladder/sim/LoopbackCluster.java
@@ -188,6 +188,15 @@
     return processes.get(index);
   }
 
+  /** Changes the fake services on their event loop. */
+  void runOnEventLoop(Runnable action) throws Exception {
+    readOnEventLoop(
+        () -> {
+          action.run();
+          return true;
+        });
+  }
+
   /** Reads from the fake services on their event loop. */
   <T> T readOnEventLoop(Supplier<T> supplier) throws Exception {
     java.util.concurrent.CompletableFuture<T> result =
