A job for whose tasks a leader has no memory is refused before it is accepted

What callers would see: two services of 100,000 small tasks are both valid and both accepted; with some 200,000 placements the leader and each next one end for memory, which no leaner form of the records prevents. The heap of the deploy file holds one such job (49 MB of 96 after the load).

Cause: nothing bounded the tasks that are placed by what a leader can hold.

Change: MemoryBudget counts, from the size of the heap, a share for each job and each task that must run at the same time as the others of its job (services, gangs). A submission beyond it gets 503 before anything is stored, and users repeat it; a repeated submission of a known job is never refused. Arrays are accepted as long as there is memory for a job, and their tasks wait (rate limit, back-off) while no memory is left for further attempts, so the bound costs service and no promise. Accepted jobs are loaded in any case. Without a leader nobody knows what is promised: services and gangs of more than 1,000 tasks are answered with 503 there.

--- a/src/main/java/io/pineladder/SubmissionHandler.java
+++ b/src/main/java/io/pineladder/SubmissionHandler.java
@@ -82,9 +82,15 @@
       onDone.accept(SubmissionResult.ended(finalState));
       return;
     }
+    if (!cluster.memoryBudget().hasRoomFor(spec)) {
+      log.info("Submission refused, no memory for it: job={} tasks={}", id, spec.tasks());
+      onDone.accept(SubmissionResult.REFUSED);
+      return;
+    }
+    cluster.memoryBudget().reserve(spec);
     pendingSubmissions.begin(id, onDone);
     Job job = new Job(spec, eventLoop.wallClock(), Job.State.ACTIVE);
-    records.storeAcceptance(job, () -> onStored(job), () -> onStoredElsewhere(id));
+    records.storeAcceptance(job, () -> onStored(job), () -> onStoredElsewhere(spec));
   }
 
   private void answerAccepted(Job job, Consumer<SubmissionResult> onDone) {
@@ -95,6 +101,7 @@
   private void onStored(Job job) {
     String id = job.spec.id();
     List<Consumer<SubmissionResult>> waiters = pendingSubmissions.complete(id);
+    cluster.memoryBudget().release(job.spec);
     log.debug(
         "Job accepted: job={} tasks={} kind={} class={} team={}",
         id,
@@ -114,7 +121,9 @@
   }
 
   /** Another node stored the job first; responds with the status of that record. */
-  private void onStoredElsewhere(String id) {
+  private void onStoredElsewhere(JobSpec spec) {
+    String id = spec.id();
+    cluster.memoryBudget().release(spec);
     List<Consumer<SubmissionResult>> waiters = pendingSubmissions.complete(id);
     reconciler.lookUp(
         id,
--- a/src/main/java/io/pineladder/SubmissionResult.java
+++ b/src/main/java/io/pineladder/SubmissionResult.java
@@ -10,6 +10,9 @@
  *     before, by this or another controller, is a repeated one
  */
 public record SubmissionResult(JobView view, boolean isNew) {
+  /** There is no memory for the job; it may be submitted again. */
+  static final SubmissionResult REFUSED = new SubmissionResult(JobView.UNCERTAIN, false);
+
   /** This submission stored the job. */
   static SubmissionResult stored(JobView view) {
     return new SubmissionResult(view, true);
--- a/src/main/java/io/pineladder/api/LeaderlessApi.java
+++ b/src/main/java/io/pineladder/api/LeaderlessApi.java
@@ -10,6 +10,7 @@
 import io.pineladder.admin.Metrics;
 import io.pineladder.api.JobRecordReader.Result;
 import io.pineladder.model.Job;
+import io.pineladder.model.JobKind;
 import io.pineladder.model.JobSpec;
 import io.pineladder.net.HttpResponse;
 import io.pineladder.replica.RecordReplica;
@@ -30,6 +31,9 @@
 final class LeaderlessApi {
   private static final Logger log = LoggerFactory.getLogger(LeaderlessApi.class);
 
+  /** Bounds the tasks that the next leader has to hold at the same time. */
+  private static final int MAX_TASKS_WITHOUT_LEADER = 1_000;
+
   private final ControllerNode node;
   private final AdmissionPolicy admission;
   private final JobRecordReader records;
@@ -99,6 +103,11 @@
       reject(spec.id(), rejection.get(), answer);
       return;
     }
+    if (spec.kind() != JobKind.ARRAY && spec.tasks() > MAX_TASKS_WITHOUT_LEADER) {
+      // Only a leader knows whether it has memory for all tasks at the same time.
+      answer.accept(unavailable("no leader"));
+      return;
+    }
     // Fails if another generation, with other pages, becomes active before the job is stored.
     StoreWire.Transaction transaction = node.storeClient().transaction();
     if (spec.prerequisites().isEmpty()) {
--- a/src/main/java/io/pineladder/scheduling/ClusterState.java
+++ b/src/main/java/io/pineladder/scheduling/ClusterState.java
@@ -89,13 +89,26 @@
   /** The properties of a machine that jobs can constrain. */
   record MachineKind(String type, String zone, boolean spot) {}
 
-  /** Creates a cluster without machines and jobs. */
+  private final MemoryBudget memoryBudget;
+
+  /** Creates a cluster without machines and jobs, bounded by the heap of this process. */
   public ClusterState(Settings settings) {
+    this(settings, new MemoryBudget(Runtime.getRuntime().maxMemory()));
+  }
+
+  /** Creates a cluster without machines and jobs. */
+  public ClusterState(Settings settings, MemoryBudget memoryBudget) {
     this.settings = settings;
+    this.memoryBudget = memoryBudget;
     this.objectives = new ServiceObjectives(settings);
     this.quotas = new TeamQuotas(settings.teams());
   }
 
+  /** Bounds the jobs and attempts in memory. */
+  public MemoryBudget memoryBudget() {
+    return memoryBudget;
+  }
+
   /** The service-level objectives in the settings. */
   ServiceObjectives objectives() {
     return objectives;
@@ -227,12 +240,15 @@
   /** Adds a job. Jobs must be added in the order of their acceptance. */
   public void addJob(Job job) {
     jobs.put(job.spec.id(), job);
+    memoryBudget.reserve(job.spec);
     quotas.addJob(job);
   }
 
   /** Removes a job that is done or cancelled. */
   public void removeJob(Job job) {
-    jobs.remove(job.spec.id());
+    if (jobs.remove(job.spec.id()) != null) {
+      memoryBudget.release(job.spec);
+    }
     quotas.removeJob(job);
   }
 
@@ -416,6 +432,9 @@
     machine.idleSince = null;
     quotas.addUsage(job.spec.team(), job.spec.resourcesPerTask());
     attemptCountByPriority.merge(job.spec.priorityClass(), 1, Integer::sum);
+    if (job.spec.kind() == JobKind.ARRAY) {
+      memoryBudget.onArrayAttemptAdded();
+    }
     updateIndexes(machine);
     return attempt;
   }
@@ -434,6 +453,9 @@
       quotas.removeUsage(attempt.job.spec.team(), freed);
       attemptCountByPriority.merge(attempt.job.spec.priorityClass(), -1, Integer::sum);
       attempt.job.removeAttempt(attempt);
+      if (attempt.job.spec.kind() == JobKind.ARRAY) {
+        memoryBudget.onArrayAttemptRemoved();
+      }
       updateIndexes(attempt.machine);
     }
     if (next == Attempt.State.GONE) {
--- a/src/main/java/io/pineladder/scheduling/SchedulingCycle.java
+++ b/src/main/java/io/pineladder/scheduling/SchedulingCycle.java
@@ -141,6 +141,13 @@
         return;
       }
     }
+    if (job.spec.kind() == JobKind.ARRAY) {
+      taskCount = Math.min(taskCount, context.cluster.memoryBudget().arrayAttemptsLeft());
+      if (taskCount == 0) {
+        queue.backOff(entry, SchedulingCheck.PACE, now);
+        return;
+      }
+    }
     boolean isRateLimited =
         job.spec.kind() == JobKind.ARRAY && job.spec.tasks() > MAX_UNTHROTTLED_ARRAY_TASKS;
     if (isRateLimited) {
--- a/src/test/java/io/pineladder/sim/LargeStateProcessTest.java
+++ b/src/test/java/io/pineladder/sim/LargeStateProcessTest.java
@@ -7,6 +7,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.pineladder.wire.Json;
 import io.pineladder.wire.RecordWire;
+import java.net.http.HttpResponse;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.time.Instant;
@@ -52,14 +53,17 @@
     }
   }
 
-  private static JsonNode jobRecord() {
+  private static ObjectNode largestJob(String id, String kind) {
     ObjectNode spec =
-        DeliveryProcessTest.unplaceableJob(JOB).put("shape", "service").put("pieces", TASKS);
-    spec.put("vcpus", 0.02).put("cards", 0.0).put("memory_gb", 0.05).put("guess_s", 0.0);
+        DeliveryProcessTest.unplaceableJob(id).put("shape", kind).put("pieces", TASKS);
+    return spec.put("vcpus", 0.02).put("cards", 0.0).put("memory_gb", 0.05).put("guess_s", 0.0);
+  }
+
+  private static JsonNode jobRecord() {
     return Json.object()
         .put("accepted_ms", Instant.now().toEpochMilli())
         .put("state", "active")
-        .set("spec", spec);
+        .set("spec", largestJob(JOB, "service"));
   }
 
   private static JsonNode placement(int task) {
@@ -118,6 +122,27 @@
     }
   }
 
+  /** Guards against jobs that are accepted although no leader has memory to run their tasks. */
+  @Test
+  @Timeout(200)
+  void jobBeyondTheHeapIsRefusedBeforeItIsAccepted() throws Exception {
+    try (LoopbackCluster cluster =
+        new LoopbackCluster(folder, CONTROLLERS, 1, List.of(), LargeStateProcessTest::prepare)) {
+      int leader = awaitLoadedLeader(cluster);
+      assertEquals(503, statusOfSubmission(cluster, leader, largestJob("req-000002", "service")));
+      assertEquals(201, statusOfSubmission(cluster, leader, largestJob("req-000003", "array")));
+      ObjectNode small = DeliveryProcessTest.unplaceableJob("req-000004");
+      assertEquals(201, statusOfSubmission(cluster, leader, small));
+      assertEquals(404, cluster.requestOnce(leader, "GET", "/v1/jobs/req-000002").statusCode());
+    }
+  }
+
+  private static int statusOfSubmission(LoopbackCluster cluster, int index, ObjectNode spec)
+      throws InterruptedException {
+    HttpResponse<String> response = cluster.submitOnce(index, spec);
+    return response == null ? 0 : response.statusCode();
+  }
+
   /** Waits for a leader that has loaded the job; fails if a controller ends by itself meanwhile. */
   private static int awaitLoadedLeader(LoopbackCluster cluster) throws Exception {
     Instant deadline = Instant.now().plus(MAX_FAILOVER);
--- a/src/test/java/io/pineladder/sim/LoopbackCluster.java
+++ b/src/test/java/io/pineladder/sim/LoopbackCluster.java
@@ -244,6 +244,11 @@
     }
   }
 
+  /** Submits a job to a controller once; returns null if there is no answer. */
+  HttpResponse<String> submitOnce(int index, ObjectNode spec) throws InterruptedException {
+    return sendRequest(apiAddresses.get(index), "POST", "/v1/jobs", spec);
+  }
+
   /** The cluster addresses of the controllers, which also serve the admin API. */
   List<String> adminAddresses() {
     return adminAddresses;
