A leader holds the records of jobs encoded, as those of placements

With 30,000 pending jobs stored no controller became a usable leader within a minute: each loaded the records with a nearly full heap and lost its lease.

A job page kept the committed record of each job as a tree, some 20 nodes a job, beside the specification made of it.

Change: job pages keep committed records as bytes and parse them when they write a page; pages are found by key instead of a search through all of them for each restored job.

--- a/src/main/java/io/pineladder/store/JobPage.java
+++ b/src/main/java/io/pineladder/store/JobPage.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import io.pineladder.model.Job;
 import io.pineladder.model.Notification;
+import io.pineladder.wire.Json;
 import io.pineladder.wire.RecordWire;
 import java.util.Collection;
 import java.util.LinkedHashMap;
@@ -17,8 +18,8 @@
 final class JobPage {
   final String key;
 
-  /** The committed records, by job ID. */
-  private final Map<String, JsonNode> records = new LinkedHashMap<>();
+  /** The committed records by job ID, encoded, since trees take several times as much memory. */
+  private final Map<String, byte[]> records = new LinkedHashMap<>();
 
   /** The committed notifications, by number. */
   private final Map<Long, Notification> notifications = new TreeMap<>();
@@ -98,12 +99,13 @@
 
   /** The committed record of a job, or null. */
   JsonNode record(String jobId) {
-    return records.get(jobId);
+    byte[] encoded = records.get(jobId);
+    return encoded == null ? null : Json.parseOrMissing(encoded);
   }
 
   /** Adds a committed record. */
   void putRecord(String jobId, JsonNode record) {
-    records.put(jobId, record);
+    records.put(jobId, Json.bytes(record));
   }
 
   boolean hasNotifications() {
@@ -124,10 +126,11 @@
 
   /** The value with these edits; the committed content stays as it is. */
   JsonNode render(List<JobPageEdit> edits) {
-    Map<String, JsonNode> nextRecords = new LinkedHashMap<>(records);
+    Map<String, byte[]> nextRecords = new LinkedHashMap<>(records);
     Map<Long, Notification> nextNotifications = new TreeMap<>(notifications);
     edits.forEach(edit -> edit.apply(nextRecords, nextNotifications));
-    return RecordWire.page(nextRecords.values().stream(), nextNotifications.values());
+    return RecordWire.page(
+        nextRecords.values().stream().map(Json::parseOrMissing), nextNotifications.values());
   }
 
   /** Applies these edits, whose transaction was committed. */
--- a/src/main/java/io/pineladder/store/JobPageEdit.java
+++ b/src/main/java/io/pineladder/store/JobPageEdit.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import io.pineladder.model.Job;
 import io.pineladder.model.Notification;
+import io.pineladder.wire.Json;
 import io.pineladder.wire.RecordWire;
 import java.util.Map;
 import java.util.function.Supplier;
@@ -45,8 +46,8 @@
   /** The page to change; null for the page that contains the job's record at the time. */
   private JobPage assignedPage;
 
-  /** The record as last rendered; after the commit, the committed record. */
-  private JsonNode rendered;
+  /** The record as last rendered, encoded; after the commit, the committed record. */
+  private byte[] rendered;
 
   /** The notification as last allocated; null when no subscriber wants it. */
   private Notification notification;
@@ -127,10 +128,11 @@
   void prepare() {
     inFlight = true;
     switch (kind) {
-      case ADD, REPLACE -> rendered = value.get();
+      case ADD, REPLACE -> rendered = Json.bytes(value.get());
       case COPY -> {
         JsonNode record = copiedFrom.record(jobId);
-        rendered = record == null ? null : RecordWire.copiedRecord(record, copiedFrom.key);
+        rendered =
+            record == null ? null : Json.bytes(RecordWire.copiedRecord(record, copiedFrom.key));
       }
       case ADD_NOTIFICATION -> notification = pages.notificationLog().allocate(job);
       case REMOVE, REWRITE -> {}
@@ -139,7 +141,7 @@
   }
 
   /** Applies the change to the content of a page. */
-  void apply(Map<String, JsonNode> records, Map<Long, Notification> notifications) {
+  void apply(Map<String, byte[]> records, Map<Long, Notification> notifications) {
     switch (kind) {
       case ADD -> records.put(jobId, rendered);
       case REPLACE -> records.computeIfPresent(jobId, (id, previous) -> rendered);
--- a/src/main/java/io/pineladder/store/JobPages.java
+++ b/src/main/java/io/pineladder/store/JobPages.java
@@ -38,6 +38,7 @@
   /** All pages, in the order in which they are considered for new content. */
   private final ArrayDeque<JobPage> pages = new ArrayDeque<>();
 
+  private final Map<String, JobPage> pageByKey = new HashMap<>();
   private final Map<Job, JobPage> pageByJob = new HashMap<>();
   private final Map<Job, Integer> recordBytesByJob = new HashMap<>();
 
@@ -114,9 +115,7 @@
         return page;
       }
     }
-    JobPage page = new JobPage(RecordKeys.JOB_PAGES + nextPageNumber++);
-    pages.addLast(page);
-    return page;
+    return addPage(RecordKeys.JOB_PAGES + nextPageNumber++);
   }
 
   /** Records that the page contains the job's record; capacity was reserved before. */
@@ -128,6 +127,7 @@
   /** Removes a page that was deleted from the store. */
   void removePage(JobPage page) {
     pages.remove(page);
+    pageByKey.remove(page.key, page);
   }
 
   /**
@@ -141,6 +141,7 @@
   /** Drops all pages; nothing may be stored from here on. */
   void clear() {
     pages.clear();
+    pageByKey.clear();
     pageByJob.clear();
     recordBytesByJob.clear();
     pendingNotifications.clear();
@@ -151,14 +152,18 @@
 
   /** Returns the page with this key; registers it if it is not known yet. */
   JobPage restore(String key) {
-    for (JobPage page : pages) {
-      if (page.key.equals(key)) {
-        return page;
-      }
+    JobPage known = pageByKey.get(key);
+    if (known != null) {
+      return known;
     }
+    reserveNumber(key);
+    return addPage(key);
+  }
+
+  private JobPage addPage(String key) {
     JobPage page = new JobPage(key);
     pages.addLast(page);
-    reserveNumber(key);
+    pageByKey.put(key, page);
     return page;
   }
 
--- a/src/test/java/io/pineladder/sim/LargeStateProcessTest.java
+++ b/src/test/java/io/pineladder/sim/LargeStateProcessTest.java
@@ -15,6 +15,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
@@ -27,6 +28,8 @@
   private static final int MACHINES = 131;
   private static final int TASKS = 100_000;
   private static final int ENTRIES_PER_PAGE = 90;
+  private static final int JOBS = 30_000;
+  private static final int JOBS_PER_PAGE = 15;
 
   /** Keeps a page of the listing below 512 KiB. */
   private static final int PAGES_PER_LISTING = 60;
@@ -43,7 +46,7 @@
       fleet.machines.put(
           name, fleet.new Worker(name, address(machine), "g4", zone(machine), false));
     }
-    store.prepare("accepted/0", RecordWire.page(List.of(jobRecord()).stream()));
+    store.prepare("accepted/0", RecordWire.page(Stream.of(record(largestJob(JOB, "service")))));
     for (int first = 0, page = 0; first < TASKS; first += ENTRIES_PER_PAGE, page++) {
       List<JsonNode> entries = new ArrayList<>();
       for (int task = first; task < Math.min(TASKS, first + ENTRIES_PER_PAGE); task++) {
@@ -59,11 +62,22 @@
     return spec.put("vcpus", 0.02).put("cards", 0.0).put("memory_gb", 0.05).put("guess_s", 0.0);
   }
 
-  private static JsonNode jobRecord() {
+  private static void prepareManyJobs(FakeKeyValueStore store, FakeFleet fleet) {
+    store.pageSize = PAGES_PER_LISTING;
+    for (int first = 0, page = 0; first < JOBS; first += JOBS_PER_PAGE, page++) {
+      List<JsonNode> records = new ArrayList<>();
+      for (int job = first; job < Math.min(JOBS, first + JOBS_PER_PAGE); job++) {
+        records.add(record(DeliveryProcessTest.unplaceableJob(String.format("req-%06d", job))));
+      }
+      store.prepare("accepted/" + page, RecordWire.page(records.stream()));
+    }
+  }
+
+  private static JsonNode record(ObjectNode spec) {
     return Json.object()
         .put("accepted_ms", Instant.now().toEpochMilli())
         .put("state", "active")
-        .set("spec", largestJob(JOB, "service"));
+        .set("spec", spec);
   }
 
   private static JsonNode placement(int task) {
@@ -122,6 +136,18 @@
     }
   }
 
+  /** Guards against a leader that ends for the memory of the records of many pending jobs. */
+  @Test
+  @Timeout(200)
+  void leaderLoadsManyJobs() throws Exception {
+    try (LoopbackCluster cluster =
+        new LoopbackCluster(
+            folder, CONTROLLERS, 1, List.of(), LargeStateProcessTest::prepareManyJobs)) {
+      cluster.killController(awaitLoadedLeader(cluster, JOBS));
+      awaitLoadedLeader(cluster, JOBS);
+    }
+  }
+
   /** Guards against jobs that are accepted although no leader has memory to run their tasks. */
   @Test
   @Timeout(200)
@@ -145,6 +171,10 @@
 
   /** Waits for a leader that has loaded the job; fails if a controller ends by itself meanwhile. */
   private static int awaitLoadedLeader(LoopbackCluster cluster) throws Exception {
+    return awaitLoadedLeader(cluster, 1);
+  }
+
+  private static int awaitLoadedLeader(LoopbackCluster cluster, int jobs) throws Exception {
     Instant deadline = Instant.now().plus(MAX_FAILOVER);
     while (Instant.now().isBefore(deadline)) {
       for (int i = 0; i < cluster.adminAddresses().size(); i++) {
@@ -156,7 +186,7 @@
         }
         ObjectNode queue = cluster.adminRequestOnce(i, "/admin/v1/queue");
         if (queue != null) {
-          assertEquals(1, queue.get("jobs").asInt());
+          assertEquals(jobs, queue.get("jobs").asInt());
           return i;
         }
       }
