--- a/src/main/java/io/pineladder/failover/ClusterStateRestorer.java
+++ b/src/main/java/io/pineladder/failover/ClusterStateRestorer.java
@@ -79,6 +79,11 @@
     void accept(String page, T entry) throws MalformedMessageException;
   }
 
+  /** Receives the stored completions of known jobs. */
+  private interface CompletionConsumer {
+    void accept(String page, Job job, RecordWire.StoredCompletions chunk);
+  }
+
   /** A part of the restore that takes a short time, such as one page. */
   private interface Step {
     void run() throws MalformedMessageException;
@@ -240,22 +245,18 @@
   private void planCompletions(StoreClient.Listing listing) {
     steps.add(() -> listing.entries().forEach(page -> records.restoreCompletionPage(page.key())));
     planRevisions(listing);
+    planCompletionEntries(listing, (page, job, chunk) -> job.completedTasks.or(chunk.completed()));
+    planCompletionEntries(listing, records::restoreCompletions);
+  }
+
+  private void planCompletionEntries(StoreClient.Listing listing, CompletionConsumer consumer) {
     planEntries(
         listing,
         RecordWire::parseCompletions,
         (page, chunk) -> {
           Job job = jobs.get(chunk.job());
           if (job != null) {
-            job.completedTasks.or(chunk.completed());
-          }
-        });
-    planEntries(
-        listing,
-        RecordWire::parseCompletions,
-        (page, chunk) -> {
-          Job job = jobs.get(chunk.job());
-          if (job != null) {
-            records.restoreCompletions(page, job, chunk);
+            consumer.accept(page, job, chunk);
           }
         });
   }
--- a/src/test/java/io/pineladder/failover/TermLoaderTest.java
+++ b/src/test/java/io/pineladder/failover/TermLoaderTest.java
@@ -12,9 +12,9 @@
 import io.pineladder.model.JobKind;
 import io.pineladder.model.JobSpec;
 import io.pineladder.model.MachineType;
-import io.pineladder.model.PriorityClass;
 import io.pineladder.model.Resources;
 import io.pineladder.model.Settings;
+import io.pineladder.model.TestJobs;
 import io.pineladder.net.AsyncHttpClient;
 import io.pineladder.net.ManualEventLoop;
 import io.pineladder.scheduling.ClusterState;
@@ -133,26 +133,7 @@
   }
 
   private void storeRecords() {
-    JobSpec spec =
-        new JobSpec(
-            JOB,
-            "class",
-            "red",
-            JobKind.SERVICE,
-            PriorityClass.NORMAL,
-            PAGES * PLACEMENTS_PER_PAGE,
-            Resources.of(0.02, 0, 0.05),
-            null,
-            null,
-            false,
-            false,
-            false,
-            "image",
-            1,
-            Duration.ZERO,
-            Duration.ZERO,
-            Duration.ZERO,
-            null);
+    JobSpec spec = TestJobs.smallTasks(JobKind.SERVICE, PAGES * PLACEMENTS_PER_PAGE);
     stored.put(
         RecordKeys.JOB_PAGES + 0,
         RecordWire.page(Stream.of(RecordWire.job(spec, Instant.EPOCH, Job.State.ACTIVE))));
--- a/src/test/java/io/pineladder/scheduling/MemoryBudgetTest.java
+++ b/src/test/java/io/pineladder/scheduling/MemoryBudgetTest.java
@@ -6,9 +6,7 @@
 
 import io.pineladder.model.JobKind;
 import io.pineladder.model.JobSpec;
-import io.pineladder.model.PriorityClass;
-import io.pineladder.model.Resources;
-import java.time.Duration;
+import io.pineladder.model.TestJobs;
 import org.junit.jupiter.api.Test;
 
 /** Jobs and placed tasks within the heap of the deploy file. */
@@ -18,33 +16,11 @@
 
   private final MemoryBudget budget = new MemoryBudget(HEAP_BYTES);
 
-  private static JobSpec job(JobKind kind, int tasks) {
-    return new JobSpec(
-        "req-000001",
-        "class",
-        "red",
-        kind,
-        PriorityClass.NORMAL,
-        tasks,
-        Resources.of(0.02, 0, 0.05),
-        null,
-        null,
-        false,
-        false,
-        false,
-        "image",
-        1,
-        Duration.ZERO,
-        Duration.ZERO,
-        Duration.ZERO,
-        null);
-  }
-
   /** Guards against refusing the largest job that the protocol allows. */
   @Test
   void holdsTheLargestJobOfEachKindOnce() {
     for (JobKind kind : JobKind.values()) {
-      JobSpec largest = job(kind, MAX_TASKS);
+      JobSpec largest = TestJobs.smallTasks(kind, MAX_TASKS);
       assertTrue(budget.hasRoomFor(largest), kind.name());
       budget.reserve(largest);
       assertEquals(kind == JobKind.ARRAY, budget.hasRoomFor(largest), kind.name());
@@ -57,16 +33,18 @@
   void arraysUseWhatServicesLeave() {
     int left = budget.arrayAttemptsLeft();
     assertTrue(left > MAX_TASKS);
-    budget.reserve(job(JobKind.SERVICE, MAX_TASKS));
+    budget.reserve(TestJobs.smallTasks(JobKind.SERVICE, MAX_TASKS));
     assertTrue(budget.arrayAttemptsLeft() <= left - MAX_TASKS);
     while (budget.arrayAttemptsLeft() > 0) {
       budget.onArrayAttemptAdded();
     }
-    assertTrue(budget.hasRoomFor(job(JobKind.ARRAY, 1)), "it waits until tasks have ended");
+    assertTrue(
+        budget.hasRoomFor(TestJobs.smallTasks(JobKind.ARRAY, 1)),
+        "it waits until tasks have ended");
     budget.onArrayAttemptRemoved();
     assertEquals(1, budget.arrayAttemptsLeft());
-    budget.reserve(job(JobKind.SERVICE, MAX_TASKS));
+    budget.reserve(TestJobs.smallTasks(JobKind.SERVICE, MAX_TASKS));
     assertEquals(0, budget.arrayAttemptsLeft());
-    assertFalse(budget.hasRoomFor(job(JobKind.ARRAY, 1)));
+    assertFalse(budget.hasRoomFor(TestJobs.smallTasks(JobKind.ARRAY, 1)));
   }
 }
--- a/src/test/java/io/pineladder/sim/LargeStateProcessTest.java
+++ b/src/test/java/io/pineladder/sim/LargeStateProcessTest.java
@@ -3,19 +3,14 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import io.pineladder.wire.Json;
-import io.pineladder.wire.RecordWire;
 import java.net.http.HttpResponse;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.time.Instant;
-import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
-import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
@@ -25,84 +20,19 @@
   private static final int CONTROLLERS = 3;
   private static final int FAILOVERS = 10;
   private static final int TERMS = 8;
-  private static final int MACHINES = 131;
   private static final int TASKS = 100_000;
-  private static final int ENTRIES_PER_PAGE = 90;
   private static final int JOBS = 30_000;
-  private static final int JOBS_PER_PAGE = 15;
-
-  /** Keeps a page of the listing below 512 KiB. */
-  private static final int PAGES_PER_LISTING = 60;
 
   private static final Duration MAX_FAILOVER = Duration.ofSeconds(60);
-  private static final String JOB = "req-000001";
 
   @TempDir Path folder;
 
   private static void prepare(FakeKeyValueStore store, FakeFleet fleet) {
-    store.pageSize = PAGES_PER_LISTING;
-    for (int machine = 0; machine < MACHINES; machine++) {
-      String name = machineName(machine);
-      fleet.machines.put(
-          name, fleet.new Worker(name, address(machine), "g4", zone(machine), false));
-    }
-    store.prepare("accepted/0", RecordWire.page(Stream.of(record(largestJob(JOB, "service")))));
-    for (int first = 0, page = 0; first < TASKS; first += ENTRIES_PER_PAGE, page++) {
-      List<JsonNode> entries = new ArrayList<>();
-      for (int task = first; task < Math.min(TASKS, first + ENTRIES_PER_PAGE); task++) {
-        entries.add(placement(task));
-      }
-      store.prepare("placed/" + page, RecordWire.page(entries.stream()));
-    }
-  }
-
-  private static ObjectNode largestJob(String id, String kind) {
-    ObjectNode spec =
-        DeliveryProcessTest.unplaceableJob(id).put("shape", kind).put("pieces", TASKS);
-    return spec.put("vcpus", 0.02).put("cards", 0.0).put("memory_gb", 0.05).put("guess_s", 0.0);
+    LargeState.storeService(store, fleet, TASKS);
   }
 
   private static void prepareManyJobs(FakeKeyValueStore store, FakeFleet fleet) {
-    store.pageSize = PAGES_PER_LISTING;
-    for (int first = 0, page = 0; first < JOBS; first += JOBS_PER_PAGE, page++) {
-      List<JsonNode> records = new ArrayList<>();
-      for (int job = first; job < Math.min(JOBS, first + JOBS_PER_PAGE); job++) {
-        records.add(record(DeliveryProcessTest.unplaceableJob(String.format("req-%06d", job))));
-      }
-      store.prepare("accepted/" + page, RecordWire.page(records.stream()));
-    }
-  }
-
-  private static JsonNode record(ObjectNode spec) {
-    return Json.object()
-        .put("accepted_ms", Instant.now().toEpochMilli())
-        .put("state", "active")
-        .set("spec", spec);
-  }
-
-  private static JsonNode placement(int task) {
-    int machine = task % MACHINES;
-    return Json.array()
-        .add(machineName(machine))
-        .add(address(machine))
-        .add("g4")
-        .add(zone(machine))
-        .add(false)
-        .add(JOB)
-        .add(task)
-        .add(1L << 20);
-  }
-
-  private static String machineName(int machine) {
-    return String.format("m-%06d", 1 + machine);
-  }
-
-  private static String address(int machine) {
-    return "10.1.0." + machine + ":9000";
-  }
-
-  private static String zone(int machine) {
-    return machine % 2 == 0 ? "a" : "b";
+    LargeState.storeJobs(store, JOBS);
   }
 
   /** Guards against controllers that end for memory, one by one, while they load placements. */
@@ -155,8 +85,10 @@
     try (LoopbackCluster cluster =
         new LoopbackCluster(folder, CONTROLLERS, 1, List.of(), LargeStateProcessTest::prepare)) {
       int leader = awaitLoadedLeader(cluster);
-      assertEquals(503, statusOfSubmission(cluster, leader, largestJob("req-000002", "service")));
-      assertEquals(201, statusOfSubmission(cluster, leader, largestJob("req-000003", "array")));
+      assertEquals(
+          503, statusOfSubmission(cluster, leader, LargeState.job("req-000002", "service", TASKS)));
+      assertEquals(
+          201, statusOfSubmission(cluster, leader, LargeState.job("req-000003", "array", TASKS)));
       ObjectNode small = DeliveryProcessTest.unplaceableJob("req-000004");
       assertEquals(201, statusOfSubmission(cluster, leader, small));
       assertEquals(404, cluster.requestOnce(leader, "GET", "/v1/jobs/req-000002").statusCode());
--- a/src/test/java/io/pineladder/store/RecordPagesTest.java
+++ b/src/test/java/io/pineladder/store/RecordPagesTest.java
@@ -11,8 +11,8 @@
 import io.pineladder.model.JobSpec;
 import io.pineladder.model.Machine;
 import io.pineladder.model.MachineType;
-import io.pineladder.model.PriorityClass;
 import io.pineladder.model.Resources;
+import io.pineladder.model.TestJobs;
 import io.pineladder.net.ManualEventLoop;
 import io.pineladder.store.Mutation.Priority;
 import io.pineladder.wire.Json;
@@ -168,26 +168,7 @@
   }
 
   private static Job largeJob() {
-    JobSpec spec =
-        new JobSpec(
-            "req-000001",
-            "class",
-            "red",
-            JobKind.ARRAY,
-            PriorityClass.NORMAL,
-            100_000,
-            Resources.of(1, 0, 1),
-            null,
-            null,
-            false,
-            false,
-            false,
-            "image",
-            1,
-            Duration.ofSeconds(10),
-            Duration.ZERO,
-            Duration.ZERO,
-            null);
+    JobSpec spec = TestJobs.smallTasks(JobKind.ARRAY, 100_000);
     return new Job(spec, Instant.EPOCH, Job.State.ACTIVE);
   }
 
