Memory of leader and follower over sizes; the budget counts 3 KB a job

LargeStateMeasurement, one run a size: a leader takes 451 bytes a placed task and 2.0 KB a pending job beside 6 MB. The bound is on new submissions alone; what was accepted is loaded in any case.

--- a/src/main/java/io/pineladder/scheduling/MemoryBudget.java
+++ b/src/main/java/io/pineladder/scheduling/MemoryBudget.java
@@ -16,7 +16,7 @@
   private static final long BASE_BYTES = 24 * MEBIBYTE;
 
   /** A job with its record, its entries in the queue and its indexes. */
-  private static final long BYTES_PER_JOB = 2 * 1024;
+  private static final long BYTES_PER_JOB = 3 * 1024;
 
   /** An attempt with its entries in the indexes of job, machine and records, and its record. */
   private static final long BYTES_PER_ATTEMPT = 512;
