JSON that is written is read back equal; an unreadable encoding is an error, not a missing value

What callers saw: after one accepted job whose `bundle` holds a surrogate without its partner (valid JSON: the escape \ud800 or \udc00), and the end of the leader, nobody led any more. Every four seconds a controller was elected, found "images/0 is unreadable and not in the replica", declared the store's records lost, rebuilt them and began again. Users got 503.

Cause: a name of an image is the one string of a user that becomes a field name in a stored record. Since the leader parses its own encoding again before it stores a page; the error became a missing node, and the page was stored as {"entries":[null]}.

Change: - Json reads a text that the parser of bytes refuses once more as characters, on every interface (store, users, workers, cloud, peers, receivers). - Json.parseOrMissing is gone: parse throws a checked error, and decode, for what was encoded here, ends loudly. StoreWire.Entry.value throws as well. - A name that is not Unicode text is left out of the stored cached images, which are an estimate: controllers of earlier versions would not read the listing that holds it. - A transaction that the store calls malformed is sent again in parts, and only the write at fault is dropped and told; before, it ended the term, and the next leader's in the same way.

Accepted or refused: such a job is still accepted.

--- a/src/main/java/io/pineladder/ClusterConfiguration.java
+++ b/src/main/java/io/pineladder/ClusterConfiguration.java
@@ -128,16 +128,16 @@
   }
 
   private void applyEntry(StoreWire.Entry entry) {
-    if (entry.key().equals(RecordKeys.DELIVERY_NETWORKS) && delivery != null) {
-      delivery.setAllowedNetworks(entry.value());
-    }
-    if (entry.isDeletion()) {
-      return;
-    }
-    if (entry.key().equals(RecordKeys.CLUSTER_VERSION)) {
+    if (entry.key().equals(RecordKeys.CLUSTER_VERSION) && !entry.isDeletion()) {
       raiseClusterVersion(entry);
     }
     try {
+      if (entry.key().equals(RecordKeys.DELIVERY_NETWORKS) && delivery != null) {
+        delivery.setAllowedNetworks(entry.value());
+      }
+      if (entry.isDeletion()) {
+        return;
+      }
       if (entry.key().equals(RecordKeys.MACHINE_TYPES)) {
         setMachineTypes(RecordWire.parseMachineTypes(entry.value()));
       } else if (entry.key().equals(RecordKeys.OPERATOR_SETTINGS)) {
--- a/src/main/java/io/pineladder/LoadedRecordVerifier.java
+++ b/src/main/java/io/pineladder/LoadedRecordVerifier.java
@@ -6,6 +6,7 @@
 import io.pineladder.store.RecordKeys;
 import io.pineladder.store.Records;
 import io.pineladder.store.StoreClient;
+import io.pineladder.wire.Json;
 import io.pineladder.wire.StoreWire;
 import java.util.ArrayList;
 import java.util.List;
@@ -60,7 +61,9 @@
       committer.submit(
           Mutation.of(
               Mutation.Priority.CLEANUP,
-              List.of(new Mutation.Write(RecordKeys.UNREADABLE + entry.key(), entry::value)),
+              List.of(
+                  new Mutation.Write(
+                      RecordKeys.UNREADABLE + entry.key(), () -> Json.decode(entry.json()))),
               () -> {}));
       records.rewritePage(entry.key());
     }
--- a/src/main/java/io/pineladder/generation/GenerationWriter.java
+++ b/src/main/java/io/pineladder/generation/GenerationWriter.java
@@ -4,6 +4,7 @@
 import io.pineladder.net.EventLoop;
 import io.pineladder.retry.Backoff;
 import io.pineladder.store.StoreClient;
+import io.pineladder.wire.Json;
 import io.pineladder.wire.RecordWire;
 import io.pineladder.wire.StoreWire;
 import java.util.List;
@@ -97,7 +98,7 @@
       if (count > 0 && bytes + size > MAX_TRANSACTION_BYTES) {
         break;
       }
-      transaction.put(entry.key(), entry.value());
+      transaction.put(entry.key(), Json.decode(entry.json()));
       bytes += size;
       count++;
     }
--- a/src/main/java/io/pineladder/replica/FinalStates.java
+++ b/src/main/java/io/pineladder/replica/FinalStates.java
@@ -4,6 +4,7 @@
 import io.pineladder.model.Job;
 import io.pineladder.wire.MalformedMessageException;
 import io.pineladder.wire.RecordWire;
+import io.pineladder.wire.StoreWire;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -39,24 +40,26 @@
   }
 
   /** Adds a final state with a key of its own; ignored when the bound is reached. */
-  void putKeyed(String jobId, JsonNode value) {
+  void putKeyed(String jobId, StoreWire.Entry entry) {
     if (get(jobId) != null || count() >= MAX_FINAL_STATES) {
       return;
     }
     try {
-      keyed.put(jobId, RecordWire.parseFinalState(value));
+      keyed.put(jobId, RecordWire.parseFinalState(entry.value()));
     } catch (MalformedMessageException e) {
       log.warn("Unreadable final state ignored: job={}", jobId);
     }
   }
 
   /** Adds all final states in an archive value. */
-  void putArchived(String key, JsonNode value) {
+  void putArchived(StoreWire.Entry entry) {
     try {
+      JsonNode value = entry.value();
       Job.State state = RecordWire.parseFinalState(value);
       RecordWire.parseFinalStates(value).forEach(jobId -> archived.putIfAbsent(jobId, state));
     } catch (MalformedMessageException e) {
-      log.warn("Unreadable final states ignored: key={} detail=\"{}\"", key, e.getMessage());
+      log.warn(
+          "Unreadable final states ignored: key={} detail=\"{}\"", entry.key(), e.getMessage());
     }
   }
 
--- a/src/main/java/io/pineladder/replica/RecordReplica.java
+++ b/src/main/java/io/pineladder/replica/RecordReplica.java
@@ -197,11 +197,11 @@
     }
     if (key.startsWith(RecordKeys.FINAL_STATE)) {
       if (!change.isDeletion()) {
-        finalStates.putKeyed(key.substring(RecordKeys.FINAL_STATE.length()), change.value());
+        finalStates.putKeyed(key.substring(RecordKeys.FINAL_STATE.length()), change);
       }
     } else if (key.startsWith(RecordKeys.ARCHIVED_FINAL_STATES)) {
       if (!change.isDeletion()) {
-        finalStates.putArchived(key, change.value());
+        finalStates.putArchived(change);
       }
     } else if (change.isDeletion()) {
       records.remove(key);
--- a/src/main/java/io/pineladder/replica/ReplicaPageSplitter.java
+++ b/src/main/java/io/pineladder/replica/ReplicaPageSplitter.java
@@ -58,7 +58,7 @@
     long nextPageNumber = 0;
     for (StoreWire.Entry page : pages) {
       nextPageNumber = Math.max(nextPageNumber, RecordKeys.pageNumber(page.key(), prefix) + 1);
-      for (JsonNode item : page.value().path("entries")) {
+      for (JsonNode item : Json.decode(page.json()).path("entries")) {
         // Copies are ignored while their source page exists: its key must not be used again.
         String source = RecordWire.copySource(item);
         nextPageNumber =
@@ -73,7 +73,7 @@
       }
       // The first part retains the key: copies of its records are ignored while it exists.
       String key = page.key();
-      for (ObjectNode part : splitPage(page.value())) {
+      for (ObjectNode part : splitPage(Json.decode(page.json()))) {
         splitEntries.add(StoreWire.Entry.of(key, part, page.revision()));
         key = prefix + nextPageNumber++;
       }
--- a/src/main/java/io/pineladder/store/Committer.java
+++ b/src/main/java/io/pineladder/store/Committer.java
@@ -64,6 +64,9 @@
   /** The transaction whose outcome is not known yet; null when there is none. */
   private PendingTransaction pending;
 
+  /** The number of mutations to send one by one, to find the one that the store refuses. */
+  private int mutationsToIsolate;
+
   private NotificationLog notificationLog = NotificationLog.DISABLED;
 
   /** Receives outcomes that affect the whole term. The first three close the committer. */
@@ -172,9 +175,10 @@
   private PendingTransaction assemble(Instant now) {
     int limit = storeClient.limits().transactionOps();
     int maxOperations = Math.min(limit, storeClient.writeBudget().available(now));
+    int maxMutations = mutationsToIsolate > 0 ? 1 : Integer.MAX_VALUE;
     notificationLog.beginTransaction();
     return new TransactionAssembler(fencedTransaction(), revisions, maxOperations, limit)
-        .assemble(queue);
+        .assemble(queue, maxMutations);
   }
 
   private StoreWire.Transaction fencedTransaction() {
@@ -253,16 +257,43 @@
 
   private void onBadRequest(Reply reply) {
     int limit = storeClient.limits().valueBytes();
-    if (pending.isAmbiguous() || !pending.hasValueLargerThan(limit)) {
+    if (pending.isAmbiguous()) {
       fenced("transaction refused as malformed: reply=" + reply);
-      return;
+    } else if (pending.hasValueLargerThan(limit)) {
+      // An earlier leader stored the value when the limits were higher.
+      log.warn("Transaction refused, a value exceeds the announced limit: limitBytes={}", limit);
+      abandon();
+      transitionTo(State.WAITING);
+      listener.onLimitsLowered();
+      storeClient.scheduleRetry(backoff, this::sendNext);
+    } else {
+      isolateRefusedMutation(reply);
     }
-    // An earlier leader stored the value when the limits were higher.
-    log.warn("Transaction refused, a value exceeds the announced limit: limitBytes={}", limit);
-    abandon();
-    transitionTo(State.WAITING);
-    listener.onLimitsLowered();
-    storeClient.scheduleRetry(backoff, this::sendNext);
+  }
+
+  /** Sends the mutations of a malformed transaction one by one, and drops the one at fault. */
+  private void isolateRefusedMutation(Reply reply) {
+    if (pending.mutations().size() > 1) {
+      log.warn(
+          "Transaction refused as malformed, sent in parts: keys={} reply={}",
+          pending.changedKeys(),
+          reply);
+      mutationsToIsolate = pending.mutations().size();
+      abandon();
+    } else {
+      log.error(
+          "Write refused as malformed and dropped: keys={} bytes={} reply={}",
+          pending.changedKeys(),
+          pending.body().length,
+          reply);
+      onMutationIsolated();
+      pending = null;
+    }
+    retryLater();
+  }
+
+  private void onMutationIsolated() {
+    mutationsToIsolate = Math.max(0, mutationsToIsolate - 1);
   }
 
   /** Handles rejection before execution, a missing reply, and an unexpected status. */
@@ -288,6 +319,7 @@
   private void committed(long revision) {
     PendingTransaction committed = pending;
     pending = null;
+    onMutationIsolated();
     backoff.reset();
     listener.onCommitted(revision);
     committed
--- a/src/main/java/io/pineladder/store/CompletionRecords.java
+++ b/src/main/java/io/pineladder/store/CompletionRecords.java
@@ -73,7 +73,7 @@
                 FLUSH_INTERVAL,
                 chunk -> !chunk.job.finalStatePending,
                 chunk -> Json.bytes(encode(chunk)),
-                (chunk, encoded) -> Json.parseOrMissing(encoded),
+                (chunk, encoded) -> Json.decode(encoded),
                 CompletionRecords::onStored),
             valueBytes,
             eventLoop,
--- a/src/main/java/io/pineladder/store/JobPage.java
+++ b/src/main/java/io/pineladder/store/JobPage.java
@@ -100,7 +100,7 @@
   /** The committed record of a job, or null. */
   JsonNode record(String jobId) {
     byte[] encoded = records.get(jobId);
-    return encoded == null ? null : Json.parseOrMissing(encoded);
+    return encoded == null ? null : Json.decode(encoded);
   }
 
   /** Adds a committed record. */
@@ -130,7 +130,7 @@
     Map<Long, Notification> nextNotifications = new TreeMap<>(notifications);
     edits.forEach(edit -> edit.apply(nextRecords, nextNotifications));
     return RecordWire.page(
-        nextRecords.values().stream().map(Json::parseOrMissing), nextNotifications.values());
+        nextRecords.values().stream().map(Json::decode), nextNotifications.values());
   }
 
   /** Applies these edits, whose transaction was committed. */
--- a/src/main/java/io/pineladder/store/PendingTransaction.java
+++ b/src/main/java/io/pineladder/store/PendingTransaction.java
@@ -7,6 +7,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * A compare-and-swap transaction of the leader, from its assembly until its outcome is known. Its
@@ -72,6 +73,11 @@
     highestRevisionWhenSent = highestRevision;
   }
 
+  /** The keys that the transaction writes or deletes. */
+  Set<String> changedKeys() {
+    return values.keySet();
+  }
+
   /** Whether the transaction writes or deletes the key. */
   boolean changesKey(String key) {
     return values.containsKey(key);
--- a/src/main/java/io/pineladder/store/Records.java
+++ b/src/main/java/io/pineladder/store/Records.java
@@ -110,7 +110,7 @@
                 IMAGES_FLUSH_INTERVAL,
                 machine -> machine.state() != Machine.State.GONE,
                 machine -> Json.bytes(encodeImages(machine)),
-                (machine, encoded) -> Json.parseOrMissing(encoded),
+                (machine, encoded) -> Json.decode(encoded),
                 machine -> {}),
             valueBytes,
             eventLoop,
--- a/src/main/java/io/pineladder/store/TransactionAssembler.java
+++ b/src/main/java/io/pineladder/store/TransactionAssembler.java
@@ -75,9 +75,10 @@
    * Moves mutations from the queue into the transaction, highest priority first, up to the first
    * one that does not fit.
    *
+   * @param maxMutations the maximum number of mutations in the transaction
    * @return the transaction, or null if it would be empty
    */
-  PendingTransaction assemble(MutationQueue queue) {
+  PendingTransaction assemble(MutationQueue queue, int maxMutations) {
     // Rendering a value may submit further mutations. Those of a priority that was already
     // processed go into the next transaction.
     for (Deque<Mutation> mutations : queue.byPriority()) {
@@ -88,7 +89,7 @@
         } else if (mutation.mustBeDeferred()) {
           // It is queued again when its page is divided; other mutations need not wait.
           queue.defer(mutations.pollFirst());
-        } else if (include(mutation)) {
+        } else if (assembled.mutations().size() < maxMutations && include(mutation)) {
           mutations.pollFirst();
         } else {
           // No mutation of lower priority may overtake it, or it could starve.
--- a/src/main/java/io/pineladder/wire/EncodedEntries.java
+++ b/src/main/java/io/pineladder/wire/EncodedEntries.java
@@ -46,12 +46,13 @@
    * @param listField the field with the list of entries
    */
   static EncodedEntries read(byte[] body, String listField) throws MalformedMessageException {
+    return Json.read(body, parser -> read(body, parser, listField));
+  }
+
+  private static EncodedEntries read(byte[] body, JsonParser parser, String listField)
+      throws IOException, MalformedMessageException {
     EncodedEntries response = new EncodedEntries(body);
-    try (JsonParser parser = Json.parser(body)) {
-      response.readFields(parser, listField);
-    } catch (IOException e) {
-      throw new MalformedMessageException("not JSON");
-    }
+    response.readFields(parser, listField);
     if (response.items == null) {
       throw new MalformedMessageException(listField + " is missing");
     }
--- a/src/main/java/io/pineladder/wire/Json.java
+++ b/src/main/java/io/pineladder/wire/Json.java
@@ -11,9 +11,12 @@
 import com.fasterxml.jackson.databind.ObjectReader;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
-import com.fasterxml.jackson.databind.node.MissingNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.ByteArrayInputStream;
 import java.io.IOException;
+import java.io.InputStreamReader;
+import java.io.Reader;
+import java.nio.charset.StandardCharsets;
 
 /** Reads and writes JSON as trees; reflective data binding would slow down the start-up. */
 public final class Json {
@@ -40,11 +43,18 @@
                   .build())
           .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS);
 
+  private static final ObjectReader WHOLE_TEXT_READER = MAPPER.reader();
+
   private static final ObjectReader VALUE_READER =
       MAPPER.reader().without(DeserializationFeature.FAIL_ON_TRAILING_TOKENS);
 
   private Json() {}
 
+  /** Reads a JSON text token by token. */
+  interface TokenReader<T> {
+    T read(JsonParser parser) throws IOException, MalformedMessageException;
+  }
+
   public static ObjectNode object() {
     return JsonNodeFactory.instance.objectNode();
   }
@@ -62,9 +72,28 @@
     }
   }
 
-  /** Creates a parser for a body that is read token by token. */
-  static JsonParser parser(byte[] body) throws IOException {
-    return MAPPER.createParser(body);
+  /** Reads a text with a parser; the reader may be called twice and must not retain any state. */
+  static <T> T read(byte[] json, TokenReader<T> reader) throws MalformedMessageException {
+    try (JsonParser parser = MAPPER.createParser(json)) {
+      return reader.read(parser);
+    } catch (IOException e) {
+      return readAsCharacters(json, reader);
+    }
+  }
+
+  /**
+   * Reads a text that the parser of bytes does not accept: field names with an escaped surrogate
+   * that has no partner are valid JSON, but only the parser of characters reads them.
+   */
+  private static <T> T readAsCharacters(byte[] json, TokenReader<T> reader)
+      throws MalformedMessageException {
+    Reader characters =
+        new InputStreamReader(new ByteArrayInputStream(json), StandardCharsets.UTF_8.newDecoder());
+    try (JsonParser parser = MAPPER.createParser(characters)) {
+      return reader.read(parser);
+    } catch (IOException e) {
+      throw new MalformedMessageException("not JSON");
+    }
   }
 
   /** Reads the value at the parser's current token, within a body that goes on after it. */
@@ -72,24 +101,27 @@
     return VALUE_READER.readTree(parser);
   }
 
-  /** Reads a JSON value; a missing node if the bytes are not JSON. */
-  public static JsonNode parseOrMissing(byte[] json) {
+  /** Reads a single JSON value; trailing content is malformed. */
+  public static JsonNode parse(byte[] json) throws MalformedMessageException {
+    JsonNode value = read(json, WHOLE_TEXT_READER::readTree);
+    if (value == null || value.isMissingNode()) {
+      throw new MalformedMessageException("not JSON");
+    }
+    return value;
+  }
+
+  /** Reads JSON that {@link #bytes} has encoded or that was parsed before. */
+  public static JsonNode decode(byte[] json) {
     try {
-      return MAPPER.readTree(json);
-    } catch (IOException e) {
-      return MissingNode.getInstance();
+      return parse(json);
+    } catch (MalformedMessageException e) {
+      throw new IllegalStateException("encoded JSON cannot be read back", e);
     }
   }
 
   /** Reads a single JSON object; any other value or trailing content is malformed. */
   public static ObjectNode parseObject(byte[] body) throws MalformedMessageException {
-    JsonNode node;
-    try {
-      node = MAPPER.readTree(body);
-    } catch (IOException e) {
-      throw new MalformedMessageException("not JSON");
-    }
-    if (!(node instanceof ObjectNode object)) {
+    if (!(parse(body) instanceof ObjectNode object)) {
       throw new MalformedMessageException("not an object");
     }
     return object;
--- a/src/main/java/io/pineladder/wire/RecordWire.java
+++ b/src/main/java/io/pineladder/wire/RecordWire.java
@@ -11,6 +11,8 @@
 import io.pineladder.model.MachineType;
 import io.pineladder.model.Notification;
 import io.pineladder.model.OperatorSettings;
+import java.nio.charset.CharsetEncoder;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
@@ -272,10 +274,19 @@
         entry.get(0).asText(), entry.get(1).asInt(), completed, chunkTasks, entry);
   }
 
-  /** The entry for the cached images of a machine, with their sizes in GB. */
+  /**
+   * The entry for the cached images of a machine, with their sizes in GB. Leaves out names that are
+   * not Unicode text, which readers of earlier versions do not accept as field names.
+   */
   public static JsonNode images(String machine, Map<String, Double> images) {
+    CharsetEncoder unicode = StandardCharsets.UTF_8.newEncoder();
     ObjectNode cached = Json.object();
-    images.forEach(cached::put);
+    images.forEach(
+        (name, gigabytes) -> {
+          if (unicode.canEncode(name)) {
+            cached.put(name, gigabytes);
+          }
+        });
     return Json.array().add(machine).add(cached);
   }
 
--- a/src/main/java/io/pineladder/wire/StoreWire.java
+++ b/src/main/java/io/pineladder/wire/StoreWire.java
@@ -38,12 +38,9 @@
       return json == null;
     }
 
-    /**
-     * Parses the value; to be called again rather than retained. Null for a deletion, and a missing
-     * node if it is not JSON.
-     */
-    public JsonNode value() {
-      return json == null ? null : Json.parseOrMissing(json);
+    /** Parses the value; to be called again rather than retained. Null for a deletion. */
+    public JsonNode value() throws MalformedMessageException {
+      return json == null ? null : Json.parse(json);
     }
 
     @Override
--- a/src/main/java/io/pineladder/zones/LeaseKeepAliveReader.java
+++ b/src/main/java/io/pineladder/zones/LeaseKeepAliveReader.java
@@ -4,18 +4,23 @@
 import io.pineladder.net.EventLoop;
 import io.pineladder.store.RecordKeys;
 import io.pineladder.store.StoreClient;
+import io.pineladder.wire.Json;
+import io.pineladder.wire.MalformedMessageException;
 import io.pineladder.wire.StoreWire;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.function.BooleanSupplier;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Reads the keep-alive records of other controllers ({@link LeaseKeepAliveWriter}), from which the
  * leader learns about workers whose heartbeats do not reach it.
  */
 public final class LeaseKeepAliveReader {
+  private static final Logger log = LoggerFactory.getLogger(LeaseKeepAliveReader.class);
   private static final Duration READ_INTERVAL = Duration.ofSeconds(3);
 
   /** A record not rewritten for this long has expired: two writes in a row were missed. */
@@ -63,12 +68,20 @@
       if (previous == null || previous.revision != entry.revision()) {
         // A record that is read for the first time may be left over from an earlier outage.
         Instant changedAt = previous == null ? now.minus(KEEP_ALIVE_TTL) : now;
-        keepAlives.put(
-            entry.key(), new KeepAlive(entry.revision(), changedAt, entry.value().path("zones")));
+        keepAlives.put(entry.key(), new KeepAlive(entry.revision(), changedAt, zones(entry)));
       }
     }
   }
 
+  private static JsonNode zones(StoreWire.Entry entry) {
+    try {
+      return entry.value().path("zones");
+    } catch (MalformedMessageException e) {
+      log.warn("Unreadable keep-alives ignored: key={} error={}", entry.key(), e.getMessage());
+      return Json.object();
+    }
+  }
+
   /** The number of workers in the zone whose leases other controllers keep alive. */
   public int workersSeenByPeers(String zone) {
     Instant from = eventLoop.now().minus(KEEP_ALIVE_TTL);
--- a/src/test/java/io/pineladder/replica/RecordReplicaTest.java
+++ b/src/test/java/io/pineladder/replica/RecordReplicaTest.java
@@ -36,7 +36,8 @@
     void put(Entry entry) {
       if (entry.key().startsWith(RecordKeys.FINAL_STATE)) {
         finalStates.putIfAbsent(
-            entry.key().substring(RecordKeys.FINAL_STATE.length()), state(entry.value()));
+            entry.key().substring(RecordKeys.FINAL_STATE.length()),
+            state(Json.decode(entry.json())));
       } else {
         records.merge(entry.key(), entry, (a, b) -> b.revision() > a.revision() ? b : a);
       }
@@ -70,7 +71,7 @@
     Map<String, JsonNode> found = new TreeMap<>();
     for (Entry entry : replica.generationEntries()) {
       if (!entry.key().startsWith(RecordKeys.ARCHIVED_FINAL_STATES)) {
-        found.put(entry.key(), entry.value());
+        found.put(entry.key(), Json.decode(entry.json()));
       }
     }
     return found;
@@ -108,7 +109,7 @@
       }
       replica.mergeSurviving(surviving);
       Map<String, JsonNode> expected = new TreeMap<>();
-      model.records.forEach((key, entry) -> expected.put(key, entry.value()));
+      model.records.forEach((key, entry) -> expected.put(key, Json.decode(entry.json())));
       assertEquals(expected, records(replica));
       assertEquals(model.finalStates, finalStates(replica));
 
--- a/src/test/java/io/pineladder/sim/CommitterTest.java
+++ b/src/test/java/io/pineladder/sim/CommitterTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.fasterxml.jackson.databind.JsonNode;
@@ -19,6 +20,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Consumer;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -34,9 +36,10 @@
   private int confirmations;
 
   private SentRequest nextRequest() {
-    while (sent.isEmpty()) {
+    for (int i = 0; i < 1_000 && sent.isEmpty(); i++) {
       world.runFor(Duration.ofMillis(10));
     }
+    assertFalse(sent.isEmpty(), "nothing is sent any more");
     return sent.poll();
   }
 
@@ -96,19 +99,8 @@
     "-1, false"
   })
   void rebuildsTransactionOnlyAfterDefiniteRejection(int status, boolean sameBytes) {
-    StoreClient storeClient =
-        new StoreClient(
-            (request, onReply) -> sent.add(new SentRequest(request, onReply)),
-            eventLoop,
-            "10.2.0.1:2379",
-            new Settings.StoreLimits(100, 40, 8192, 12),
-            3);
-    Committer committer = new Committer(storeClient, eventLoop, 5, new Listener());
-    committer.submit(
-        Mutation.of(
-            Mutation.Priority.PLACEMENT,
-            List.of(new Mutation.Write("placed/1", this::value)),
-            () -> confirmations++));
+    Committer committer = newCommitter();
+    committer.submit(placement("placed/1"));
     SentRequest first = nextRequest();
     first.onReply.accept(
         status == 0 ? Reply.UNKNOWN : status < 0 ? Reply.NOT_SENT : answer(status, "?"));
@@ -122,4 +114,42 @@
     assertEquals(1, confirmations);
     assertTrue(terminations.isEmpty(), "none of these answers ends the term: " + terminations);
   }
+
+  private Committer newCommitter() {
+    StoreClient storeClient =
+        new StoreClient(
+            (request, onReply) -> sent.add(new SentRequest(request, onReply)),
+            eventLoop,
+            "10.2.0.1:2379",
+            new Settings.StoreLimits(100, 40, 8192, 12),
+            3);
+    return new Committer(storeClient, eventLoop, 5, new Listener());
+  }
+
+  private Mutation placement(String key) {
+    return Mutation.of(
+        Mutation.Priority.PLACEMENT,
+        List.of(new Mutation.Write(key, this::value)),
+        () -> confirmations++);
+  }
+
+  /** Guards against one write that the store calls malformed ending term after term. */
+  @Test
+  void refusedWriteNeverStopsOthersOrTheTerm() {
+    Committer committer = newCommitter();
+    List.of("placed/1", "placed/bad", "placed/2", "placed/3")
+        .forEach(key -> committer.submit(placement(key)));
+    int requests = 0;
+    while (confirmations < 3 && requests < 20) {
+      SentRequest next = nextRequest();
+      boolean refused =
+          new String(next.request.body(), StandardCharsets.UTF_8).contains("placed/bad");
+      next.onReply.accept(
+          refused ? answer(400, "{}") : answer(200, "{\"epoch\":" + (10 + requests) + "}"));
+      requests++;
+    }
+    assertEquals(3, confirmations, "all but the refused write are committed");
+    assertEquals(0, committer.pendingMutations());
+    assertTrue(terminations.isEmpty(), "the term goes on: " + terminations);
+  }
 }
--- a/src/test/java/io/pineladder/sim/FakeKeyValueStore.java
+++ b/src/test/java/io/pineladder/sim/FakeKeyValueStore.java
@@ -19,6 +19,7 @@
 import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.function.Consumer;
+import java.util.function.UnaryOperator;
 
 /** An in-memory key-value store with transactions, leases, watches and injected faults. */
 final class FakeKeyValueStore implements AsyncHttpHandler {
@@ -142,8 +143,30 @@
 
   /** The key prefix of the current generation. */
   String generationPrefix() {
+    long base = generationBase();
+    return base == 0 ? "" : "g" + base + "/";
+  }
+
+  /** The base of the current generation; 0 for the first one. */
+  long generationBase() {
     Value current = keys.get("generation/current");
-    return current == null ? "" : "g" + current.value.get("base").asLong() + "/";
+    return current == null ? 0 : current.value.get("base").asLong();
+  }
+
+  /** Damages one value with this prefix once the next generation is completely written. */
+  void damageNextGeneration(String prefix, UnaryOperator<JsonNode> damage) {
+    Consumer<String> previous = onChange;
+    long base = generationBase();
+    boolean[] done = {false};
+    onChange =
+        key -> {
+          Value current = keys.get("generation/current");
+          if (!done[0] && generationBase() > base && current.value.path("whole").asBoolean()) {
+            done[0] = true;
+            replaceValue(prefix, damage);
+          }
+          previous.accept(key);
+        };
   }
 
   /** Stores a value before the first request. */
@@ -236,13 +259,25 @@
 
   /** Makes one random value with this prefix unreadable without changing its revision. */
   void corruptValue(String prefix) {
-    String fullPrefix = generationPrefix() + prefix;
-    List<String> candidates = keys.keySet().stream().filter(k -> k.startsWith(fullPrefix)).toList();
-    if (!candidates.isEmpty()) {
-      String key = candidates.get(world.random.nextInt(candidates.size()));
-      Value old = keys.get(key);
-      keys.put(key, new Value(Json.object().put("entries", "?"), old.version, old.leaseId));
-    }
+    replaceValue(prefix, old -> Json.object().put("entries", "?"));
+  }
+
+  /**
+   * Replaces one random value with this prefix under its old revision.
+   *
+   * @return the key without the generation, or null if there is none with the prefix
+   */
+  String replaceValue(String prefix, UnaryOperator<JsonNode> damage) {
+    String generation = generationPrefix();
+    List<String> candidates =
+        keys.keySet().stream().filter(k -> k.startsWith(generation + prefix)).toList();
+    if (candidates.isEmpty()) {
+      return null;
+    }
+    String key = candidates.get(world.random.nextInt(candidates.size()));
+    keys.computeIfPresent(
+        key, (k, old) -> new Value(damage.apply(old.value.deepCopy()), old.version, old.leaseId));
+    return key.substring(generation.length());
   }
 
   /** The stored final states by job ID. */
