One gate for a replica's values; an unreadable value leads to one rebuild at most

What callers saw: one page of the store's records that could not be read kept three controllers rebuilding the records every four seconds, without a leader and without end; users got 503.

Above that, a recovery that did not remove its own cause was repeated without a bound.

Change: - RecordKind is the one check, that of the loader, for every kind of record by its key; RecordReplica.put is the one gate, for every RecordSource. A value that does not pass stays out; the value before it, the earlier replica's, or the readable entries of the page (PageSalvage) are retained. Keys without a page number, values that are no objects, numbers out of range, a job twice in a page no longer pass. A range of completed tasks up to 2^31 did. - GenerationEntries applies the same check before a generation is written. - A replica without a readable value gossips that it is incomplete, so that a controller that has the value is elected, or rebuilds. - By kind: cached images are replaced without a rebuild and written again; jobs, completions, placements and archived final states are rebuilt once, as another controller may have them.

--- a/src/main/java/io/pineladder/LeaderTerm.java
+++ b/src/main/java/io/pineladder/LeaderTerm.java
@@ -20,6 +20,7 @@
 import io.pineladder.reconciliation.JobReconciler;
 import io.pineladder.reconciliation.PrerequisiteReader;
 import io.pineladder.replica.RecordReplica;
+import io.pineladder.replica.RecordSource;
 import io.pineladder.scheduling.ClusterState;
 import io.pineladder.scheduling.Scheduler;
 import io.pineladder.store.Committer;
@@ -124,7 +125,7 @@
     this.scheduler = newScheduler();
     this.records = newRecords();
     scheduler.setRecords(records);
-    this.loadedRecordVerifier = new LoadedRecordVerifier(replica, recordLoss);
+    this.loadedRecordVerifier = new LoadedRecordVerifier(replica, recordLoss, maxValueBytes());
     this.loader =
         new TermLoader(
             storeClient, eventLoop, cluster, committer, records, outbox, new LoadEvents());
@@ -268,7 +269,7 @@
       }
     }
     configurationWriter.storePending();
-    loadedRecordVerifier.rewriteRepaired(committer, records);
+    loadedRecordVerifier.rewriteReplaced(committer, records);
     taskStartHold.startIfNeeded(autoscaler::isInventoryConfirmed, scheduler::requestRun);
     log.info(
         "Term started: term={} jobs={} machines={} revision={}",
@@ -717,7 +718,7 @@
 
     @Override
     public void onRecordRead(StoreWire.Entry entry) {
-      replica.put(entry);
+      replica.put(entry, RecordSource.LEADER_READ);
     }
 
     @Override
--- a/src/main/java/io/pineladder/RecordLossReporter.java
+++ b/src/main/java/io/pineladder/RecordLossReporter.java
@@ -39,11 +39,12 @@
   }
 
   /** A record is unreadable, and this controller's replica has no copy of it. */
-  void onUnreadable(String key) {
+  void onUnreadable(String key, String reason) {
     replicaManager
         .generations()
         .declareLoss(
-            GenerationManager.Evidence.UNREADABLE, key + " is unreadable and not in the replica");
+            GenerationManager.Evidence.UNREADABLE,
+            key + " is unreadable and not in the replica: " + reason);
   }
 
   /** Whether a record that is not in the store may have been lost and may still be restored. */
--- a/src/main/java/io/pineladder/failover/ClusterStateRestorer.java
+++ b/src/main/java/io/pineladder/failover/ClusterStateRestorer.java
@@ -21,11 +21,14 @@
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Function;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Restores the in-memory state of a new term from the records of earlier leaders: jobs,
@@ -34,6 +37,8 @@
  * for a single load.
  */
 final class ClusterStateRestorer {
+  private static final Logger log = LoggerFactory.getLogger(ClusterStateRestorer.class);
+
   private final ClusterState cluster;
   private final Committer committer;
   private final Records records;
@@ -43,6 +48,7 @@
   private final Map<String, Job> jobs = new HashMap<>();
   private final List<Job> ordered = new ArrayList<>();
   private final HighestAttempts highestAttempts = new HighestAttempts();
+  private final Set<String> pagesWithSecondRecords = new LinkedHashSet<>();
   private final Deque<Step> steps = new ArrayDeque<>();
   private String untypedMachine;
 
@@ -133,6 +139,7 @@
     steps.add(
         () ->
             stored.placements.entries().forEach(page -> records.restorePlacementPage(page.key())));
+    steps.add(() -> pagesWithSecondRecords.forEach(records::rewritePage));
   }
 
   private void planPlacementChecks(StoreClient.Listing listing) {
@@ -186,21 +193,27 @@
           if (source != null && pages.contains(source)) {
             records.restoreCopy(page, source);
           } else {
-            ordered.add(restoreJob(page, record, source));
+            restoreJob(page, record, source);
           }
         });
   }
 
   /** Restores a job from its record in a page, which was copied from {@code source} if not null. */
-  private Job restoreJob(String page, JsonNode record, String source)
+  private void restoreJob(String page, JsonNode record, String source)
       throws MalformedMessageException {
     if (source != null) {
       records.reservePageNumber(source);
     }
     Job job = withFinalState(TermLoader.toJob(record));
+    String id = job.spec.id();
+    if (jobs.putIfAbsent(id, job) != null) {
+      // Two jobs with one id would each start all tasks.
+      log.error("Second record of a job removed: job={} page={}", id, page);
+      pagesWithSecondRecords.add(page);
+      return;
+    }
     records.restoreJob(page, job, RecordWire.withoutCopySource(record));
-    jobs.put(job.spec.id(), job);
-    return job;
+    ordered.add(job);
   }
 
   private void restoreUnpagedJob(StoreWire.Entry entry) throws MalformedMessageException {
--- a/src/main/java/io/pineladder/generation/GenerationManager.java
+++ b/src/main/java/io/pineladder/generation/GenerationManager.java
@@ -132,6 +132,11 @@
 
   private int lossCount;
   private Evidence lastEvidence;
+  private String lastLossDetail;
+
+  /** How many losses in a row had the same evidence and detail. */
+  private int repeatedLosses;
+
   private Instant rebuiltGenerationAdoptedAt;
   private boolean stopped;
 
@@ -407,14 +412,21 @@
       return;
     }
     lossCount++;
+    boolean repeated = newEvidence == lastEvidence && detail.equals(lastLossDetail);
+    repeatedLosses = repeated ? repeatedLosses + 1 : 1;
     lastEvidence = newEvidence;
+    lastLossDetail = detail;
     Generation current = storeClient.generation();
     boolean rebuilding = state == State.REBUILDING && isOwn(current) && current.exact();
     boolean leading = (isTrusted() || state == State.DOUBTED) && host.isLeader();
     replicaIsAuthoritative = rebuilding || (leading && !newEvidence.impliesStaleReplica());
     claimIsExact = replicaIsAuthoritative && newEvidence != Evidence.HANDED_IN;
     lossDetectedAt = eventLoop.now();
-    log.error("Data loss in the key-value store: evidence={} detail=\"{}\"", newEvidence, detail);
+    log.error(
+        "Data loss in the key-value store: evidence={} detail=\"{}\" inARow={}",
+        newEvidence,
+        detail,
+        repeatedLosses);
     transitionTo(State.LOST, newEvidence.name());
     stopWriting();
     host.onDataLoss();
--- a/src/main/java/io/pineladder/generation/RebuildDeferral.java
+++ b/src/main/java/io/pineladder/generation/RebuildDeferral.java
@@ -46,7 +46,7 @@
       RecordReplica own, List<Membership.PeerStatus> peers) {
     for (Membership.PeerStatus peer : peers) {
       if (peer.state() != Membership.State.UP
-          || (!own.isComplete() && peer.recordStatus().replicaComplete())) {
+          || (!own.isCompleteAndReadable() && peer.recordStatus().replicaComplete())) {
         return true;
       }
     }
@@ -66,7 +66,7 @@
   private static boolean isBetter(RecordStatus status, RecordReplica own) {
     // Incomplete replicas are compared too: while a new cluster starts none is complete, and a
     // controller with an empty replica must not write an empty generation.
-    if (status.replicaComplete() != own.isComplete()) {
+    if (status.replicaComplete() != own.isCompleteAndReadable()) {
       return status.replicaComplete();
     }
     return status.replicaBase() > own.base()
--- a/src/main/java/io/pineladder/recovery/ReplicaManager.java
+++ b/src/main/java/io/pineladder/recovery/ReplicaManager.java
@@ -191,7 +191,7 @@
         storeClient.highestRevision(),
         replica.base(),
         replica.revision(),
-        replica.isComplete(),
+        replica.isCompleteAndReadable(),
         generations.highestObservedToken(),
         generations.state() == GenerationManager.State.LOST);
   }
@@ -403,7 +403,7 @@
   private boolean defersElectionToPeer() {
     Instant now = eventLoop.now();
     leaderlessSince = leaderlessSince == null ? now : leaderlessSince;
-    return !replica.isComplete()
+    return !replica.isCompleteAndReadable()
         && leaderlessSince.plus(INCOMPLETE_REPLICA_ELECTION_DELAY).isAfter(now)
         && host.peers().stream()
             .anyMatch(
@@ -419,6 +419,7 @@
   private final class FollowerListener implements ReplicaFollower.Listener {
     @Override
     public void onReplicaComplete(RecordReplica complete) {
+      complete.retainReadableOf(replica);
       String missing = replica.firstKeyMissingFrom(complete);
       if (missing != null) {
         onRecordMissing(missing);
@@ -454,7 +455,7 @@
    * as unknown. The replica also reflects removals, so a job that it contains was lost.
    */
   public boolean jobMayBeMissing(String job) {
-    if (!generations.isTrusted() || !replica.isComplete()) {
+    if (!generations.isTrusted() || !replica.isCompleteAndReadable()) {
       return true;
     }
     if (replica.containsJob(job) || replica.finalState(job) != null) {
--- a/src/main/java/io/pineladder/replica/GenerationEntries.java
+++ b/src/main/java/io/pineladder/replica/GenerationEntries.java
@@ -48,11 +48,15 @@
     List<StoreWire.Entry> entries = new ArrayList<>();
     records.forEach(
         (key, value) -> {
+          StoreWire.Entry entry = new StoreWire.Entry(key, value.json(), value.version());
           try {
-            value.parse();
-            entries.add(new StoreWire.Entry(key, value.json(), value.version()));
+            RecordKind.check(entry);
+            entries.add(entry);
           } catch (MalformedMessageException e) {
-            log.error("Unreadable record left out of the rebuild: key={}", key);
+            log.error(
+                "Unreadable record left out of the rebuild: key={} reason=\"{}\"",
+                key,
+                e.getMessage());
           }
         });
     return entries;
--- a/src/main/java/io/pineladder/replica/RecordReplica.java
+++ b/src/main/java/io/pineladder/replica/RecordReplica.java
@@ -9,6 +9,7 @@
 import io.pineladder.store.RecordKeys;
 import io.pineladder.wire.Json;
 import io.pineladder.wire.MalformedMessageException;
+import io.pineladder.wire.RecordWire;
 import io.pineladder.wire.StoreWire;
 import java.time.Instant;
 import java.util.ArrayList;
@@ -19,6 +20,7 @@
 import java.util.SortedMap;
 import java.util.TreeMap;
 import java.util.regex.Pattern;
+import java.util.stream.Stream;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -46,6 +48,10 @@
       List.of(RecordKeys.JOB_PAGES, RecordKeys.COMPLETIONS, RecordKeys.PLACEMENTS);
 
   private final TreeMap<String, StoredValue> records = new TreeMap<>();
+
+  /** Keys whose latest value is unreadable, with the revision of that value. */
+  private final Map<String, Long> unreadable = new TreeMap<>();
+
   private final FinalStates finalStates = new FinalStates();
   private final AcceptedJobPages acceptedJobs = new AcceptedJobPages();
   private long base;
@@ -70,8 +76,8 @@
   }
 
   /**
-   * Creates a complete replica from a snapshot and the changes after it. Unreadable changes are
-   * skipped.
+   * Creates a complete replica from a snapshot and the changes after it. Unreadable values are left
+   * out.
    */
   public static RecordReplica fromSnapshot(SnapshotManager.LoadedSnapshot loaded) {
     Snapshot snapshot = loaded.snapshot();
@@ -80,18 +86,15 @@
         .records()
         .forEach(
             (key, entry) ->
-                replica.records.put(key, new StoredValue(entry.version(), entry.json())));
+                replica.put(
+                    new StoreWire.Entry(key, entry.json(), entry.version()),
+                    RecordSource.SNAPSHOT));
     replica.finalStates.putAllArchived(snapshot.finalStates());
     replica.revision = snapshot.revision();
     for (ChangeRecord change : loaded.changes()) {
-      try {
-        if (change.json() != null) {
-          Json.parseObject(change.json());
-        }
-        replica.put(new StoreWire.Entry(change.key(), change.json(), change.version()));
-      } catch (MalformedMessageException e) {
-        log.warn("Unreadable change after a snapshot ignored: key={}", change.key());
-      }
+      replica.put(
+          new StoreWire.Entry(change.key(), change.json(), change.version()),
+          RecordSource.SNAPSHOT);
     }
     replica.recordsComplete = true;
     replica.finalStatesComplete = true;
@@ -123,6 +126,14 @@
     return recordsComplete && finalStatesComplete;
   }
 
+  /**
+   * Whether this replica is complete and has the latest value of every record; otherwise another
+   * controller's replica may have a value that this one could not read.
+   */
+  public boolean isCompleteAndReadable() {
+    return isComplete() && unreadable.isEmpty();
+  }
+
   public boolean hasAllFinalStates() {
     return finalStatesComplete;
   }
@@ -167,6 +178,7 @@
     revision = generation.recordRevision();
     // Revisions are not comparable between generations.
     records.replaceAll((key, value) -> value.withVersion(0));
+    unreadable.clear();
     finalStates.archiveAll();
   }
 
@@ -176,22 +188,86 @@
   }
 
   /**
-   * Applies one change.
+   * Applies a change that this controller has stored.
    *
    * @param value the new value; null for a removed key
    * @param version the revision of the change
    */
   public void put(String key, JsonNode value, long version) {
-    put(StoreWire.Entry.of(key, value, version));
+    put(
+        StoreWire.Entry.of(key, value, version),
+        RecordSource.OWN_COMMIT,
+        () -> RecordKind.check(key, value));
   }
 
-  /** Applies one change. */
-  public void put(StoreWire.Entry change) {
-    String key = change.key();
-    revision = Math.max(revision, change.revision());
-    if (NOT_REPLICATED.matcher(key).matches()) {
+  /** Throws if a value cannot be read. */
+  private interface Check {
+    void run() throws MalformedMessageException;
+  }
+
+  /**
+   * Applies one change. A value that a new leader could not load is kept out; the value before it
+   * is retained.
+   */
+  public void put(StoreWire.Entry change, RecordSource source) {
+    put(change, source, () -> RecordKind.check(change));
+  }
+
+  private void put(StoreWire.Entry change, RecordSource source, Check check) {
+    if (NOT_REPLICATED.matcher(change.key()).matches()) {
+      revision = Math.max(revision, change.revision());
       return;
     }
+    if (!change.isDeletion()) {
+      try {
+        check.run();
+      } catch (MalformedMessageException e) {
+        keepOut(change, source, e);
+        return;
+      }
+    }
+    apply(change);
+  }
+
+  private void keepOut(
+      StoreWire.Entry change, RecordSource source, MalformedMessageException reason) {
+    revision = Math.max(revision, change.revision());
+    if (!hasLatest(change.key(), change.revision())) {
+      retainReadablePart(change);
+    }
+    StoredValue retained = records.get(change.key());
+    log.warn(
+        "Unreadable value kept out of the replica: key={} revision={} generation={} bytes={}"
+            + " source={} retainedBytes={} reason=\"{}\"",
+        change.key(),
+        change.revision(),
+        base,
+        change.json().length,
+        source,
+        retained == null ? 0 : retained.json().length,
+        reason.getMessage());
+  }
+
+  /** Whether the record is the readable value of this revision, and not only a part of it. */
+  private boolean hasLatest(String key, long valueRevision) {
+    StoredValue known = records.get(key);
+    return known != null && known.version() == valueRevision && !unreadable.containsKey(key);
+  }
+
+  /** Takes the readable entries of an unreadable page; the earlier value stays if there is none. */
+  private void retainReadablePart(StoreWire.Entry damaged) {
+    unreadable.put(damaged.key(), damaged.revision());
+    JsonNode part = PageSalvage.readablePart(damaged);
+    if (part != null) {
+      records.put(damaged.key(), new StoredValue(damaged.revision(), Json.bytes(part)));
+    }
+  }
+
+  /** Applies a change whose value is readable. */
+  private void apply(StoreWire.Entry change) {
+    String key = change.key();
+    revision = Math.max(revision, change.revision());
+    unreadable.remove(key);
     if (listener != null) {
       listener.onChange(key, change.revision(), change.json());
     }
@@ -313,8 +389,9 @@
    * A stored value that cannot be parsed.
    *
    * @param repaired whether the replica had a readable value of the same revision
+   * @param reason what a new leader cannot read
    */
-  public record DamagedRecord(StoreWire.Entry entry, boolean repaired) {}
+  public record DamagedRecord(StoreWire.Entry entry, boolean repaired, String reason) {}
 
   /**
    * Applies all entries of the store under a prefix. A value that cannot be parsed is replaced by
@@ -324,31 +401,70 @@
     List<StoreWire.Entry> readable = new ArrayList<>(listed.size());
     List<DamagedRecord> damaged = new ArrayList<>();
     for (StoreWire.Entry entry : listed) {
-      if (RecordValidator.isReadable(entry)) {
+      try {
+        RecordKind.check(entry);
         readable.add(entry);
-        continue;
-      }
-      StoreWire.Entry repaired = repair(entry);
-      damaged.add(new DamagedRecord(entry, repaired != null));
-      if (repaired != null) {
-        readable.add(repaired);
+      } catch (MalformedMessageException e) {
+        StoreWire.Entry repaired = repair(entry);
+        damaged.add(new DamagedRecord(entry, repaired != null, e.getMessage()));
+        if (repaired != null) {
+          readable.add(repaired);
+        } else {
+          retainReadablePart(entry);
+        }
       }
     }
     if (damaged.stream().allMatch(DamagedRecord::repaired)) {
       recordsWithPrefix(prefix).clear();
     }
     // If a damaged record was not repaired, the replica's older values are retained.
-    readable.forEach(this::put);
+    readable.forEach(this::apply);
     return new ListingResult(readable, damaged);
   }
 
   private StoreWire.Entry repair(StoreWire.Entry damaged) {
+    if (!hasLatest(damaged.key(), damaged.revision())) {
+      return null;
+    }
     StoredValue known = records.get(damaged.key());
-    if (known == null || known.version() != damaged.revision()) {
+    return new StoreWire.Entry(damaged.key(), known.json(), damaged.revision());
+  }
+
+  /**
+   * Replaces an unreadable value by what is known of it, or by an empty page.
+   *
+   * @return the replacement under the revision of the unreadable value; null if there is none,
+   *     which is only possible for records that are not pages
+   */
+  public StoreWire.Entry replaceUnreadable(StoreWire.Entry damaged) {
+    StoredValue known = records.get(damaged.key());
+    if (known == null && !RecordKind.of(damaged.key()).isPaged()) {
       return null;
     }
-    StoreWire.Entry entry = new StoreWire.Entry(damaged.key(), known.json(), damaged.revision());
-    return RecordValidator.isReadable(entry) ? entry : null;
+    byte[] json = known == null ? Json.bytes(RecordWire.page(Stream.empty())) : known.json();
+    StoreWire.Entry replacement = new StoreWire.Entry(damaged.key(), json, damaged.revision());
+    apply(replacement);
+    return replacement;
+  }
+
+  /**
+   * Takes over the earlier replica's values of records whose latest value was unreadable when this
+   * one was read.
+   */
+  public void retainReadableOf(RecordReplica earlier) {
+    if (earlier.base != base) {
+      return;
+    }
+    for (Map.Entry<String, Long> missing : Map.copyOf(unreadable).entrySet()) {
+      String key = missing.getKey();
+      StoredValue retained = earlier.records.get(key);
+      if (earlier.hasLatest(key, missing.getValue())) {
+        records.put(key, retained);
+        unreadable.remove(key);
+      } else if (retained != null) {
+        records.putIfAbsent(key, retained);
+      }
+    }
   }
 
   /**
@@ -358,9 +474,8 @@
   public void mergeSurviving(List<StoreWire.Entry> surviving) {
     for (StoreWire.Entry entry : surviving) {
       StoredValue own = records.get(entry.key());
-      boolean newer = own == null || entry.revision() > own.version();
-      if (newer && RecordValidator.isReadable(entry)) {
-        put(entry);
+      if (own == null || entry.revision() > own.version()) {
+        put(entry, RecordSource.SURVIVING_RECORDS);
       }
     }
   }
--- a/src/main/java/io/pineladder/replica/ReplicaFollower.java
+++ b/src/main/java/io/pineladder/replica/ReplicaFollower.java
@@ -166,7 +166,7 @@
           }
           changes.entries().stream()
               .filter(e -> e.key().startsWith(RecordKeys.FINAL_STATE))
-              .forEach(replica::put);
+              .forEach(e -> replica.put(e, RecordSource.CHANGES));
           startAudit();
         });
   }
@@ -201,7 +201,7 @@
           }
           boolean listing = state == State.LISTING;
           revision = revision < 0 ? page.revision() : revision;
-          page.entries().forEach(replica::put);
+          page.entries().forEach(e -> replica.put(e, RecordSource.FOLLOWER_LISTING));
           if (page.nextPageAfter() != null) {
             schedule(
                 REQUEST_INTERVAL, sequence, () -> readPage(sequence, prefix, page.nextPageAfter()));
@@ -349,7 +349,7 @@
           if (changes != null) {
             revision = changes.revision();
             upToDateAt = sentAt;
-            changes.entries().forEach(replica::put);
+            changes.entries().forEach(e -> replica.put(e, RecordSource.CHANGES));
             replica.advanceTo(revision);
           } else if (result.requiresListing()
               || (upToDateAt.plus(MAX_LAG).isBefore(eventLoop.now()) && storeClient.isHealthy())) {
--- a/src/main/java/io/pineladder/replica/SnapshotMerger.java
+++ b/src/main/java/io/pineladder/replica/SnapshotMerger.java
@@ -4,6 +4,7 @@
 import io.pineladder.store.RecordKeys;
 import io.pineladder.wire.MalformedMessageException;
 import io.pineladder.wire.RecordWire;
+import io.pineladder.wire.StoreWire;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -37,6 +38,9 @@
    */
   int merge(Map<String, StoredValue> records) {
     for (Map.Entry<String, StoredValue> record : records.entrySet()) {
+      if (!RecordKind.of(record.getKey()).isValidKey(record.getKey())) {
+        continue;
+      }
       try {
         merge(record.getKey(), record.getValue().parse());
       } catch (MalformedMessageException e) {
@@ -59,14 +63,14 @@
     } else if (key.startsWith(RecordKeys.UNPAGED_JOB)) {
       if (isUnknown(key.substring(RecordKeys.UNPAGED_JOB.length()))) {
         jobCount++;
-        target.put(key, value, 0);
+        put(key, value);
       }
     } else if (key.startsWith(RecordKeys.COMPLETIONS)) {
       putPage(key, RecordKeys.COMPLETIONS, value);
     } else if (key.startsWith(RecordKeys.PLACEMENTS)) {
       putPage(key, RecordKeys.PLACEMENTS, value);
     } else if (key.startsWith(RecordKeys.CONFIGURATION) && !target.containsRecord(key)) {
-      target.put(key, value, 0);
+      put(key, value);
     }
   }
 
@@ -76,6 +80,10 @@
 
   private void putPage(String key, String prefix, JsonNode page) {
     long number = Long.parseLong(key.substring(prefix.length())) + MERGED_PAGE_OFFSET;
-    target.put(prefix + number, page, 0);
+    put(prefix + number, page);
+  }
+
+  private void put(String key, JsonNode value) {
+    target.put(StoreWire.Entry.of(key, value, 0), RecordSource.SNAPSHOT);
   }
 }
--- a/src/main/java/io/pineladder/wire/RecordWire.java
+++ b/src/main/java/io/pineladder/wire/RecordWire.java
@@ -136,13 +136,39 @@
       throw new MalformedMessageException("done is not a list");
     }
     for (JsonNode range : value) {
-      if (range.size() != 2 || range.get(0).asInt(-1) < 0 || range.get(1).asInt(-1) < 0) {
+      if (!range.isArray() || range.size() != 2) {
         throw new MalformedMessageException("done holds something that is not a range");
       }
-      completed.set(range.get(0).intValue(), range.get(1).intValue() + 1);
+      int first = taskNumber(range.get(0));
+      int last = taskNumber(range.get(1));
+      if (last < first) {
+        throw new MalformedMessageException("done holds a range that ends before it begins");
+      }
+      completed.set(first, last + 1);
     }
   }
 
+  private static int taskNumber(JsonNode value) throws MalformedMessageException {
+    return (int) wholeNumber(value, JobWire.MAX_TASKS - 1);
+  }
+
+  private static long wholeNumber(JsonNode value, long max) throws MalformedMessageException {
+    if (!value.isIntegralNumber()
+        || !value.canConvertToLong()
+        || value.longValue() < 0
+        || value.longValue() > max) {
+      throw new MalformedMessageException("an entry holds no whole number in range");
+    }
+    return value.longValue();
+  }
+
+  private static String text(JsonNode value) throws MalformedMessageException {
+    if (!value.isTextual()) {
+      throw new MalformedMessageException("an entry holds something that is not a text");
+    }
+    return value.textValue();
+  }
+
   /** A page with the given entries. */
   public static ObjectNode page(Stream<JsonNode> entries) {
     ObjectNode page = Json.object();
@@ -177,17 +203,21 @@
   public static List<Notification> parseNotifications(JsonNode page)
       throws MalformedMessageException {
     List<Notification> notifications = new ArrayList<>();
-    for (JsonNode entry : page.path("notices")) {
+    JsonNode list = page.path("notices");
+    if (!list.isArray() && !list.isMissingNode()) {
+      throw new MalformedMessageException("notices is not a list");
+    }
+    for (JsonNode entry : list) {
       requireSize(entry, 7);
       notifications.add(
           new Notification(
-              entry.get(0).asLong(),
-              entry.get(1).asText(),
-              entry.get(2).asText().intern(),
-              entry.get(3).asText().intern(),
-              parseState(entry.get(4).asText()),
-              entry.get(5).asInt(),
-              Instant.ofEpochMilli(entry.get(6).asLong())));
+              wholeNumber(entry.get(0), MAX_NUMBER),
+              text(entry.get(1)),
+              text(entry.get(2)).intern(),
+              text(entry.get(3)).intern(),
+              parseState(text(entry.get(4))),
+              (int) wholeNumber(entry.get(5), Integer.MAX_VALUE),
+              Instant.ofEpochMilli(wholeNumber(entry.get(6), MAX_NUMBER))));
     }
     return notifications;
   }
@@ -233,19 +263,15 @@
   /** Reads an entry written by {@link #placement}. */
   public static Placement parsePlacement(JsonNode entry) throws MalformedMessageException {
     requireSize(entry, 8);
-    int task = entry.get(6).asInt(-1);
-    if (task < 0 || task >= JobWire.MAX_TASKS) {
-      throw new MalformedMessageException("a placement of a task that no job can have");
-    }
     return new Placement(
-        entry.get(0).asText(),
-        entry.get(1).isNull() ? null : entry.get(1).asText(),
-        entry.get(2).asText(),
-        entry.get(3).asText(),
+        text(entry.get(0)),
+        entry.get(1).isNull() ? null : text(entry.get(1)),
+        text(entry.get(2)),
+        text(entry.get(3)),
         entry.get(4).asBoolean(),
-        entry.get(5).asText(),
-        task,
-        entry.get(7).asLong());
+        text(entry.get(5)),
+        taskNumber(entry.get(6)),
+        wholeNumber(entry.get(7), MAX_NUMBER));
   }
 
   /** The entry for the completed tasks of one chunk of {@code chunkTasks} tasks. */
@@ -266,12 +292,12 @@
     requireSize(entry, hasChunkSize ? 4 : 3);
     BitSet completed = new BitSet();
     addRanges(entry.get(2), completed);
-    int chunkTasks = hasChunkSize ? entry.get(3).asInt() : 0;
+    int chunkTasks = hasChunkSize ? (int) wholeNumber(entry.get(3), Integer.MAX_VALUE) : 0;
     if (hasChunkSize && chunkTasks < 1) {
       throw new MalformedMessageException("a chunk has no tasks");
     }
     return new StoredCompletions(
-        entry.get(0).asText(), entry.get(1).asInt(), completed, chunkTasks, entry);
+        text(entry.get(0)), taskNumber(entry.get(1)), completed, chunkTasks, entry);
   }
 
   /**
@@ -294,10 +320,16 @@
   public static StoredImages parseImages(JsonNode entry) throws MalformedMessageException {
     requireSize(entry, 2);
     Map<String, Double> images = new LinkedHashMap<>();
+    if (!entry.get(1).isObject()) {
+      throw new MalformedMessageException("the images of a machine are not an object");
+    }
     for (var image : entry.get(1).properties()) {
+      if (!image.getValue().isNumber()) {
+        throw new MalformedMessageException("the size of an image is not a number");
+      }
       images.put(image.getKey(), image.getValue().asDouble());
     }
-    return new StoredImages(entry.get(0).asText(), images);
+    return new StoredImages(text(entry.get(0)), images);
   }
 
   /** The record of the current cluster version. */
--- a/src/test/java/io/pineladder/failover/TermLoaderTest.java
+++ b/src/test/java/io/pineladder/failover/TermLoaderTest.java
@@ -161,6 +161,18 @@
     return cluster;
   }
 
+  /** Guards against two jobs with one id, which start all tasks twice. */
+  @Test
+  void jobWhoseRecordIsInTwoPagesIsRestoredOnce() throws Exception {
+    storeRecords();
+    stored.put(RecordKeys.JOB_PAGES + 1, stored.get(RecordKeys.JOB_PAGES + 0));
+    load();
+    while (!listener.done) {
+      eventLoop.timers.poll().run();
+    }
+    assertEquals(1, listener.loaded.size());
+  }
+
   /** Guards against a leader that loses its lease because it restores all records in one event. */
   @Test
   void renewalsOfTheLeaseRunWhileManyRecordsAreRestored() throws Exception {
