UnreadableRecordTest: final states, configuration and the leader's key as further rows

The table had the four kinds of pages only. Rows for end/, conf/ and lead/ with the three damages of whole values; a job whose only final state was damaged is excused.

--- a/src/main/java/io/pineladder/replica/RecordKind.java
+++ b/src/main/java/io/pineladder/replica/RecordKind.java
@@ -118,7 +118,7 @@
         RecordWire.parseFinalStates(value);
       }
       case FINAL_STATE -> RecordWire.parseFinalState(value);
-      case OTHER -> {}
+      default -> {}
     }
   }
 
--- a/src/test/java/io/pineladder/sim/UnreadableRecordTest.java
+++ b/src/test/java/io/pineladder/sim/UnreadableRecordTest.java
@@ -10,6 +10,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.EnumSet;
 import java.util.List;
 import java.util.Set;
 import java.util.TreeSet;
@@ -22,7 +23,10 @@
 class UnreadableRecordTest extends SimulatedCluster {
   private static final Duration MAX_TIME_WITHOUT_LEADER = Duration.ofSeconds(15);
 
-  private static final List<String> KINDS = List.of("images/", "placed/", "done/", "accepted/");
+  private static final List<String> PAGED_KINDS =
+      List.of("images/", "placed/", "done/", "accepted/");
+
+  private static final List<String> OTHER_KINDS = List.of("end/", "conf/", "lead/");
 
   /** How a value is damaged. */
   enum Damage {
@@ -34,13 +38,13 @@
     OTHER_KIND,
     OUT_OF_RANGE;
 
-    /** Whether no entry can be read any more. */
-    boolean leavesNothing() {
-      return this == NO_OBJECT || this == EMPTY_OBJECT || this == WRONG_TYPE;
+    /** Damages after which no entry can be read any more. */
+    static Set<Damage> ofWholeValues() {
+      return EnumSet.of(NO_OBJECT, EMPTY_OBJECT, WRONG_TYPE);
     }
 
     JsonNode apply(JsonNode old) {
-      ArrayNode entries = (ArrayNode) old.get("entries");
+      ArrayNode entries = old.withArray("entries");
       switch (this) {
         case NO_OBJECT -> {
           return Json.array().add("?");
@@ -76,16 +80,19 @@
   static Stream<Arguments> rows() {
     long seeds = Long.getLong("pineladder.unreadable", 3);
     List<Arguments> rows = new ArrayList<>();
-    for (String kind : KINDS) {
-      for (Damage damage : Damage.values()) {
-        for (Reader reader : Reader.values()) {
-          for (long seed = 1; seed <= seeds; seed++) {
-            rows.add(Arguments.of(kind, damage, reader, seed));
-          }
+    PAGED_KINDS.forEach(kind -> addRows(rows, kind, seeds, EnumSet.allOf(Damage.class)));
+    OTHER_KINDS.forEach(kind -> addRows(rows, kind, seeds, Damage.ofWholeValues()));
+    return rows.stream();
+  }
+
+  private static void addRows(List<Arguments> rows, String kind, long seeds, Set<Damage> damages) {
+    for (Damage damage : damages) {
+      for (Reader reader : Reader.values()) {
+        for (long seed = 1; seed <= seeds; seed++) {
+          rows.add(Arguments.of(kind, damage, reader, seed));
         }
       }
     }
-    return rows.stream();
   }
 
   private final Set<Long> generations = new TreeSet<>();
@@ -151,15 +158,18 @@
         store.replaceValue(
             kind,
             page -> {
-              page.get("entries").forEach(entry -> lostJobs.add(entry.at("/spec/ref").asText()));
+              page.path("entries").forEach(entry -> lostJobs.add(entry.at("/spec/ref").asText()));
               return damage.apply(page);
             });
     assertNotNull(key, "there is a value to damage");
+    if (kind.equals("end/")) {
+      rules.jobs.get(key.substring(kind.length())).recordLost = true;
+    }
     switch (reader) {
       case NEXT_LEADER -> kill(leader(), 6_000);
       case RESTARTED_FOLLOWERS -> {
         killAllButLeader();
-        if (kind.equals("accepted/") && damage.leavesNothing()) {
+        if (kind.equals("accepted/") && Damage.ofWholeValues().contains(damage)) {
           lostJobs.forEach(id -> rules.jobs.get(id).recordLost = true);
         }
         world.runFor(Duration.ofSeconds(18));
