--- a/src/scale/java/io/pineladder/sim/SoakCluster.java
+++ b/src/scale/java/io/pineladder/sim/SoakCluster.java
@@ -23,6 +23,9 @@
  * #close} ends the processes. Event thread only, but for the constructor and {@link #close}.
  */
 final class SoakCluster implements AutoCloseable {
+  /** Pages of jobs are left out: a job that is in a damaged page alone is lost. */
+  private static final List<String> DAMAGED_PREFIXES = List.of("images/", "placed/", "done/");
+
   private static final int MAX_UNFINISHED_REQUESTS = 1_000;
   private static final Duration REQUEST_TIMEOUT = Duration.ofSeconds(2);
   private static final int WORKER_PORT_OFFSET = 1_000;
@@ -269,6 +272,8 @@
         store.lostAnswerRate = fault.share() / 4;
         after(millis, () -> store.lostAnswerRate = 0);
       }
+      case STORE_DAMAGED_PAGES ->
+          DAMAGED_PREFIXES.forEach(prefix -> store.replaceValue(prefix, page -> Json.object()));
       case CLOUD_OUTAGE -> {
         fleet.outage = true;
         after(millis, () -> fleet.outage = false);
--- a/src/scale/java/io/pineladder/sim/SoakPlan.java
+++ b/src/scale/java/io/pineladder/sim/SoakPlan.java
@@ -35,6 +35,8 @@
     STORE_LATE_WRITES,
     /** A part of the transactions is executed and gets no answer. */
     STORE_LOST_ANSWERS,
+    /** One page of each kind that can be had again from elsewhere becomes unreadable. */
+    STORE_DAMAGED_PAGES,
     /** The cloud answers with 503. */
     CLOUD_OUTAGE,
     /** A part of the machines reaches no controller. */
