A rebuild parses only pages of jobs a second time

ReplicaPageSplitter parsed every page of a replica to look for the pages that its records were copied from, which only records of jobs name; RecordKind has parsed each page just before. The search is a method of its own now, asked for pages of jobs alone.

--- a/src/main/java/io/pineladder/replica/ReplicaPageSplitter.java
+++ b/src/main/java/io/pineladder/replica/ReplicaPageSplitter.java
@@ -55,17 +55,7 @@
   }
 
   private void splitPages(String prefix, List<StoreWire.Entry> pages) {
-    long nextPageNumber = 0;
-    for (StoreWire.Entry page : pages) {
-      nextPageNumber = Math.max(nextPageNumber, RecordKeys.pageNumber(page.key(), prefix) + 1);
-      for (JsonNode item : Json.decode(page.json()).path("entries")) {
-        // Copies are ignored while their source page exists: its key must not be used again.
-        String source = RecordWire.copySource(item);
-        nextPageNumber =
-            Math.max(
-                nextPageNumber, source == null ? 0 : RecordKeys.pageNumber(source, prefix) + 1);
-      }
-    }
+    long nextPageNumber = nextPageNumber(prefix, pages);
     for (StoreWire.Entry page : pages) {
       if (page.json().length <= maxValueBytes) {
         splitEntries.add(page);
@@ -80,6 +70,28 @@
     }
   }
 
+  /** A number above those of all pages, and of the pages that records were copied from. */
+  private static long nextPageNumber(String prefix, List<StoreWire.Entry> pages) {
+    long next = 0;
+    for (StoreWire.Entry page : pages) {
+      next = Math.max(next, RecordKeys.pageNumber(page.key(), prefix) + 1);
+      if (prefix.equals(RecordKeys.JOB_PAGES)) {
+        next = Math.max(next, nextNumberAfterSources(prefix, page));
+      }
+    }
+    return next;
+  }
+
+  private static long nextNumberAfterSources(String prefix, StoreWire.Entry page) {
+    long next = 0;
+    for (JsonNode item : Json.decode(page.json()).path("entries")) {
+      // Copies are ignored while their source page exists: its key must not be used again.
+      String source = RecordWire.copySource(item);
+      next = Math.max(next, source == null ? 0 : RecordKeys.pageNumber(source, prefix) + 1);
+    }
+    return next;
+  }
+
   private List<ObjectNode> splitPage(JsonNode page) {
     List<ObjectNode> parts = new ArrayList<>();
     ObjectNode part = emptyPage();
