Answers without a leader are counted; each path into a replica has its test

Metric pineladder.leaderless.answers, by operation and status: after the incident nobody could tell what users were answered while no controller led. ClusterSimulationTest#answersWithoutLeaderAreCounted.

--- a/src/main/java/io/pineladder/admin/Metrics.java
+++ b/src/main/java/io/pineladder/admin/Metrics.java
@@ -145,22 +145,28 @@
   public void recordRequest(Operation operation, int status, Duration latency) {
     counters
         .computeIfAbsent(operation, o -> new TreeMap<>())
-        .computeIfAbsent(
-            status,
-            s ->
-                registry()
-                    .counter(
-                        "pineladder.requests",
-                        "operation",
-                        operation.name().toLowerCase(Locale.ROOT),
-                        "status",
-                        Integer.toString(s)))
+        .computeIfAbsent(status, s -> counter("pineladder.requests", operation, s))
         .increment();
     latencies
         .computeIfAbsent(operation, o -> new Histogram(MAX_LATENCY_MICROS, 2))
         .recordValue(Math.min(MAX_LATENCY_MICROS, Math.max(0, latency.toNanos() / 1000)));
   }
 
+  /** Counts a request that was answered without any leader's decision. */
+  public void recordLeaderlessAnswer(Operation operation, int status) {
+    counter("pineladder.leaderless.answers", operation, status).increment();
+  }
+
+  private Counter counter(String name, Operation operation, int status) {
+    return registry()
+        .counter(
+            name,
+            "operation",
+            operation.name().toLowerCase(Locale.ROOT),
+            "status",
+            Integer.toString(status));
+  }
+
   /** Counts a submission by how it was decided. */
   public void recordSubmission(SubmissionDecision decision) {
     submissions
--- a/src/main/java/io/pineladder/api/RequestRouter.java
+++ b/src/main/java/io/pineladder/api/RequestRouter.java
@@ -187,10 +187,16 @@
         loggingAnswer,
         () ->
             leaderlessApi.submit(
-                spec, withTimeout(node.eventLoop(), loggingAnswer, LeaderApi.COMMIT_TIMEOUT)));
+                spec,
+                withTimeout(
+                    node.eventLoop(),
+                    counted(Metrics.Operation.SUBMIT, loggingAnswer),
+                    LeaderApi.COMMIT_TIMEOUT)));
   }
 
-  private void readWithoutLeader(String id, boolean cancel, Consumer<HttpResponse> answer) {
+  private void readWithoutLeader(String id, boolean cancel, Consumer<HttpResponse> onAnswer) {
+    Consumer<HttpResponse> answer =
+        counted(cancel ? Metrics.Operation.CANCEL : Metrics.Operation.POLL, onAnswer);
     if (!node.storeClient().isHealthy()) {
       answer.accept(unavailable("no leader"));
       return;
@@ -198,6 +204,15 @@
     leaderlessApi.read(id, cancel, withTimeout(node.eventLoop(), answer, LeaderApi.READ_TIMEOUT));
   }
 
+  /** Counts the answer as one without a leader. */
+  private Consumer<HttpResponse> counted(
+      Metrics.Operation operation, Consumer<HttpResponse> answer) {
+    return response -> {
+      metrics.recordLeaderlessAnswer(operation, response.status());
+      answer.accept(response);
+    };
+  }
+
   /** Handles a request on the cluster listener: gossip, forwarded requests, administration. */
   public void handleCluster(
       String method, String path, byte[] body, Consumer<HttpResponse> answer) {
--- a/src/test/java/io/pineladder/replica/RecordReplicaTest.java
+++ b/src/test/java/io/pineladder/replica/RecordReplicaTest.java
@@ -1,7 +1,9 @@
 package io.pineladder.replica;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import io.pineladder.model.Generation;
@@ -20,6 +22,8 @@
 import java.util.random.RandomGenerator;
 import java.util.random.RandomGeneratorFactory;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 
 /** Compares the merging of records with a reference model, and tests the detection of lost ones. */
 class RecordReplicaTest {
@@ -144,4 +148,38 @@
             RecordKeys.PLACEMENTS,
             List.of(Entry.of("placed/0", page, 6), Entry.of("placed/1", page, 9))));
   }
+
+  /** Guards against a replica that takes over a value that no leader can load. */
+  @ParameterizedTest
+  @EnumSource(RecordSource.class)
+  void unreadableValueNeverReplacesReadableOne(RecordSource source) {
+    JsonNode page = Json.object().set("entries", Json.array());
+    JsonNode damaged = Json.object().set("entries", Json.array().addNull());
+    RecordReplica replica = new RecordReplica(0);
+    RecordReplica unread = new RecordReplica(0);
+    for (String key : List.of("accepted/0", "done/0", "images/0", "placed/0")) {
+      replica.put(Entry.of(key, page, 5), source);
+      replica.put(Entry.of(key, damaged, 6), source);
+      unread.put(Entry.of(key, damaged, 6), source);
+    }
+    List.of(replica, unread)
+        .forEach(
+            each -> {
+              each.markRecordsLoaded();
+              each.markFinalStatesLoaded();
+              assertFalse(each.isCompleteAndReadable(), "a peer with the values goes first");
+            });
+    assertEquals(4, replica.generationEntries().size());
+    replica.generationEntries().forEach(entry -> assertTrue(RecordKind.isReadable(entry)));
+    assertEquals(List.of(), unread.generationEntries());
+    unread.retainReadableOf(replica);
+    assertEquals(replica.generationEntries(), unread.generationEntries());
+
+    Map<String, Snapshot.Entry> stored =
+        Map.of("placed/0", new StoredValue(6, Json.bytes(damaged)));
+    Snapshot snapshot = new Snapshot("c", 0, 6, Instant.EPOCH, new TreeMap<>(stored), Map.of());
+    RecordReplica restored =
+        RecordReplica.fromSnapshot(new SnapshotManager.LoadedSnapshot(snapshot, List.of()));
+    assertEquals(List.of(), restored.generationEntries());
+  }
 }
--- a/src/test/java/io/pineladder/sim/ClusterSimulationTest.java
+++ b/src/test/java/io/pineladder/sim/ClusterSimulationTest.java
@@ -6,6 +6,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.pineladder.net.AsyncHttpClient;
 import io.pineladder.wire.Json;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
 import java.util.stream.LongStream;
@@ -134,4 +135,20 @@
     }
     settle(Duration.ofMinutes(10));
   }
+
+  /**
+   * Guards against an outage of leadership after which nobody can tell what users were answered.
+   */
+  @Test
+  void answersWithoutLeaderAreCounted() {
+    begin(3);
+    world.runFor(Duration.ofSeconds(4));
+    store.outage = true;
+    world.runFor(Duration.ofSeconds(10));
+    assertEquals(503, sendAndAwait("10.0.0.1:8080", "GET", "/v1/jobs/req-000007", null).status());
+    byte[] metrics = sendAndAwait("10.0.0.1:8081", "GET", "/admin/v1/metrics", null).body();
+    String counter = "\"pineladder.leaderless.answers operation=poll status=503\":1.0";
+    String text = new String(metrics, StandardCharsets.UTF_8);
+    assertTrue(text.contains(counter), text);
+  }
 }
