A damaged page adds to the earlier value, and costs nobody else a certain answer

- The readable entries of a damaged page replaced the earlier value in the replica, so that one readable entry cost all earlier ones.
They are added to it now: entries are immutable or grow, and final states of jobs are known.
- An unreadable final state or configuration value made the replica count as one that lacks values for as long as it stood, so that this node gave 503 for every job it did not know.
Only values that a rebuild may bring back count.

--- a/src/main/java/io/pineladder/replica/RecordReplica.java
+++ b/src/main/java/io/pineladder/replica/RecordReplica.java
@@ -49,7 +49,10 @@
 
   private final TreeMap<String, StoredValue> records = new TreeMap<>();
 
-  /** Keys whose latest value is unreadable, with the revision of that value. */
+  /**
+   * Keys whose latest value is unreadable, with the revision of that value. The replica has an
+   * earlier value, a part of it, or none.
+   */
   private final Map<String, Long> unreadable = new TreeMap<>();
 
   private final FinalStates finalStates = new FinalStates();
@@ -127,11 +130,13 @@
   }
 
   /**
-   * Whether this replica is complete and has the latest value of every record; otherwise another
-   * controller's replica may have a value that this one could not read.
+   * Whether this replica is complete and has the latest value of every record that is worth a
+   * rebuild; otherwise another controller's replica may have one that this could not read.
    */
   public boolean isCompleteAndReadable() {
-    return isComplete() && unreadable.isEmpty();
+    return isComplete()
+        && unreadable.keySet().stream()
+            .noneMatch(key -> RecordKind.of(key).ifUnreadable() == RecordKind.IfUnreadable.REBUILD);
   }
 
   public boolean hasAllFinalStates() {
@@ -254,10 +259,11 @@
     return known != null && known.version() == valueRevision && !unreadable.containsKey(key);
   }
 
-  /** Takes the readable entries of an unreadable page; the earlier value stays if there is none. */
+  /** Adds the readable entries of an unreadable page to the earlier value, which stays. */
   private void retainReadablePart(StoreWire.Entry damaged) {
     unreadable.put(damaged.key(), damaged.revision());
-    JsonNode part = PageSalvage.readablePart(damaged);
+    StoredValue earlier = records.get(damaged.key());
+    JsonNode part = PageSalvage.readablePart(damaged, earlier == null ? null : earlier.json());
     if (part != null) {
       records.put(damaged.key(), new StoredValue(damaged.revision(), Json.bytes(part)));
     }
--- a/src/test/java/io/pineladder/replica/RecordReplicaTest.java
+++ b/src/test/java/io/pineladder/replica/RecordReplicaTest.java
@@ -21,6 +21,7 @@
 import java.util.TreeMap;
 import java.util.random.RandomGenerator;
 import java.util.random.RandomGeneratorFactory;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -175,6 +176,12 @@
     unread.retainReadableOf(replica);
     assertEquals(replica.generationEntries(), unread.generationEntries());
 
+    RecordReplica other = new RecordReplica(0);
+    other.markRecordsLoaded();
+    other.markFinalStatesLoaded();
+    other.put(Entry.of("end/req-1", damaged, 8), source);
+    assertTrue(other.isCompleteAndReadable(), "no rebuild brings this value back");
+
     Map<String, Snapshot.Entry> stored =
         Map.of("placed/0", new StoredValue(6, Json.bytes(damaged)));
     Snapshot snapshot = new Snapshot("c", 0, 6, Instant.EPOCH, new TreeMap<>(stored), Map.of());
@@ -182,4 +189,33 @@
         RecordReplica.fromSnapshot(new SnapshotManager.LoadedSnapshot(snapshot, List.of()));
     assertEquals(List.of(), restored.generationEntries());
   }
+
+  /** Guards against jobs that are lost because one entry of a newer page is damaged. */
+  @Test
+  void readableEntriesOfDamagedPageAreAddedToEarlierOnes() throws Exception {
+    RecordReplica replica = new RecordReplica(0);
+    replica.put(Entry.of("placed/0", page(placement(1), placement(2)), 5), RecordSource.CHANGES);
+    replica.put(Entry.of("placed/0", page(placement(3), Json.array()), 6), RecordSource.CHANGES);
+    List<Integer> tasks = new ArrayList<>();
+    for (JsonNode entry : RecordWire.entries(replica.generationEntries().get(0).value())) {
+      tasks.add(RecordWire.parsePlacement(entry).task());
+    }
+    assertEquals(List.of(3, 1, 2), tasks);
+  }
+
+  private static JsonNode page(JsonNode... entries) {
+    return RecordWire.page(Stream.of(entries));
+  }
+
+  private static JsonNode placement(int task) {
+    return Json.array()
+        .add("m-1")
+        .add("10.1.0.1:9000")
+        .add("g8")
+        .add("a")
+        .add(false)
+        .add("req-1")
+        .add(task)
+        .add(7);
+  }
 }
